--- /dev/null
+++ b/caller/delivery.go
@@ -0,0 +1,169 @@
+package caller
+
+import (
+	"context"
+	"time"
+
+	"quetzalhold/engine"
+	"quetzalhold/result"
+)
+
+// delivery carries one answer from engines to its caller.
+type delivery struct {
+	server *Server
+	q      *request
+	out    output
+	answer *Answer
+	form   Form
+	cursor Cursor // of the last token delivered
+
+	lastAt      time.Time
+	lastAttempt engine.Attempt
+}
+
+// newDelivery returns the delivery of q's answer, from its cursor if it has
+// one.
+func (s *Server) newDelivery(q *request, out output) (*delivery, error) {
+	d := &delivery{
+		server: s,
+		q:      q,
+		out:    out,
+		answer: NewAnswer(!q.question.Stream),
+		form:   Form{ID: q.id, Style: q.style, Model: q.question.Model, Created: q.receivedAt},
+	}
+	if q.cursor == nil {
+		d.cursor = Cursor{
+			Request:      q.id,
+			Organisation: q.org.Names.Code,
+			Deployment:   string(q.deployment.Name),
+			Version:      q.deployment.Version,
+			Adapter:      q.deployment.Adapter,
+			Seed:         seedOf(&q.question, q.id, 0),
+			Question:     q.digest,
+			MaxTokens:    q.question.Limit(q.preset.MaxTokens),
+		}
+		return d, nil
+	}
+	d.cursor = *q.cursor
+	var err error
+	d.answer, err = ResumeAnswer(*q.cursor, q.question.Received)
+	return d, err
+}
+
+// run runs generations until one has delivered the whole answer. Another one
+// is begun only while nothing was delivered, and only if the deployment has
+// moved to another version since.
+func (d *delivery) run(ctx context.Context) error {
+	for {
+		err := d.generate(ctx)
+		if err == nil || !d.restart(err) {
+			return err
+		}
+	}
+}
+
+func (d *delivery) generate(ctx context.Context) error {
+	g := d.answer.Generation()
+	return d.server.Run(ctx, d.job(), func(_ context.Context, piece engine.Delta) error {
+		return d.deliver(g, piece)
+	})
+}
+
+func (d *delivery) job() engine.Job {
+	c := d.cursor
+	j := engine.Job{
+		Request:   c.Request,
+		Version:   c.Version,
+		Adapter:   c.Adapter,
+		Prompt:    d.q.question.Text(d.q.style),
+		Seed:      c.Seed,
+		MaxTokens: c.MaxTokens,
+		Priority:  d.q.org.Priority,
+		Deadline:  d.q.deadline,
+	}
+	if d.q.cursor != nil {
+		j.Resume = d.resumePoint()
+	}
+	return j
+}
+
+func (d *delivery) resumePoint() *engine.ResumePoint {
+	c := d.q.cursor
+	p := &engine.ResumePoint{
+		Connection: engine.Connection{Attempt: c.Attempt, Server: c.Server, Stream: c.Stream},
+		Offset:     c.Offset,
+		TextKnown:  d.q.question.Received != nil || c.Offset == 0,
+	}
+	for _, token := range d.q.question.Received {
+		p.Text += token
+	}
+	return p
+}
+
+// deliver hands one piece to the caller.
+func (d *delivery) deliver(g Generation, piece engine.Delta) error {
+	if err := d.answer.Append(g, piece); err != nil {
+		return err
+	}
+	d.measure(piece)
+	d.cursor.Server = piece.From.Server
+	d.cursor.Stream = piece.From.Stream
+	d.cursor.Attempt = piece.From.Attempt
+	d.cursor.Generation = g
+	d.cursor.Offset = d.answer.Next()
+	d.cursor.Received = d.answer.Digest()
+	id, err := d.server.Sealer.Seal(d.cursor)
+	if err != nil {
+		return err
+	}
+	if piece.Finish != "" {
+		return d.out.finish(id, d.form, piece, d.answer.Text(), d.usage())
+	}
+	return d.out.piece(id, d.form, piece)
+}
+
+func (d *delivery) usage() Usage {
+	p := engine.CountTokens(d.q.question.Text(d.q.style))
+	n := d.answer.Next()
+	return Usage{PromptTokens: p, CompletionTokens: n, TotalTokens: p + n}
+}
+
+// measure records the time to the first token, between tokens, and over a
+// change of attempt.
+func (d *delivery) measure(piece engine.Delta) {
+	now := time.Now()
+	m := d.server.Telemetry.Metrics
+	switch {
+	case piece.Finish != "":
+		return
+	case d.lastAt.IsZero():
+		m.First(now.Sub(d.q.receivedAt))
+	default:
+		m.Gap(now.Sub(d.lastAt))
+		if piece.From.Attempt != d.lastAttempt {
+			m.Resumed(now.Sub(d.lastAt))
+		}
+	}
+	d.lastAt = now
+	d.lastAttempt = piece.From.Attempt
+}
+
+// restart prepares another generation after err, if that is permitted.
+func (d *delivery) restart(err error) bool {
+	if d.answer.Next() > 0 || result.CodeOf(err) != result.NoServer {
+		return false
+	}
+	_, dep, rerr := d.server.Configuration().Route(d.q.question.Model, d.q.org.Names.Code)
+	if rerr != nil || dep.Version == d.cursor.Version && dep.Adapter == d.cursor.Adapter {
+		return false
+	}
+	if d.answer.Restart() != nil {
+		return false
+	}
+	d.server.note(d.q, "restart", "the deployment has moved on", 0)
+	d.q.cursor = nil
+	d.cursor.Version = dep.Version
+	d.cursor.Adapter = dep.Adapter
+	d.cursor.Seed = seedOf(&d.q.question, d.q.id, d.answer.Generation())
+	return true
+}
--- /dev/null
+++ b/caller/services.go
@@ -0,0 +1,177 @@
+package caller
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/codes"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
+	"go.uber.org/zap"
+
+	"quetzalhold/engine"
+	"quetzalhold/names"
+	"quetzalhold/operator"
+	"quetzalhold/result"
+	"quetzalhold/service"
+	"quetzalhold/settings"
+	"quetzalhold/telemetry"
+)
+
+// Services serves callers' calls to plain services. All fields must be set.
+type Services struct {
+	// Configuration returns the configuration in force.
+	Configuration func() *operator.Configuration
+	// Do does a call; usually [service.Client.Do].
+	Do func(context.Context, *operator.Service, operator.Call, service.Call) (service.Reply, error)
+	// Stopping reports whether the entry VM takes no new requests.
+	Stopping func() bool
+	// Telemetry takes logs, spans and metrics.
+	Telemetry *telemetry.Telemetry
+	// Limits bounds requests.
+	Limits settings.Limits
+	// Scheme is the naming scheme that logs show first.
+	Scheme names.Scheme
+}
+
+// servicesPrefix is the path below which plain services are called.
+const servicesPrefix = "/v1/services/"
+
+// Register adds the services' paths to mux.
+func (s *Services) Register(mux *http.ServeMux) {
+	mux.HandleFunc(servicesPrefix+"{service}/{path...}", s.call)
+}
+
+// serviceCall is a call that was understood.
+type serviceCall struct {
+	service *operator.Service
+	org     *operator.Organisation
+	kind    operator.Call
+	call    service.Call
+}
+
+func (s *Services) call(w http.ResponseWriter, r *http.Request) {
+	ctx := propagation.TraceContext{}.Extract(r.Context(), propagation.HeaderCarrier(r.Header))
+	ctx, span := s.Telemetry.Tracer.Start(ctx, "caller service", trace.WithSpanKind(trace.SpanKindServer))
+	defer span.End()
+	begin := time.Now()
+	sc, err := s.accept(w, r)
+	var reply service.Reply
+	if err == nil {
+		span.SetAttributes(attribute.String("request", string(sc.call.Request)))
+		w.Header().Set(HeaderRequestID, string(sc.call.Request))
+		reply, err = s.Do(ctx, sc.service, sc.kind, sc.call)
+	}
+	if err != nil {
+		span.SetStatus(codes.Error, err.Error())
+		result.Write(w, err)
+	} else {
+		writeReply(w, reply)
+	}
+	s.report(sc, begin, err)
+}
+
+// accept reads and checks a call.
+func (s *Services) accept(w http.ResponseWriter, r *http.Request) (*serviceCall, error) {
+	now := time.Now()
+	if s.Stopping() {
+		return nil, result.New(result.Stopping, "no new requests").AsNotRun().At(now)
+	}
+	cfg := s.Configuration()
+	org, err := cfg.Organisation(BearerKey(r))
+	if err != nil {
+		return nil, err
+	}
+	sv, err := cfg.Service(r.PathValue("service"))
+	if err != nil {
+		return nil, err
+	}
+	path := "/" + r.PathValue("path")
+	kind, err := matchCall(sv, r.Method, path)
+	if err != nil {
+		return nil, err
+	}
+	deadline, err := Deadline(r, now)
+	if err != nil {
+		return nil, err
+	}
+	body, err := ReadBody(w, r, s.Limits.WithDefaults().MaxBodyBytes)
+	if err != nil {
+		return nil, err
+	}
+	if r.URL.RawQuery != "" {
+		path += "?" + r.URL.RawQuery
+	}
+	return &serviceCall{service: sv, org: org, kind: kind, call: service.Call{
+		Request:  engine.RequestID(uuid.NewString()),
+		Method:   r.Method,
+		Path:     path,
+		Header:   r.Header,
+		Body:     body,
+		Deadline: deadline,
+	}}, nil
+}
+
+// matchCall finds the kind of a call. It fails with UnknownCall: a call that
+// the service does not list is not passed on, since nobody said whether it may
+// be repeated.
+func matchCall(sv *operator.Service, method, path string) (operator.Call, error) {
+	for _, c := range sv.Calls {
+		if c.Method == method && matchPath(c.Path, path) {
+			return c, nil
+		}
+	}
+	return operator.Call{}, result.New(result.UnknownCall, "%s %s", method, path).AsNotRun()
+}
+
+// matchPath compares segment by segment; one in braces stands for any.
+func matchPath(pattern, path string) bool {
+	want := strings.Split(pattern, "/")
+	have := strings.Split(path, "/")
+	if len(want) != len(have) {
+		return false
+	}
+	for i, w := range want {
+		wild := strings.HasPrefix(w, "{") && strings.HasSuffix(w, "}")
+		if !wild && w != have[i] {
+			return false
+		}
+	}
+	return true
+}
+
+func writeReply(w http.ResponseWriter, reply service.Reply) {
+	for k, v := range reply.Header {
+		w.Header()[k] = v
+	}
+	for _, k := range []string{"Connection", "Transfer-Encoding", "Content-Length", "Keep-Alive"} {
+		w.Header().Del(k)
+	}
+	w.WriteHeader(reply.Status)
+	// The connection may be gone; there is nobody left to tell.
+	_, _ = w.Write(reply.Body)
+}
+
+// report logs and counts an ended call.
+func (s *Services) report(sc *serviceCall, begin time.Time, err error) {
+	c := result.CodeOf(err)
+	s.Telemetry.Metrics.Call(c)
+	fields := []zap.Field{zap.Int("code", int(c)), zap.String("result", c.String()), zap.Duration("took", time.Since(begin))}
+	if sc != nil {
+		reg := s.Configuration().Registry()
+		fields = append(fields,
+			zap.String("request", string(sc.call.Request)),
+			telemetry.Name("service", reg, names.Service, sc.service.Names.Code, s.Scheme),
+			telemetry.Name("organisation", reg, names.Organisation, sc.org.Names.Code, s.Scheme),
+		)
+	}
+	if err != nil {
+		s.Telemetry.Log.Warn("service call failed", append(fields, zap.Error(err))...)
+		return
+	}
+	s.Telemetry.Log.Info("service call done", fields...)
+}
--- /dev/null
+++ b/caller/wire.go
@@ -0,0 +1,242 @@
+package caller
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"time"
+
+	"quetzalhold/engine"
+	"quetzalhold/operator"
+	"quetzalhold/result"
+)
+
+// The headers of a caller's request and its answer.
+const (
+	HeaderRequestID   = "Quetzalhold-Request"  // the request's id, on every answer
+	HeaderDeadline    = "Quetzalhold-Deadline" // an RFC 3339 instant
+	HeaderLastEvent   = "Last-Event-ID"
+	HeaderIdempotency = "Idempotency-Key"
+)
+
+// The paths that tell of an entry VM's health.
+const (
+	PathAlive = "/healthz" // answers while the process runs
+	PathReady = "/readyz"  // answers 200 while new requests are taken
+)
+
+// doneData is the data of the last event of a stream, as in the OpenAI API.
+const doneData = "[DONE]"
+
+// Style is the form of question and answer.
+type Style int
+
+// The styles.
+const (
+	StyleCompletion Style = iota
+	StyleChat
+)
+
+// Message is one message of a chat.
+type Message struct {
+	Role    string  `json:"role"`
+	Content Content `json:"content"`
+}
+
+// Content is the text of a message. Callers may send it as a string or as a
+// list of text parts.
+type Content string
+
+// UnmarshalJSON reads both forms.
+func (c *Content) UnmarshalJSON(b []byte) error {
+	var s string
+	if err := json.Unmarshal(b, &s); err == nil {
+		*c = Content(s)
+		return nil
+	}
+	var parts []struct {
+		Type string `json:"type"`
+		Text string `json:"text"`
+	}
+	if err := json.Unmarshal(b, &parts); err != nil {
+		return fmt.Errorf("content is neither text nor a list of parts: %w", err)
+	}
+	var all strings.Builder
+	for _, p := range parts {
+		if p.Type != "text" {
+			return fmt.Errorf("content part of type %q; only text is served", p.Type)
+		}
+		all.WriteString(p.Text)
+	}
+	*c = Content(all.String())
+	return nil
+}
+
+// Question is the body of a request for an answer. Fields of the OpenAI API
+// that are not listed here are accepted and have no effect.
+type Question struct {
+	Model               operator.Model `json:"model"`
+	Prompt              string         `json:"prompt,omitempty"`
+	Messages            []Message      `json:"messages,omitempty"`
+	MaxTokens           engine.Tokens  `json:"max_tokens,omitempty"`
+	MaxCompletionTokens engine.Tokens  `json:"max_completion_tokens,omitempty"`
+	N                   int            `json:"n,omitempty"`
+	Seed                *uint64        `json:"seed,omitempty"`
+	Stream              bool           `json:"stream,omitempty"`
+	// Received is the text of each event received so far, sent along with a
+	// Last-Event-ID so that the answer goes on also where its engine was lost.
+	Received []string `json:"received,omitempty"`
+}
+
+// defaultMaxTokens is the length of an answer whose question states none.
+const defaultMaxTokens engine.Tokens = 512
+
+// Check returns the first fault of a decoded question.
+func (q *Question) Check(s Style) error {
+	switch {
+	case q.Model == "":
+		return result.New(result.MissingField, "empty").On("model").AsNotRun()
+	case s == StyleCompletion && q.Prompt == "":
+		return result.New(result.MissingField, "empty").On("prompt").AsNotRun()
+	case s == StyleChat && len(q.Messages) == 0:
+		return result.New(result.MissingField, "empty").On("messages").AsNotRun()
+	case q.MaxTokens < 0 || q.MaxCompletionTokens < 0:
+		return result.New(result.OutOfRange, "below 0").On("max_tokens").AsNotRun()
+	case q.N > 1:
+		return result.New(result.OutOfRange, "one answer a request").On("n").AsNotRun()
+	}
+	return nil
+}
+
+// Text returns the prompt for the engine.
+func (q *Question) Text(s Style) string {
+	if s == StyleCompletion {
+		return q.Prompt
+	}
+	var b strings.Builder
+	for _, m := range q.Messages {
+		b.WriteString(m.Role)
+		b.WriteString(": ")
+		b.WriteString(string(m.Content))
+		b.WriteString("\n")
+	}
+	return b.String()
+}
+
+// Limit returns the length of the answer in tokens, at most the given number.
+func (q *Question) Limit(most engine.Tokens) engine.Tokens {
+	n := defaultMaxTokens
+	switch {
+	case q.MaxCompletionTokens > 0:
+		n = q.MaxCompletionTokens
+	case q.MaxTokens > 0:
+		n = q.MaxTokens
+	}
+	if most > 0 {
+		n = min(n, most)
+	}
+	return n
+}
+
+// Usage counts the tokens of a question and its answer.
+type Usage struct {
+	PromptTokens     engine.Tokens `json:"prompt_tokens"`
+	CompletionTokens engine.Tokens `json:"completion_tokens"`
+	TotalTokens      engine.Tokens `json:"total_tokens"`
+}
+
+// Reply is a whole answer or one piece of a streamed one.
+type Reply struct {
+	ID      string         `json:"id"`
+	Object  string         `json:"object"`
+	Created int64          `json:"created"` // seconds since 1970
+	Model   operator.Model `json:"model"`
+	Choices []ReplyChoice  `json:"choices"`
+	Usage   *Usage         `json:"usage,omitempty"`
+}
+
+// ReplyChoice is the only choice of a reply. Which fields are set depends on
+// the style and on whether the answer is streamed.
+type ReplyChoice struct {
+	Index        int                  `json:"index"`
+	Text         *string              `json:"text,omitempty"`
+	Message      *ReplyMessage        `json:"message,omitempty"`
+	Delta        *ReplyMessage        `json:"delta,omitempty"`
+	FinishReason *engine.FinishReason `json:"finish_reason"`
+	Logprobs     *struct{}            `json:"logprobs"`
+}
+
+// ReplyMessage is a chat message of a reply.
+type ReplyMessage struct {
+	Role    string `json:"role,omitempty"`
+	Content string `json:"content"`
+}
+
+// Form makes the replies to one request.
+type Form struct {
+	ID      engine.RequestID
+	Style   Style
+	Model   operator.Model
+	Created time.Time
+}
+
+const roleAssistant = "assistant"
+
+func (f Form) reply(object string, choice ReplyChoice) Reply {
+	prefix := "cmpl-"
+	if f.Style == StyleChat {
+		prefix = "chatcmpl-"
+	}
+	return Reply{
+		ID:      prefix + string(f.ID),
+		Object:  object,
+		Created: f.Created.Unix(),
+		Model:   f.Model,
+		Choices: []ReplyChoice{choice},
+	}
+}
+
+// Piece returns one piece of a streamed answer.
+func (f Form) Piece(d engine.Delta) Reply {
+	choice := ReplyChoice{}
+	if d.Finish != "" {
+		choice.FinishReason = &d.Finish
+	}
+	if f.Style == StyleCompletion {
+		choice.Text = &d.Text
+		return f.reply("text_completion", choice)
+	}
+	choice.Delta = &ReplyMessage{Content: d.Text}
+	if d.Offset == 0 {
+		choice.Delta.Role = roleAssistant
+	}
+	return f.reply("chat.completion.chunk", choice)
+}
+
+// Whole returns a whole answer.
+func (f Form) Whole(text string, finish engine.FinishReason, u Usage) Reply {
+	choice := ReplyChoice{FinishReason: &finish}
+	var r Reply
+	if f.Style == StyleCompletion {
+		choice.Text = &text
+		r = f.reply("text_completion", choice)
+	} else {
+		choice.Message = &ReplyMessage{Role: roleAssistant, Content: text}
+		r = f.reply("chat.completion", choice)
+	}
+	r.Usage = &u
+	return r
+}
+
+// ModelList answers a call for the models.
+type ModelList struct {
+	Object string       `json:"object"`
+	Data   []ModelEntry `json:"data"`
+}
+
+// ModelEntry is one model of a ModelList.
+type ModelEntry struct {
+	ID      operator.Model `json:"id"`
+	Object  string         `json:"object"`
+	OwnedBy string         `json:"owned_by"`
+}
--- /dev/null
+++ b/engine/choice.go
@@ -0,0 +1,202 @@
+package engine
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"quetzalhold/names"
+)
+
+// Chooser picks an engine for a request. Its zero value uses the defaults.
+type Chooser struct {
+	// Sample is the number of random candidates that are compared.
+	Sample int
+	// ReportHalfLife is the age at which a load report counts half.
+	ReportHalfLife time.Duration
+	// RefusalPause is how long an engine that refused work is passed over.
+	RefusalPause time.Duration
+	// TokenTime is the believed time of an engine for one pending token.
+	TokenTime time.Duration
+	// PrefillRate is the believed speed of prefill in tokens a second.
+	PrefillRate float64
+	// CrossDomain and CrossRegion are the prices of leaving the domain or the
+	// region, as waiting time.
+	CrossDomain time.Duration
+	CrossRegion time.Duration
+	// RegionOf returns the region of a failure domain; nil puts each domain
+	// in a region of its own.
+	RegionOf func(names.ID) names.ID
+	// Rand returns a random number in [0, n); nil uses math/rand/v2.
+	Rand func(n int) int
+}
+
+// The defaults of Chooser.
+const (
+	defaultSample         = 3
+	defaultReportHalfLife = 2 * time.Second
+	defaultRefusalPause   = 500 * time.Millisecond
+	defaultTokenTime      = 500 * time.Microsecond
+	defaultCrossDomain    = 5 * time.Millisecond
+	defaultCrossRegion    = 400 * time.Millisecond
+)
+
+func (c Chooser) withDefaults() Chooser {
+	if c.Sample == 0 {
+		c.Sample = defaultSample
+	}
+	if c.ReportHalfLife == 0 {
+		c.ReportHalfLife = defaultReportHalfLife
+	}
+	if c.RefusalPause == 0 {
+		c.RefusalPause = defaultRefusalPause
+	}
+	if c.TokenTime == 0 {
+		c.TokenTime = defaultTokenTime
+	}
+	if c.PrefillRate == 0 {
+		c.PrefillRate = defaultPrefillRate
+	}
+	if c.CrossDomain == 0 {
+		c.CrossDomain = defaultCrossDomain
+	}
+	if c.CrossRegion == 0 {
+		c.CrossRegion = defaultCrossRegion
+	}
+	if c.Rand == nil {
+		c.Rand = rand.IntN
+	}
+	return c
+}
+
+// Need is what a request asks of an engine.
+type Need struct {
+	Now     time.Time
+	Domain  names.ID // of this entry VM
+	Prefill Tokens   // of the prompt and what was delivered already
+	Exclude []ServerID
+}
+
+// Choice is the engine picked and why.
+type Choice struct {
+	ID     ServerID
+	Cost   time.Duration // believed wait until the first token
+	Cached Tokens        // believed to be in its prefix cache
+	Among  int           // candidates compared
+}
+
+// Choose picks the cheapest of a few random candidates, so that many entry VMs
+// with the same view do not all pick the same engine. Engines that are silent
+// or refused work just now count only where there is no other; the excluded
+// ones never do. It reports false if there is none.
+func (c Chooser) Choose(n Need, all []Candidate) (Choice, bool) {
+	c = c.withDefaults()
+	good := make([]Candidate, 0, len(all))
+	var doubtful []Candidate
+	for _, cand := range all {
+		switch {
+		case excluded(n.Exclude, cand.ID):
+		case c.doubtful(n.Now, cand):
+			doubtful = append(doubtful, cand)
+		default:
+			good = append(good, cand)
+		}
+	}
+	if len(good) == 0 {
+		good = doubtful
+	}
+	if len(good) == 0 {
+		return Choice{}, false
+	}
+	return c.cheapest(n, c.nearest(n, good)), true
+}
+
+func excluded(list []ServerID, id ServerID) bool {
+	for _, x := range list {
+		if x == id {
+			return true
+		}
+	}
+	return false
+}
+
+func (c Chooser) doubtful(now time.Time, cand Candidate) bool {
+	silent := cand.SilentAt.After(cand.HeardAt)
+	refused := !cand.RefusedAt.IsZero() && now.Before(cand.RefusedAt.Add(c.RefusalPause))
+	return silent || refused
+}
+
+// nearest samples half of the picks from this entry VM's region where it has
+// any, so that a fleet that is mostly elsewhere does not hide it.
+func (c Chooser) nearest(n Need, all []Candidate) []Candidate {
+	if len(all) <= c.Sample {
+		return all
+	}
+	var near []Candidate
+	for _, cand := range all {
+		if c.region(cand.Domain) == c.region(n.Domain) {
+			near = append(near, cand)
+		}
+	}
+	picks := c.sample(nil, all, c.Sample)
+	return c.sample(picks, near, c.Sample)
+}
+
+// sample appends k distinct random members of from to picks.
+func (c Chooser) sample(picks, from []Candidate, k int) []Candidate {
+	idx := make([]int, len(from))
+	for i := range idx {
+		idx[i] = i
+	}
+	for i := 0; i < k && i < len(from); i++ {
+		j := i + c.Rand(len(from)-i)
+		idx[i], idx[j] = idx[j], idx[i]
+		picks = append(picks, from[idx[i]])
+	}
+	return picks
+}
+
+func (c Chooser) cheapest(n Need, picks []Candidate) Choice {
+	best := Choice{Cost: math.MaxInt64, Among: len(picks)}
+	for _, cand := range picks {
+		if cost := c.cost(n, cand); cost < best.Cost {
+			best.ID = cand.ID
+			best.Cost = cost
+			best.Cached = cand.Cached
+		}
+	}
+	return best
+}
+
+// cost returns the believed wait until the candidate's first token plus the
+// price of the way there. This entry VM's own work is known exactly; a report
+// counts for what exceeds it, less with age.
+func (c Chooser) cost(n Need, cand Candidate) time.Duration {
+	pending := float64(cand.InFlight)
+	if !cand.ReportedAt.IsZero() {
+		age := n.Now.Sub(cand.ReportedAt)
+		weight := math.Exp2(-float64(age) / float64(c.ReportHalfLife))
+		pending += weight * max(0, float64(cand.Reported-cand.InFlight))
+	}
+	wait := time.Duration(pending * float64(c.TokenTime))
+	left := max(0, float64(n.Prefill-cand.Cached))
+	prefill := time.Duration(left / c.PrefillRate * float64(time.Second))
+	return wait + prefill + c.crossing(n.Domain, cand.Domain)
+}
+
+func (c Chooser) crossing(from, to names.ID) time.Duration {
+	switch {
+	case from == to:
+		return 0
+	case c.region(from) == c.region(to):
+		return c.CrossDomain
+	}
+	return c.CrossRegion
+}
+
+func (c Chooser) region(d names.ID) names.ID {
+	if c.RegionOf == nil {
+		return d
+	}
+	return c.RegionOf(d)
+}
--- /dev/null
+++ b/entry/daemon.go
@@ -0,0 +1,297 @@
+// Package entry is the daemon on an entry VM: it joins what speaks to callers,
+// engines, services, the platform, operators and the other entry VMs.
+package entry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"quetzalhold/caller"
+	"quetzalhold/engine"
+	"quetzalhold/names"
+	"quetzalhold/operator"
+	"quetzalhold/peer"
+	"quetzalhold/platform"
+	"quetzalhold/result"
+	"quetzalhold/service"
+	"quetzalhold/settings"
+	"quetzalhold/telemetry"
+)
+
+// Daemon is the process of one entry VM. Use [New], then [Daemon.Serve].
+type Daemon struct {
+	settings *settings.Entry
+	dial     engine.Dialer
+	log      io.Writer
+	telemOpt []telemetry.Option
+	policy   engine.Policy
+	chooser  engine.Chooser
+
+	telemetry *telemetry.Telemetry
+	history   *telemetry.History
+	places    *names.Registry
+	store     operator.Store
+	pool      engine.Pool
+	engines   *engine.Client
+	canceller engine.Canceller
+	runner    *engine.Runner
+	services  *service.Client
+	platform  *platform.Client
+	peers     *peer.Client
+	http      *http.Server
+
+	draining atomic.Bool  // not ready, but requests are still taken
+	stopping atomic.Bool  // no new requests
+	open     atomic.Int64 // requests under way
+	listed   atomic.Bool  // the list of VMs was read once
+
+	mu         sync.Mutex
+	faults     []*result.Error
+	reachedAt  time.Time
+	platformIs error
+}
+
+// Option changes a Daemon.
+type Option func(*Daemon)
+
+// WithDial sets how the daemon opens connections.
+func WithDial(d engine.Dialer) Option { return func(e *Daemon) { e.dial = d } }
+
+// WithLog sets where the daemon logs to; nowhere if unset.
+func WithLog(w io.Writer) Option { return func(e *Daemon) { e.log = w } }
+
+// WithPolicy sets by which limits a stream is judged.
+func WithPolicy(p engine.Policy) Option { return func(e *Daemon) { e.policy = p } }
+
+// WithChooser sets how an engine is picked.
+func WithChooser(c engine.Chooser) Option { return func(e *Daemon) { e.chooser = c } }
+
+// WithTelemetry passes options on to the daemon's telemetry.
+func WithTelemetry(opts ...telemetry.Option) Option {
+	return func(e *Daemon) { e.telemOpt = append(e.telemOpt, opts...) }
+}
+
+// New returns a daemon with checked settings.
+func New(s *settings.Entry, opts ...Option) (*Daemon, error) {
+	d := &Daemon{settings: s, log: io.Discard, places: s.Registry()}
+	for _, o := range opts {
+		o(d)
+	}
+	var err error
+	if d.telemetry, err = telemetry.New(s, d.log, d.telemOpt...); err != nil {
+		return nil, fmt.Errorf("telemetry: %w", err)
+	}
+	limits := s.Limits.WithDefaults()
+	d.history = telemetry.NewHistory(limits.HistoryRequests)
+	d.engines = engine.NewClient(d.dial)
+	d.canceller.Call = d.engines.Cancel
+	d.runner = d.newRunner(limits)
+	d.services = &service.Client{
+		Domain:   s.DomainID(),
+		RegionOf: s.RegionOf,
+		Dial:     d.dial,
+		Tracer:   d.telemetry.Tracer,
+		Note:     d.note,
+	}
+	d.platform = platform.NewClient(s.Platform, platform.WithDial(d.dial))
+	d.peers = peer.NewClient(d.dial)
+	d.http = d.newServer(limits)
+	return d, nil
+}
+
+func (d *Daemon) newRunner(l settings.Limits) *engine.Runner {
+	ch := d.chooser
+	ch.RegionOf = d.settings.RegionOf
+	return &engine.Runner{
+		Client:      d.engines,
+		Pool:        &d.pool,
+		Canceller:   &d.canceller,
+		Chooser:     ch,
+		Policy:      d.policy,
+		Domain:      d.settings.DomainID(),
+		Note:        d.note,
+		Tracer:      d.telemetry.Tracer,
+		ServerWait:  l.ServerWaitMs.Duration(),
+		ResumeGrace: l.ResumeGraceMs.Duration(),
+	}
+}
+
+// headerLimit is how long a caller may take to send its headers.
+const headerLimit = 10 * time.Second
+
+func (d *Daemon) newServer(l settings.Limits) *http.Server {
+	mux := http.NewServeMux()
+	scheme := d.settings.ShowScheme()
+	answers := &caller.Server{
+		Configuration: d.store.Current,
+		Run:           d.runner.Run,
+		Note:          d.note,
+		Stopping:      d.stopping.Load,
+		Sealer:        caller.NewSealer(d.settings.CursorKey),
+		Telemetry:     d.telemetry,
+		Limits:        l,
+		Scheme:        scheme,
+	}
+	answers.Register(mux)
+	calls := &caller.Services{
+		Configuration: d.store.Current,
+		Do:            d.services.Do,
+		Stopping:      d.stopping.Load,
+		Telemetry:     d.telemetry,
+		Limits:        l,
+		Scheme:        scheme,
+	}
+	calls.Register(mux)
+	api := &operator.API{
+		Key:      d.settings.OperatorKey,
+		Store:    &d.store,
+		Put:      d.platform.Put,
+		Get:      d.platform.Get,
+		Accepted: func(o platform.Object) { d.apply([]platform.Object{o}) },
+		Status:   d.status,
+		History:  d.History,
+	}
+	api.Register(mux)
+	share := &peer.Server{Token: peer.NewToken(d.settings.CursorKey), Objects: d.store.All}
+	share.Register(mux)
+	mux.Handle("GET /metrics", d.telemetry.Handler())
+	mux.HandleFunc("GET "+caller.PathAlive, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
+	mux.HandleFunc("GET "+caller.PathReady, d.serveReady)
+	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
+		result.Write(w, result.New(result.UnknownPath, "%s %s", r.Method, r.URL.Path).AsNotRun())
+	})
+	return &http.Server{
+		Handler:           d.count(mux),
+		ReadHeaderTimeout: headerLimit,
+		MaxHeaderBytes:    int(l.MaxHeaderBytes),
+	}
+}
+
+// count counts the requests under way.
+func (d *Daemon) count(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		d.open.Add(1)
+		defer d.open.Add(-1)
+		h.ServeHTTP(w, r)
+	})
+}
+
+func (d *Daemon) serveReady(w http.ResponseWriter, _ *http.Request) {
+	switch {
+	case d.draining.Load():
+		result.Write(w, result.New(result.Stopping, "shutting down"))
+	case d.store.Empty() || !d.listed.Load():
+		result.Write(w, result.New(result.NoConfiguration, "starting"))
+	default:
+		w.WriteHeader(http.StatusNoContent)
+	}
+}
+
+// Serve serves on l until ctx ends, then shuts down gracefully: first the
+// entry VM says that it is not ready, then it takes no new requests, and it
+// returns once every request under way has ended or the drain limit is over.
+func (d *Daemon) Serve(ctx context.Context, l net.Listener) error {
+	run, stop := context.WithCancel(context.Background())
+	defer stop()
+	var wg sync.WaitGroup
+	for _, loop := range []func(context.Context){d.watchConfiguration, d.pollVMs, d.pollEngines} {
+		wg.Go(func() { loop(run) })
+	}
+	failed := make(chan error, 1)
+	go func() { failed <- d.http.Serve(l) }()
+	d.telemetry.Log.Info("serving", zap.String("address", l.Addr().String()))
+	var err error
+	select {
+	case err = <-failed:
+	case <-ctx.Done():
+		err = d.shutdown()
+	}
+	stop()
+	wg.Wait()
+	d.engines.CloseIdle()
+	return errors.Join(err, d.telemetry.Close(context.Background()))
+}
+
+// readyDelay is how long the entry VM still takes requests after it has said
+// that it is not ready, for the balancer to hear of it.
+const readyDelay = 2 * time.Second
+
+// shutdown ends the HTTP server without cutting a request.
+func (d *Daemon) shutdown() error {
+	d.telemetry.Log.Info("stopping", zap.Int64("open", d.open.Load()))
+	d.draining.Store(true)
+	time.Sleep(readyDelay)
+	d.stopping.Store(true)
+	ctx, cancel := context.WithTimeout(context.Background(), d.settings.Limits.WithDefaults().DrainMs.Duration())
+	defer cancel()
+	if err := d.http.Shutdown(ctx); err != nil {
+		return result.Wrap(result.Stopping, err, "%d requests were cut", d.open.Load())
+	}
+	return nil
+}
+
+// Kill ends the daemon at once, as the loss of its VM does: connections are
+// cut and nothing is finished.
+func (d *Daemon) Kill() { _ = d.http.Close() }
+
+// note takes a step of a request.
+func (d *Daemon) note(s engine.Step) {
+	d.history.Note(s)
+	d.telemetry.Metrics.Step(s.What)
+	d.telemetry.Log.Debug("step",
+		zap.String("request", string(s.Request)),
+		zap.String("what", s.What),
+		zap.String("why", s.Why),
+		zap.String("server", string(s.Server)),
+		zap.Uint64("attempt", uint64(s.Attempt)),
+		zap.Int64("offset", int64(s.Offset)),
+	)
+}
+
+// History returns what this entry VM knows of a request.
+func (d *Daemon) History(id engine.RequestID) operator.History {
+	return operator.History{Entry: engine.ServerID(d.settings.ID), Steps: d.history.Steps(id)}
+}
+
+func (d *Daemon) status() operator.Status {
+	st := operator.Status{
+		Entry:    engine.ServerID(d.settings.ID),
+		Domain:   d.places.Names(names.Domain, d.settings.DomainID()),
+		Address:  d.settings.AdvertiseAddress(),
+		Ready:    !d.draining.Load() && !d.store.Empty() && d.listed.Load(),
+		Stopping: d.draining.Load(),
+		Open:     int(d.open.Load()) - 1, // without this call
+		Cancels:  d.canceller.Pending(),
+		Engines:  []operator.EngineStatus{},
+		Objects:  []operator.ObjectVersion{},
+	}
+	cfg := d.store.Current()
+	if p := cfg.InForce(); p != nil {
+		st.Preset = p.Name
+	}
+	for _, o := range cfg.Objects() {
+		st.Objects = append(st.Objects, operator.ObjectVersion{Kind: o.Kind, Name: o.Name, Version: o.Version})
+	}
+	for _, s := range d.pool.Servers() {
+		st.Engines = append(st.Engines, operator.EngineStatus{
+			ID: s.ID, Domain: s.Domain, HeardAt: d.pool.HeardAt(s.ID), Leaving: s.Leaving,
+		})
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	st.Faults = d.faults
+	st.Platform.ReachedAt = d.reachedAt
+	if d.platformIs != nil {
+		st.Platform.Error = d.platformIs.Error()
+	}
+	return st
+}
--- /dev/null
+++ b/entry/sync.go
@@ -0,0 +1,194 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"quetzalhold/engine"
+	"quetzalhold/operator"
+	"quetzalhold/peer"
+	"quetzalhold/platform"
+	"quetzalhold/result"
+	"quetzalhold/service"
+)
+
+// The pace at which the daemon keeps itself informed.
+const (
+	vmPeriod      = time.Second
+	enginePeriod  = time.Second
+	engineLimit   = 800 * time.Millisecond
+	watchPause    = 200 * time.Millisecond
+	watchMaxPause = 5 * time.Second
+	// relist is how often the configuration is listed although a watch runs.
+	relist = time.Minute
+)
+
+// wait sleeps for d; false if ctx ends first.
+func wait(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// apply takes over configuration objects.
+func (d *Daemon) apply(objs []platform.Object) {
+	faults := d.store.Apply(objs)
+	if len(faults) == 0 {
+		return
+	}
+	d.mu.Lock()
+	d.faults = faults
+	d.mu.Unlock()
+	for _, f := range faults {
+		d.telemetry.Log.Error("configuration object left out", zap.Error(f))
+	}
+}
+
+// reached notes how a call to the platform ended.
+func (d *Daemon) reached(err error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.platformIs = err
+	if err == nil {
+		d.reachedAt = time.Now()
+	}
+}
+
+// watchConfiguration lists the configuration and then watches it, over and
+// over. While the platform is down, it asks the other entry VMs.
+func (d *Daemon) watchConfiguration(ctx context.Context) {
+	pause := watchPause
+	for ctx.Err() == nil {
+		rev, err := d.listConfiguration(ctx)
+		d.reached(err)
+		if err != nil {
+			d.askPeers(ctx)
+			wait(ctx, pause)
+			pause = min(2*pause, watchMaxPause)
+			continue
+		}
+		pause = watchPause
+		d.watchFrom(ctx, rev)
+		wait(ctx, watchPause)
+	}
+}
+
+// listConfiguration lists every kind and returns the lowest revision seen.
+func (d *Daemon) listConfiguration(ctx context.Context) (platform.Revision, error) {
+	var rev platform.Revision
+	var all []platform.Object
+	for i, k := range operator.Kinds() {
+		l, err := d.platform.List(ctx, k)
+		if err != nil {
+			return 0, err
+		}
+		if i == 0 || l.Revision < rev {
+			rev = l.Revision
+		}
+		all = append(all, l.Objects...)
+	}
+	d.apply(all)
+	return rev, nil
+}
+
+// watchFrom applies changes until the watch is lost or it is time to list
+// again.
+func (d *Daemon) watchFrom(ctx context.Context, rev platform.Revision) {
+	ctx, cancel := context.WithTimeout(ctx, relist)
+	defer cancel()
+	err := d.platform.Watch(ctx, rev, func(_ platform.Revision, o platform.Object) error {
+		d.reached(nil)
+		d.apply([]platform.Object{o})
+		return nil
+	})
+	if ctx.Err() == nil {
+		d.reached(err)
+		d.telemetry.Log.Warn("watch lost", zap.Error(err))
+	}
+}
+
+// askPeers takes the configuration over from the first entry VM that has one.
+func (d *Daemon) askPeers(ctx context.Context) {
+	for _, address := range d.settings.Peers {
+		objs, err := d.peers.Objects(ctx, address, peer.NewToken(d.settings.CursorKey))
+		if err != nil {
+			d.telemetry.Log.Debug("peer not reached", zap.String("address", address), zap.Error(err))
+			continue
+		}
+		d.apply(objs)
+	}
+}
+
+// pollVMs reads the platform's list of VMs. While the platform is down, the
+// last list stays in force.
+func (d *Daemon) pollVMs(ctx context.Context) {
+	for ctx.Err() == nil {
+		vms, err := d.platform.VMs(ctx)
+		d.reached(err)
+		if err == nil {
+			d.setVMs(vms)
+		}
+		wait(ctx, vmPeriod)
+	}
+}
+
+func (d *Daemon) setVMs(vms []platform.VM) {
+	var engines []engine.Server
+	var services []service.Server
+	for _, vm := range vms {
+		switch vm.Role {
+		case platform.RoleEngine:
+			engines = append(engines, engine.Server{
+				ID: vm.ID, Address: vm.Address, Domain: vm.Domain, Incarnation: vm.Incarnation, Leaving: vm.Leaving,
+			})
+		case platform.RoleService:
+			services = append(services, service.Server{
+				ID: vm.ID, Service: vm.Service, Address: vm.Address, Domain: vm.Domain, Leaving: vm.Leaving,
+			})
+		}
+	}
+	d.pool.SetList(engines)
+	d.services.SetServers(services)
+	d.listed.Store(true)
+}
+
+// pollEngines reads the engines' load reports and cache events.
+func (d *Daemon) pollEngines(ctx context.Context) {
+	for ctx.Err() == nil {
+		var wg sync.WaitGroup
+		for _, s := range d.pool.Servers() {
+			wg.Go(func() { d.pollEngine(ctx, s) })
+		}
+		wg.Wait()
+		pause := enginePeriod
+		if !d.listed.Load() {
+			pause = watchPause
+		}
+		wait(ctx, pause)
+	}
+}
+
+func (d *Daemon) pollEngine(ctx context.Context, s engine.Server) {
+	ctx, cancel := context.WithTimeout(ctx, engineLimit)
+	defer cancel()
+	r, err := d.engines.Load(ctx, s.Address)
+	if err != nil {
+		if result.CodeOf(err) == result.EngineLost && ctx.Err() == nil {
+			d.pool.Silent(s.ID, time.Now())
+		}
+		return
+	}
+	d.pool.Reported(r, time.Now())
+	evs, err := d.engines.CacheEvents(ctx, s.Address, d.pool.CacheSeq(s.ID))
+	if err == nil {
+		d.pool.Cached(s.ID, evs)
+	}
+}
--- /dev/null
+++ b/operator/api.go
@@ -0,0 +1,233 @@
+package operator
+
+import (
+	"context"
+	"crypto/subtle"
+	"encoding/json"
+	"net/http"
+	"strings"
+	"time"
+
+	"quetzalhold/engine"
+	"quetzalhold/names"
+	"quetzalhold/platform"
+	"quetzalhold/result"
+)
+
+// Status is what an entry VM says of itself.
+type Status struct {
+	Entry    engine.ServerID `json:"entry"`
+	Domain   names.Set       `json:"domain"`
+	Address  string          `json:"address"`
+	Ready    bool            `json:"ready"`
+	Stopping bool            `json:"stopping"`
+	Preset   PresetID        `json:"preset"`
+	Open     int             `json:"open"` // answers under way
+	Cancels  int             `json:"cancels"`
+	Platform PlatformStatus  `json:"platform"`
+	Engines  []EngineStatus  `json:"engines"`
+	Objects  []ObjectVersion `json:"objects"`
+	Faults   []*result.Error `json:"faults,omitempty"` // of objects left out
+}
+
+// PlatformStatus is what an entry VM knows of the platform.
+type PlatformStatus struct {
+	ReachedAt time.Time `json:"reachedAt"` // the last answered call
+	Error     string    `json:"error,omitempty"`
+}
+
+// EngineStatus is what an entry VM knows of an engine.
+type EngineStatus struct {
+	ID      engine.ServerID `json:"id"`
+	Domain  names.ID        `json:"domain"`
+	HeardAt time.Time       `json:"heardAt"`
+	Leaving bool            `json:"leaving"`
+}
+
+// ObjectVersion is the version of a configuration object in force.
+type ObjectVersion struct {
+	Kind    platform.Kind    `json:"kind"`
+	Name    platform.Name    `json:"name"`
+	Version platform.Version `json:"version"`
+}
+
+// History is what an entry VM knows of a request.
+type History struct {
+	Entry engine.ServerID `json:"entry"`
+	Steps []engine.Step   `json:"steps"`
+}
+
+// Change is the body of an operator's write.
+type Change struct {
+	Expect platform.Version `json:"expect"`
+	Value  json.RawMessage  `json:"value"`
+}
+
+// Conflict answers a write whose expected version is not the current one.
+type Conflict struct {
+	Error   *result.Error    `json:"error"`
+	Current *platform.Object `json:"current,omitempty"`
+}
+
+// API is the operators' HTTP API of an entry VM. All fields must be set.
+type API struct {
+	// Key is what operators send as their bearer token.
+	Key string
+	// Store holds the configuration in force here.
+	Store *Store
+	// Put writes an object; usually [platform.Client.Put].
+	Put func(context.Context, platform.Kind, platform.Name, platform.Version, any) (platform.Object, error)
+	// Get reads an object; usually [platform.Client.Get].
+	Get func(context.Context, platform.Kind, platform.Name) (platform.Object, error)
+	// Accepted is told of each accepted object.
+	Accepted func(platform.Object)
+	// Status returns the entry VM's status.
+	Status func() Status
+	// History returns the steps of a request.
+	History func(engine.RequestID) History
+}
+
+// maxChange bounds the body of a write, in bytes.
+const maxChange = platform.MaxValue + 4096
+
+// The paths of the API.
+const (
+	PathObjects  = "/operator/objects/"
+	PathStatus   = "/operator/status"
+	PathRequests = "/operator/requests/"
+)
+
+// Register adds the API's paths to mux.
+func (a *API) Register(mux *http.ServeMux) {
+	handle := func(pattern string, f func(*http.Request) (any, error)) {
+		mux.HandleFunc(pattern, func(w http.ResponseWriter, r *http.Request) { a.serve(w, r, f) })
+	}
+	handle("GET "+PathObjects+"{kind}", a.list)
+	handle("GET "+PathObjects+"{kind}/{name}", a.get)
+	handle("PUT "+PathObjects+"{kind}/{name}", a.put)
+	handle("GET "+PathStatus, func(*http.Request) (any, error) { return a.Status(), nil })
+	handle("GET "+PathRequests+"{id}", a.history)
+}
+
+// serve checks the operator's key and answers with what f returns.
+func (a *API) serve(w http.ResponseWriter, r *http.Request, f func(*http.Request) (any, error)) {
+	key, _ := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if subtle.ConstantTimeCompare([]byte(key), []byte(a.Key)) != 1 {
+		result.Write(w, result.New(result.NotAllowed, "operator key").AsNotRun())
+		return
+	}
+	v, err := f(r)
+	if err != nil {
+		a.fail(w, r, err)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	// The connection may be gone; there is nobody left to tell.
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+// fail answers with an error. A conflict comes with the current object, so
+// that the operator sees the difference.
+func (a *API) fail(w http.ResponseWriter, r *http.Request, err error) {
+	if result.CodeOf(err) != result.VersionConflict {
+		result.Write(w, err)
+		return
+	}
+	body := Conflict{Error: result.Of(err)}
+	o, gerr := a.Get(r.Context(), platform.Kind(r.PathValue("kind")), platform.Name(r.PathValue("name")))
+	if gerr == nil {
+		body.Current = &o
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(http.StatusConflict)
+	// The connection may be gone; there is nobody left to tell.
+	_ = json.NewEncoder(w).Encode(body)
+}
+
+func (a *API) list(r *http.Request) (any, error) {
+	k, err := knownKind(r.PathValue("kind"))
+	if err != nil {
+		return nil, err
+	}
+	found := []platform.Object{}
+	for _, o := range a.Store.All() {
+		if o.Kind == k && !o.Deleted {
+			found = append(found, o)
+		}
+	}
+	return found, nil
+}
+
+func (a *API) get(r *http.Request) (any, error) {
+	k, err := knownKind(r.PathValue("kind"))
+	if err != nil {
+		return nil, err
+	}
+	n := a.objectName(k, r.PathValue("name"))
+	o, ok := a.Store.Get(k, n)
+	if !ok || o.Deleted {
+		return nil, result.New(result.ObjectMissing, "%s %s", k, n)
+	}
+	return o, nil
+}
+
+// objectName returns the name of the object that an operator calls name:
+// services and organisations by their names in any scheme.
+func (a *API) objectName(k platform.Kind, name string) platform.Name {
+	reg := a.Store.Current().Registry()
+	if reg == nil {
+		return platform.Name(name)
+	}
+	kinds := map[platform.Kind]names.Kind{KindService: names.Service, KindOrganisation: names.Organisation}
+	nk, ok := kinds[k]
+	if !ok {
+		return platform.Name(name)
+	}
+	id, err := reg.Resolve(nk, name)
+	if err != nil {
+		return platform.Name(name)
+	}
+	return platform.Name(id)
+}
+
+func knownKind(s string) (platform.Kind, error) {
+	for _, k := range Kinds() {
+		if string(k) == s {
+			return k, nil
+		}
+	}
+	return "", result.New(result.UnknownName, "%q is no kind of object", s).AsNotRun()
+}
+
+func (a *API) put(r *http.Request) (any, error) {
+	k, err := knownKind(r.PathValue("kind"))
+	if err != nil {
+		return nil, err
+	}
+	var ch Change
+	dec := json.NewDecoder(http.MaxBytesReader(nil, r.Body, maxChange))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&ch); err != nil {
+		return nil, result.Wrap(result.BadRequest, err, "decode change").AsNotRun()
+	}
+	n := a.objectName(k, r.PathValue("name"))
+	tried := platform.Object{Kind: k, Name: n, Version: ch.Expect + 1, Value: ch.Value}
+	if faults := a.Store.Try(tried); len(faults) > 0 {
+		return nil, faults[0].AsNotRun()
+	}
+	o, err := a.Put(r.Context(), k, n, ch.Expect, ch.Value)
+	if err != nil {
+		return nil, err
+	}
+	a.Accepted(o)
+	return o, nil
+}
+
+func (a *API) history(r *http.Request) (any, error) {
+	id := engine.RequestID(r.PathValue("id"))
+	h := a.History(id)
+	if len(h.Steps) == 0 {
+		return nil, result.New(result.UnknownRequest, "request %s", id)
+	}
+	return h, nil
+}
--- /dev/null
+++ b/operator/configuration.go
@@ -0,0 +1,332 @@
+package operator
+
+import (
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"sync"
+	"sync/atomic"
+
+	"quetzalhold/engine"
+	"quetzalhold/names"
+	"quetzalhold/platform"
+	"quetzalhold/result"
+)
+
+// Configuration is an immutable view of all configuration objects that hold
+// together. Its zero value is empty.
+type Configuration struct {
+	deployments map[DeploymentID]*Deployment
+	routes      []*Route
+	presets     map[PresetID]*Preset
+	services    map[names.ID]*Service
+	orgs        map[names.ID]*Organisation
+	byKey       map[KeyDigest]*Organisation
+	inForce     *Preset
+	registry    *names.Registry
+	objects     []platform.Object
+}
+
+// Build returns the configuration made of objs, and every fault by which an
+// object cannot be part of it.
+func Build(objs []platform.Object) (*Configuration, []*result.Error) {
+	c := &Configuration{
+		deployments: make(map[DeploymentID]*Deployment),
+		presets:     make(map[PresetID]*Preset),
+		services:    make(map[names.ID]*Service),
+		orgs:        make(map[names.ID]*Organisation),
+		byKey:       make(map[KeyDigest]*Organisation),
+		registry:    &names.Registry{},
+	}
+	var faults []*result.Error
+	for _, k := range Kinds() {
+		for _, o := range objs {
+			if o.Kind != k || o.Deleted {
+				continue
+			}
+			if err := c.add(o); err != nil {
+				faults = append(faults, result.Wrap(result.CodeOf(err), err, "%s %s", o.Kind, o.Name).
+					On(string(o.Kind)+"/"+string(o.Name)))
+				continue
+			}
+			c.objects = append(c.objects, o)
+		}
+	}
+	return c, faults
+}
+
+// add decodes one object and makes it part of c, whose earlier kinds are
+// complete.
+func (c *Configuration) add(o platform.Object) error {
+	switch o.Kind {
+	case KindDeployment:
+		return addTo(o, func(d *Deployment) (string, error) {
+			c.deployments[d.Name] = d
+			return string(d.Name), nil
+		})
+	case KindOrganisation:
+		return addTo(o, c.addOrganisation)
+	case KindService:
+		return addTo(o, func(s *Service) (string, error) {
+			c.services[s.Names.Code] = s
+			return string(s.Names.Code), c.registry.Add(names.Service, s.Names)
+		})
+	case KindRoute:
+		return addTo(o, c.addRoute)
+	case KindPreset:
+		return addTo(o, func(p *Preset) (string, error) {
+			c.presets[p.Name] = p
+			return string(p.Name), nil
+		})
+	case KindInForce:
+		return addTo(o, func(f *InForce) (string, error) {
+			c.inForce = c.presets[f.Preset]
+			if c.inForce == nil {
+				return "", result.New(result.BadReference, "no preset %q", f.Preset).On("preset")
+			}
+			return string(InForceName), nil
+		})
+	}
+	return result.New(result.BadRequest, "unknown kind %q", o.Kind)
+}
+
+// addTo decodes an aggregate and hands it to f, which returns the name that
+// the object must have.
+func addTo[T any](o platform.Object, f func(*T) (string, error)) error {
+	v := new(T)
+	if err := json.Unmarshal(o.Value, v); err != nil {
+		return err
+	}
+	name, err := f(v)
+	if err != nil {
+		return err
+	}
+	if name != string(o.Name) {
+		return result.New(result.BadReference, "the object is called %q, its value %q", o.Name, name).On("name")
+	}
+	return nil
+}
+
+func (c *Configuration) addOrganisation(o *Organisation) (string, error) {
+	for _, k := range o.Keys {
+		if other := c.byKey[k]; other != nil {
+			return "", result.New(result.Duplicate, "key belongs to %q too", other.Names.Code).On("keys")
+		}
+	}
+	if err := c.registry.Add(names.Organisation, o.Names); err != nil {
+		return "", err
+	}
+	c.orgs[o.Names.Code] = o
+	for _, k := range o.Keys {
+		c.byKey[k] = o
+	}
+	return string(o.Names.Code), nil
+}
+
+func (c *Configuration) addRoute(r *Route) (string, error) {
+	if c.deployments[r.Deployment] == nil {
+		return "", result.New(result.BadReference, "no deployment %q", r.Deployment).On("deployment")
+	}
+	for i, name := range r.Organisations {
+		id, err := c.registry.Resolve(names.Organisation, name)
+		if err != nil {
+			return "", result.Of(err).On(fmt.Sprintf("organisations[%d]", i))
+		}
+		r.Organisations[i] = string(id)
+	}
+	for _, other := range c.routes {
+		if other.Model == r.Model && overlap(other.Organisations, r.Organisations) {
+			return "", result.New(result.Duplicate, "route %q leads %q for the same organisations", other.Name, r.Model).On("model")
+		}
+	}
+	c.routes = append(c.routes, r)
+	return string(r.Name), nil
+}
+
+// overlap reports whether two routes serve a common organisation. A route for
+// all gives way to one that names the organisation.
+func overlap(a, b []string) bool {
+	if len(a) == 0 || len(b) == 0 {
+		return len(a) == len(b)
+	}
+	for _, x := range a {
+		if slices.Contains(b, x) {
+			return true
+		}
+	}
+	return false
+}
+
+// Organisation returns the organisation that holds an API key. It fails with
+// UnknownKey.
+func (c *Configuration) Organisation(key string) (*Organisation, error) {
+	o := c.byKey[DigestKey(key)]
+	if o == nil {
+		return nil, result.New(result.UnknownKey, "the API key is unknown").AsNotRun()
+	}
+	return o, nil
+}
+
+// Route returns the route and deployment for a model. One that names the
+// organisation goes before one for all. It fails with UnknownModel.
+func (c *Configuration) Route(m Model, org names.ID) (*Route, *Deployment, error) {
+	var general *Route
+	for _, r := range c.routes {
+		switch {
+		case r.Model != m:
+		case slices.Contains(r.Organisations, string(org)):
+			return r, c.deployments[r.Deployment], nil
+		case len(r.Organisations) == 0:
+			general = r
+		}
+	}
+	if general == nil {
+		return nil, nil, result.New(result.UnknownModel, "no route for model %q", m).AsNotRun()
+	}
+	return general, c.deployments[general.Deployment], nil
+}
+
+// Models returns the models that an organisation may ask for.
+func (c *Configuration) Models(org names.ID) []Model {
+	var all []Model
+	for _, r := range c.routes {
+		served := len(r.Organisations) == 0 || slices.Contains(r.Organisations, string(org))
+		if served && !slices.Contains(all, r.Model) {
+			all = append(all, r.Model)
+		}
+	}
+	slices.Sort(all)
+	return all
+}
+
+// Deployment returns a deployment, or nil.
+func (c *Configuration) Deployment(id DeploymentID) *Deployment { return c.deployments[id] }
+
+// Loaded returns what the deployment needs an engine to have loaded.
+func (d *Deployment) Loaded() engine.Loaded {
+	return engine.Loaded{Version: d.Version, Adapter: d.Adapter}
+}
+
+// Service returns the service called name in any scheme. It fails with
+// UnknownService.
+func (c *Configuration) Service(name string) (*Service, error) {
+	if c.registry == nil {
+		return nil, result.New(result.UnknownService, "no service %q", name).AsNotRun()
+	}
+	id, err := c.registry.Resolve(names.Service, name)
+	if err != nil {
+		return nil, result.Wrap(result.UnknownService, err, "service").AsNotRun()
+	}
+	return c.services[id], nil
+}
+
+// InForce returns the preset in force, or nil if none is.
+func (c *Configuration) InForce() *Preset { return c.inForce }
+
+// Registry returns the names of organisations and services; nil while the
+// configuration is empty.
+func (c *Configuration) Registry() *names.Registry { return c.registry }
+
+// Objects returns the objects that make up the configuration.
+func (c *Configuration) Objects() []platform.Object { return c.objects }
+
+// Store keeps the newest version of each configuration object and the
+// configuration made of them. The zero value is empty and ready to use.
+type Store struct {
+	mu      sync.Mutex
+	objects map[objectKey]platform.Object
+	current atomic.Pointer[Configuration]
+}
+
+type objectKey struct {
+	kind platform.Kind
+	name platform.Name
+}
+
+// Current returns the configuration in force; an empty one at first.
+func (s *Store) Current() *Configuration {
+	if c := s.current.Load(); c != nil {
+		return c
+	}
+	return &Configuration{}
+}
+
+// Empty reports whether no object has been taken over yet.
+func (s *Store) Empty() bool { return s.current.Load() == nil }
+
+// Apply takes over the objects that are newer than the known ones, and
+// returns the faults of those that cannot be part of the configuration. An
+// object never goes back to an earlier version.
+func (s *Store) Apply(objs []platform.Object) []*result.Error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.objects == nil {
+		s.objects = make(map[objectKey]platform.Object)
+	}
+	changed := false
+	for _, o := range objs {
+		k := objectKey{o.Kind, o.Name}
+		if old, ok := s.objects[k]; ok && old.Version >= o.Version {
+			continue
+		}
+		s.objects[k] = o
+		changed = true
+	}
+	if !changed {
+		return nil
+	}
+	c, faults := Build(s.sorted())
+	s.current.Store(c)
+	return faults
+}
+
+func (s *Store) sorted() []platform.Object {
+	all := make([]platform.Object, 0, len(s.objects))
+	for _, o := range s.objects {
+		all = append(all, o)
+	}
+	slices.SortFunc(all, func(a, b platform.Object) int {
+		return cmp.Or(cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Name, b.Name))
+	})
+	return all
+}
+
+// All returns every known object, deleted ones too, in a fixed order.
+func (s *Store) All() []platform.Object {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.sorted()
+}
+
+// Get returns a known object.
+func (s *Store) Get(k platform.Kind, n platform.Name) (platform.Object, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	o, ok := s.objects[objectKey{k, n}]
+	return o, ok
+}
+
+// Try returns the faults that the configuration would have with o in it and
+// does not have now.
+func (s *Store) Try(o platform.Object) []*result.Error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	all := s.sorted()
+	_, before := Build(all)
+	rest := slices.DeleteFunc(all, func(x platform.Object) bool { return x.Kind == o.Kind && x.Name == o.Name })
+	_, after := Build(append(rest, o))
+	return newFaults(before, after)
+}
+
+// newFaults returns the faults of after that before does not have.
+func newFaults(before, after []*result.Error) []*result.Error {
+	var fresh []*result.Error
+	for _, f := range after {
+		known := slices.ContainsFunc(before, func(b *result.Error) bool { return b.Error() == f.Error() })
+		if !known {
+			fresh = append(fresh, f)
+		}
+	}
+	return fresh
+}
--- /dev/null
+++ b/settings/settings.go
@@ -0,0 +1,330 @@
+// Package settings reads the settings file of an entry VM: one JSON object in
+// which every fault is found at once and named by its field.
+package settings
+
+import (
+	"errors"
+	"fmt"
+	"io/fs"
+	"net/netip"
+	"os"
+	"time"
+
+	"quetzalhold/names"
+	"quetzalhold/result"
+)
+
+// Millis is a span of time in milliseconds, as settings state it.
+type Millis int64
+
+// Duration returns the span as a time.Duration.
+func (m Millis) Duration() time.Duration { return time.Duration(m) * time.Millisecond }
+
+// Bytes is a size in bytes.
+type Bytes int64
+
+// Entry is the settings of one entry VM.
+type Entry struct {
+	// ID is the entry VM's name in the platform's list.
+	ID string `json:"id"`
+	// Domain is the failure domain, by its name in any scheme.
+	Domain string `json:"domain"`
+	// Listen is where callers and operators connect: IP number and port.
+	Listen string `json:"listen"`
+	// Advertise is the address that the other entry VMs use; Listen if empty.
+	Advertise string `json:"advertise,omitempty"`
+	// Platform is the address of the object API.
+	Platform string `json:"platform"`
+	// Peers are addresses of other entry VMs, asked for the configuration
+	// while the platform is down.
+	Peers []string `json:"peers,omitempty"`
+	// CursorKey seals cursors; the same on all entry VMs, 32 bytes or more.
+	CursorKey string `json:"cursorKey"`
+	// OperatorKey is what operators send as their bearer token.
+	OperatorKey string `json:"operatorKey"`
+	// Places are the failure domains with their regions and names.
+	Places []Place `json:"places"`
+	// Scheme is the naming scheme that logs show first: code, title or legacy.
+	Scheme string `json:"scheme,omitempty"`
+
+	Limits    Limits    `json:"limits"`
+	Telemetry Telemetry `json:"telemetry"`
+}
+
+// Place is a failure domain in a region.
+type Place struct {
+	Names  names.Set `json:"names"`
+	Region names.Set `json:"region"`
+}
+
+// Limits bounds what one entry VM takes. Zero fields use defaults.
+type Limits struct {
+	MaxBodyBytes    Bytes  `json:"maxBodyBytes,omitempty"`
+	MaxHeaderBytes  Bytes  `json:"maxHeaderBytes,omitempty"`
+	CallerStallMs   Millis `json:"callerStallMs,omitempty"`
+	ServerWaitMs    Millis `json:"serverWaitMs,omitempty"`
+	ResumeGraceMs   Millis `json:"resumeGraceMs,omitempty"`
+	DrainMs         Millis `json:"drainMs,omitempty"`
+	HistoryRequests int    `json:"historyRequests,omitempty"`
+}
+
+// The defaults of Limits.
+const (
+	defaultMaxBodyBytes    Bytes  = 1 << 20
+	defaultMaxHeaderBytes  Bytes  = 64 << 10
+	defaultCallerStallMs   Millis = 60_000
+	defaultServerWaitMs    Millis = 10_000
+	defaultResumeGraceMs   Millis = 15_000
+	defaultDrainMs         Millis = 15 * 60_000
+	defaultHistoryRequests        = 10_000
+)
+
+// WithDefaults returns l with its zero fields set to the defaults.
+func (l Limits) WithDefaults() Limits {
+	orDefault(&l.MaxBodyBytes, defaultMaxBodyBytes)
+	orDefault(&l.MaxHeaderBytes, defaultMaxHeaderBytes)
+	orDefault(&l.CallerStallMs, defaultCallerStallMs)
+	orDefault(&l.ServerWaitMs, defaultServerWaitMs)
+	orDefault(&l.ResumeGraceMs, defaultResumeGraceMs)
+	orDefault(&l.DrainMs, defaultDrainMs)
+	orDefault(&l.HistoryRequests, defaultHistoryRequests)
+	return l
+}
+
+func orDefault[T ~int | ~int64](v *T, d T) {
+	if *v == 0 {
+		*v = d
+	}
+}
+
+// Telemetry says where logs, traces and metrics go.
+type Telemetry struct {
+	// LogLevel is debug, info, warn or error; info if empty.
+	LogLevel string `json:"logLevel,omitempty"`
+	// OTLP is the IP number and port that traces and metrics are pushed to
+	// over HTTP; nothing is pushed if empty.
+	OTLP string `json:"otlp,omitempty"`
+	// TraceShare is the share of requests that are traced, 0 to 1.
+	TraceShare float64 `json:"traceShare,omitempty"`
+}
+
+// MinCursorKey is the least length of the cursor key, in bytes.
+const MinCursorKey = 32
+
+// Load reads and checks a settings file. It returns all faults joined.
+func Load(path string) (*Entry, error) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return nil, result.Wrap(result.SettingsUnreadable, err, "read %s", pathOf(err, path))
+	}
+	return Parse(raw)
+}
+
+func pathOf(err error, path string) string {
+	var pe *fs.PathError
+	if errors.As(err, &pe) {
+		return pe.Path
+	}
+	return path
+}
+
+// Parse decodes and checks settings. It returns all faults joined.
+func Parse(raw []byte) (*Entry, error) {
+	var e Entry
+	faults := DecodeStrict(raw, &e)
+	// A fault in one field must not hide those in the others.
+	faults = append(faults, e.Check()...)
+	if len(faults) > 0 {
+		return nil, Join(faults)
+	}
+	return &e, nil
+}
+
+// Join joins faults into one error, each field's first fault only.
+func Join(faults []*result.Error) error {
+	seen := make(map[string]bool)
+	var errs []error
+	for _, f := range faults {
+		if f.Field != "" && seen[f.Field] {
+			continue
+		}
+		seen[f.Field] = true
+		errs = append(errs, f)
+	}
+	return errors.Join(errs...)
+}
+
+// Check returns every fault of the settings.
+func (e *Entry) Check() []*result.Error {
+	var c checker
+	c.needed("id", e.ID)
+	c.address("listen", e.Listen)
+	c.address("platform", e.Platform)
+	if e.Advertise != "" {
+		c.address("advertise", e.Advertise)
+	}
+	for i, p := range e.Peers {
+		c.address(fmt.Sprintf("peers[%d]", i), p)
+	}
+	if len(e.CursorKey) < MinCursorKey {
+		c.add(result.OutOfRange, "cursorKey", "want %d bytes or more", MinCursorKey)
+	}
+	c.needed("operatorKey", e.OperatorKey)
+	if e.Scheme != "" {
+		if _, err := names.ParseScheme(e.Scheme); err != nil {
+			c.add(result.UnknownName, "scheme", "%s", result.Of(err).Detail)
+		}
+	}
+	c.places(e)
+	c.limits(e.Limits)
+	c.telemetry(e.Telemetry)
+	return c.faults
+}
+
+// checker collects faults.
+type checker struct {
+	faults []*result.Error
+}
+
+func (c *checker) add(code result.Code, field, format string, args ...any) {
+	c.faults = append(c.faults, result.New(code, format, args...).On(field))
+}
+
+func (c *checker) needed(field, v string) {
+	if v == "" {
+		c.add(result.MissingField, field, "empty")
+	}
+}
+
+func (c *checker) address(field, v string) {
+	if v == "" {
+		c.add(result.MissingField, field, "empty")
+		return
+	}
+	if _, err := netip.ParseAddrPort(v); err != nil {
+		c.add(result.NotIPNumber, field, "%q is no IP number with a port", v)
+	}
+}
+
+func (c *checker) places(e *Entry) {
+	if len(e.Places) == 0 {
+		c.add(result.MissingField, "places", "no failure domain is listed")
+		return
+	}
+	for i, p := range e.Places {
+		c.faults = append(c.faults, p.Names.Check(fmt.Sprintf("places[%d].names", i))...)
+		c.faults = append(c.faults, p.Region.Check(fmt.Sprintf("places[%d].region", i))...)
+	}
+	reg, fault := registerPlaces(e.Places)
+	if fault != nil {
+		c.faults = append(c.faults, fault)
+	}
+	if e.Domain == "" {
+		c.add(result.MissingField, "domain", "empty")
+		return
+	}
+	if _, err := reg.Resolve(names.Domain, e.Domain); err != nil {
+		c.add(result.UnknownDomain, "domain", "%q is not among the places", e.Domain)
+	}
+}
+
+func (c *checker) limits(l Limits) {
+	fields := []struct {
+		name string
+		v    int64
+	}{
+		{"maxBodyBytes", int64(l.MaxBodyBytes)},
+		{"maxHeaderBytes", int64(l.MaxHeaderBytes)},
+		{"callerStallMs", int64(l.CallerStallMs)},
+		{"serverWaitMs", int64(l.ServerWaitMs)},
+		{"resumeGraceMs", int64(l.ResumeGraceMs)},
+		{"drainMs", int64(l.DrainMs)},
+		{"historyRequests", int64(l.HistoryRequests)},
+	}
+	for _, f := range fields {
+		if f.v < 0 {
+			c.add(result.OutOfRange, "limits."+f.name, "%d is below 0", f.v)
+		}
+	}
+}
+
+func (c *checker) telemetry(t Telemetry) {
+	switch t.LogLevel {
+	case "", "debug", "info", "warn", "error":
+	default:
+		c.add(result.OutOfRange, "telemetry.logLevel", "%q; want debug, info, warn or error", t.LogLevel)
+	}
+	if t.OTLP != "" {
+		c.address("telemetry.otlp", t.OTLP)
+	}
+	if t.TraceShare < 0 || t.TraceShare > 1 {
+		c.add(result.OutOfRange, "telemetry.traceShare", "%v; want 0 to 1", t.TraceShare)
+	}
+}
+
+// registerPlaces returns a registry of the places and the first fault met.
+func registerPlaces(places []Place) (*names.Registry, *result.Error) {
+	reg := &names.Registry{}
+	var first *result.Error
+	note := func(err error, field string) {
+		if err != nil && first == nil {
+			first = result.Of(err).On(field)
+		}
+	}
+	regions := make(map[names.ID]names.Set)
+	for i, p := range places {
+		field := fmt.Sprintf("places[%d]", i)
+		note(reg.Add(names.Domain, p.Names), field+".names")
+		switch known, ok := regions[p.Region.Code]; {
+		case !ok:
+			regions[p.Region.Code] = p.Region
+			note(reg.Add(names.Region, p.Region), field+".region")
+		case known != p.Region:
+			note(result.New(result.NameClash, "region %q has other names elsewhere", p.Region.Code), field+".region")
+		}
+	}
+	return reg, first
+}
+
+// Registry returns the names of the places. The settings must have passed
+// Check.
+func (e *Entry) Registry() *names.Registry {
+	reg, _ := registerPlaces(e.Places)
+	return reg
+}
+
+// DomainID returns the id of the entry VM's failure domain.
+func (e *Entry) DomainID() names.ID {
+	id, err := e.Registry().Resolve(names.Domain, e.Domain)
+	if err != nil {
+		return names.ID(e.Domain)
+	}
+	return id
+}
+
+// RegionOf returns the region of a failure domain; empty if it is unknown.
+func (e *Entry) RegionOf(d names.ID) names.ID {
+	for _, p := range e.Places {
+		if p.Names.Code == d {
+			return p.Region.Code
+		}
+	}
+	return ""
+}
+
+// ShowScheme returns the scheme that logs show first.
+func (e *Entry) ShowScheme() names.Scheme {
+	s, err := names.ParseScheme(e.Scheme)
+	if err != nil {
+		return names.ByCode
+	}
+	return s
+}
+
+// AdvertiseAddress returns the address that the other entry VMs use.
+func (e *Entry) AdvertiseAddress() string {
+	if e.Advertise != "" {
+		return e.Advertise
+	}
+	return e.Listen
+}
--- /dev/null
+++ b/telemetry/metrics.go
@@ -0,0 +1,102 @@
+package telemetry
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
+
+	"quetzalhold/result"
+)
+
+// Metrics is the instruments of an entry VM.
+type Metrics struct {
+	requests   metric.Int64Counter
+	tokens     metric.Int64Counter
+	open       metric.Int64UpDownCounter
+	steps      metric.Int64Counter
+	violations metric.Int64Counter
+	first      metric.Float64Histogram
+	gap        metric.Float64Histogram
+	resume     metric.Float64Histogram
+	calls      metric.Int64Counter
+}
+
+// resumeBounds are the buckets of latencies, in seconds.
+var resumeBounds = []float64{.01, .025, .064, .1, .25, .5, .75, .99, 1.5, 2, 3, 5, 10, 30}
+
+func newMetrics(m metric.Meter) (*Metrics, error) {
+	var mt Metrics
+	var err error
+	counter := func(name, unit, text string) metric.Int64Counter {
+		c, e := m.Int64Counter(name, metric.WithUnit(unit), metric.WithDescription(text))
+		if e != nil && err == nil {
+			err = fmt.Errorf("instrument %s: %w", name, e)
+		}
+		return c
+	}
+	histogram := func(name, text string) metric.Float64Histogram {
+		h, e := m.Float64Histogram(name, metric.WithUnit("s"), metric.WithDescription(text),
+			metric.WithExplicitBucketBoundaries(resumeBounds...))
+		if e != nil && err == nil {
+			err = fmt.Errorf("instrument %s: %w", name, e)
+		}
+		return h
+	}
+	mt.requests = counter("quetzalhold.requests", "{request}", "Ended requests by result code.")
+	mt.tokens = counter("quetzalhold.tokens", "{token}", "Tokens delivered to callers.")
+	mt.steps = counter("quetzalhold.attempt.steps", "{step}", "Steps of attempts by what happened.")
+	mt.violations = counter("quetzalhold.invariant.violations", "{violation}", "Broken internal checks.")
+	mt.calls = counter("quetzalhold.service.calls", "{call}", "Calls to plain services by result code.")
+	mt.first = histogram("quetzalhold.first.token", "Time from request to first token.")
+	mt.gap = histogram("quetzalhold.token.gap", "Time between two tokens of an answer.")
+	mt.resume = histogram("quetzalhold.resume", "Time from the last token before a loss to the next.")
+	var e error
+	mt.open, e = m.Int64UpDownCounter("quetzalhold.answers.open",
+		metric.WithUnit("{answer}"), metric.WithDescription("Answers under way."))
+	if e != nil && err == nil {
+		err = fmt.Errorf("instrument answers.open: %w", e)
+	}
+	return &mt, err
+}
+
+func code(c result.Code) metric.MeasurementOption {
+	return metric.WithAttributes(attribute.Int("code", int(c)))
+}
+
+// Ended counts an ended request.
+func (m *Metrics) Ended(c result.Code) { m.requests.Add(context.Background(), 1, code(c)) }
+
+// Call counts a call to a plain service.
+func (m *Metrics) Call(c result.Code) { m.calls.Add(context.Background(), 1, code(c)) }
+
+// Opened counts an answer that begins.
+func (m *Metrics) Opened() { m.open.Add(context.Background(), 1) }
+
+// Closed counts an answer that ends.
+func (m *Metrics) Closed() { m.open.Add(context.Background(), -1) }
+
+// Step counts a step of an attempt.
+func (m *Metrics) Step(what string) {
+	m.steps.Add(context.Background(), 1, metric.WithAttributes(attribute.String("what", what)))
+}
+
+// Violation counts a broken internal check.
+func (m *Metrics) Violation() { m.violations.Add(context.Background(), 1) }
+
+// First records the time to an answer's first token.
+func (m *Metrics) First(d time.Duration) {
+	m.tokens.Add(context.Background(), 1)
+	m.first.Record(context.Background(), d.Seconds())
+}
+
+// Gap records the time between two tokens.
+func (m *Metrics) Gap(d time.Duration) {
+	m.tokens.Add(context.Background(), 1)
+	m.gap.Record(context.Background(), d.Seconds())
+}
+
+// Resumed records the time from the last token before a loss to the next.
+func (m *Metrics) Resumed(d time.Duration) { m.resume.Record(context.Background(), d.Seconds()) }
--- /dev/null
+++ b/telemetry/telemetry.go
@@ -0,0 +1,180 @@
+// Package telemetry makes the logs, traces and metrics of an entry VM. Logs
+// are JSON lines; traces and metrics are OpenTelemetry's, metrics being
+// scraped at /metrics and both pushed by OTLP over HTTP where an address is
+// set.
+package telemetry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/exporters/otlp/otlpmetric/otlpmetrichttp"
+	"go.opentelemetry.io/otel/exporters/otlp/otlptrace/otlptracehttp"
+	otelprom "go.opentelemetry.io/otel/exporters/prometheus"
+	sdkmetric "go.opentelemetry.io/otel/sdk/metric"
+	"go.opentelemetry.io/otel/sdk/resource"
+	sdktrace "go.opentelemetry.io/otel/sdk/trace"
+	"go.opentelemetry.io/otel/trace"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"quetzalhold/names"
+	"quetzalhold/settings"
+)
+
+// Telemetry is what an entry VM reports by. Use [New]; [Discard] returns one
+// that reports nothing.
+type Telemetry struct {
+	Log     *zap.Logger
+	Tracer  trace.Tracer
+	Metrics *Metrics
+
+	handler http.Handler
+	close   []func(context.Context) error
+}
+
+// scope names the instrumentation in traces and metrics.
+const scope = "quetzalhold"
+
+// Option changes how New sets up traces.
+type Option func(*options)
+
+type options struct {
+	spans sdktrace.SpanExporter
+}
+
+// WithSpans also hands every span to e as it ends.
+func WithSpans(e sdktrace.SpanExporter) Option {
+	return func(o *options) { o.spans = e }
+}
+
+// New returns the telemetry of an entry VM, which logs to w.
+func New(s *settings.Entry, w io.Writer, opts ...Option) (*Telemetry, error) {
+	var o options
+	for _, f := range opts {
+		f(&o)
+	}
+	res := resource.NewSchemaless(
+		attribute.String("service.name", scope),
+		attribute.String("service.instance.id", s.ID),
+		attribute.String("quetzalhold.domain", string(s.DomainID())),
+	)
+	t := &Telemetry{Log: newLogger(s, w)}
+	if err := t.setTraces(s, res, o); err != nil {
+		return nil, err
+	}
+	if err := t.setMetrics(s, res); err != nil {
+		return nil, err
+	}
+	return t, nil
+}
+
+// Discard returns telemetry that reports nothing but counts.
+func Discard() *Telemetry {
+	provider := sdkmetric.NewMeterProvider()
+	m, err := newMetrics(provider.Meter(scope))
+	if err != nil {
+		panic(err) // only for a malformed instrument name
+	}
+	return &Telemetry{
+		Log:     zap.NewNop(),
+		Tracer:  sdktrace.NewTracerProvider(sdktrace.WithSampler(sdktrace.NeverSample())).Tracer(scope),
+		Metrics: m,
+		handler: http.NotFoundHandler(),
+	}
+}
+
+func newLogger(s *settings.Entry, w io.Writer) *zap.Logger {
+	cfg := zap.NewProductionEncoderConfig()
+	cfg.TimeKey = "at"
+	cfg.MessageKey = "event"
+	cfg.EncodeTime = zapcore.RFC3339NanoTimeEncoder
+	level, err := zapcore.ParseLevel(s.Telemetry.LogLevel)
+	if err != nil {
+		level = zapcore.InfoLevel
+	}
+	core := zapcore.NewCore(zapcore.NewJSONEncoder(cfg), zapcore.Lock(zapcore.AddSync(w)), level)
+	return zap.New(core).With(
+		zap.String("entry", s.ID),
+		Name("domain", s.Registry(), names.Domain, s.DomainID(), s.ShowScheme()),
+	)
+}
+
+// Name returns a log field that shows a named thing in scheme sc first and in
+// the others beside it, so that a search for any of the names finds the line.
+func Name(key string, reg *names.Registry, k names.Kind, id names.ID, sc names.Scheme) zap.Field {
+	if reg == nil {
+		return zap.String(key, string(id))
+	}
+	n := reg.Names(k, id)
+	return zap.Dict(key,
+		zap.String("name", reg.Show(k, id, sc)),
+		zap.String(names.ByCode.String(), string(n.Code)),
+		zap.String(names.ByTitle.String(), n.Title),
+		zap.String(names.ByLegacy.String(), n.Legacy),
+	)
+}
+
+func (t *Telemetry) setTraces(s *settings.Entry, res *resource.Resource, o options) error {
+	opts := []sdktrace.TracerProviderOption{
+		sdktrace.WithResource(res),
+		sdktrace.WithSampler(sdktrace.ParentBased(sdktrace.TraceIDRatioBased(s.Telemetry.TraceShare))),
+	}
+	if o.spans != nil {
+		opts = append(opts, sdktrace.WithSyncer(o.spans))
+	}
+	if s.Telemetry.OTLP != "" {
+		exp, err := otlptracehttp.New(context.Background(),
+			otlptracehttp.WithEndpoint(s.Telemetry.OTLP), otlptracehttp.WithInsecure())
+		if err != nil {
+			return fmt.Errorf("trace exporter: %w", err)
+		}
+		opts = append(opts, sdktrace.WithBatcher(exp))
+	}
+	p := sdktrace.NewTracerProvider(opts...)
+	t.Tracer = p.Tracer(scope)
+	t.close = append(t.close, p.Shutdown)
+	return nil
+}
+
+func (t *Telemetry) setMetrics(s *settings.Entry, res *resource.Resource) error {
+	reg := prometheus.NewRegistry()
+	scrape, err := otelprom.New(otelprom.WithRegisterer(reg))
+	if err != nil {
+		return fmt.Errorf("metrics scraping: %w", err)
+	}
+	opts := []sdkmetric.Option{sdkmetric.WithResource(res), sdkmetric.WithReader(scrape)}
+	if s.Telemetry.OTLP != "" {
+		exp, err := otlpmetrichttp.New(context.Background(),
+			otlpmetrichttp.WithEndpoint(s.Telemetry.OTLP), otlpmetrichttp.WithInsecure())
+		if err != nil {
+			return fmt.Errorf("metrics exporter: %w", err)
+		}
+		opts = append(opts, sdkmetric.WithReader(sdkmetric.NewPeriodicReader(exp)))
+	}
+	p := sdkmetric.NewMeterProvider(opts...)
+	t.close = append(t.close, p.Shutdown)
+	t.handler = promhttp.HandlerFor(reg, promhttp.HandlerOpts{})
+	t.Metrics, err = newMetrics(p.Meter(scope))
+	return err
+}
+
+// Handler serves the metrics for scraping.
+func (t *Telemetry) Handler() http.Handler { return t.handler }
+
+// Close pushes what is left and stops.
+func (t *Telemetry) Close(ctx context.Context) error {
+	var errs []error
+	for _, f := range t.close {
+		errs = append(errs, f(ctx))
+	}
+	// Standard error cannot be synced on every system.
+	_ = t.Log.Sync()
+	return errors.Join(errs...)
+}
