--- a/caller/client.go
+++ b/caller/client.go
@@ -13,6 +13,7 @@
 
 	"github.com/tmaxmax/go-sse"
 
+	"quetzalhold/clock"
 	"quetzalhold/engine"
 	"quetzalhold/result"
 )
@@ -36,7 +37,7 @@
 
 // WithDial sets how connections are opened.
 func WithDial(d engine.Dialer) ClientOption {
-	return func(c *Client) { c.http.Transport.(*http.Transport).DialContext = d }
+	return func(c *Client) { c.http.Transport.(*http.Transport).DialContext = engine.LimitDial(d) }
 }
 
 // OnPiece sets what is told of each piece of an answer.
@@ -60,7 +61,7 @@
 	c := &Client{
 		entries: entries,
 		key:     key,
-		http:    &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
+		http:    &http.Client{Transport: &http.Transport{DialContext: engine.LimitDial(nil), DisableKeepAlives: true}},
 		onPiece: func(string) {},
 		onNote:  func(string, ...any) {},
 		silence: clientSilence,
@@ -131,7 +132,7 @@
 			pause = clientPause
 		}
 		if i%len(a.client.entries) == len(a.client.entries)-1 {
-			sleep(ctx, pause)
+			_ = clock.Sleep(ctx, pause) // the loop sees the end of ctx
 			pause = min(2*pause, maxPause)
 		}
 	}
@@ -140,15 +141,6 @@
 
 func (c *Client) entry() string { return c.entries[c.next%len(c.entries)] }
 
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 // again reports whether another entry VM may do better. A numbered error of
 // the system is final, but for those that concern one entry VM only.
 func again(err error) bool {
@@ -310,7 +302,7 @@
 // probe asks for the entry VM's health until ctx ends or no answer comes.
 func (c *Client) probe(ctx context.Context, entry string, lost context.CancelCauseFunc) {
 	for ctx.Err() == nil {
-		sleep(ctx, c.silence)
+		_ = clock.Sleep(ctx, c.silence) // the loop sees the end of ctx
 		if err := c.alive(ctx, entry); err != nil && ctx.Err() == nil {
 			lost(fmt.Errorf("entry VM %s does not answer: %w", entry, err))
 		}
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"quetzalhold/caller"
+	"quetzalhold/clock"
 	"quetzalhold/engine"
 	"quetzalhold/operator"
 	"quetzalhold/result"
@@ -83,7 +84,7 @@
 	defer cancel()
 	for _, e := range s.Entries() {
 		for !s.knowsAll(ctx, e) {
-			if err := pause(ctx, readyPause); err != nil {
+			if err := clock.Sleep(ctx, readyPause); err != nil {
 				return fmt.Errorf("entry VM %s is not ready: %w", e.Host, err)
 			}
 		}
@@ -110,17 +111,6 @@
 	return heard == want
 }
 
-func pause(ctx context.Context, d time.Duration) error {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
 // Entries returns the entry VMs of the site.
 func (s *Site) Entries() []*EntryProcess {
 	s.mu.Lock()
@@ -135,7 +125,7 @@
 		return fmt.Errorf("build request: %w", err)
 	}
 	req.Header.Set("Authorization", "Bearer "+OperatorKey)
-	t := &http.Transport{DialContext: s.Network.Dialer("operator"), DisableKeepAlives: true}
+	t := &http.Transport{DialContext: engine.LimitDial(s.Network.Dialer("operator")), DisableKeepAlives: true}
 	resp, err := (&http.Client{Transport: t}).Do(req)
 	if err != nil {
 		return err
@@ -271,7 +261,7 @@
 	req.GetBody = nil
 	req.Header.Set("Authorization", "Bearer "+CallerKey)
 	req.Header.Set(caller.HeaderIdempotency, key)
-	t := &http.Transport{DialContext: s.Network.Dialer("caller"), DisableKeepAlives: true}
+	t := &http.Transport{DialContext: engine.LimitDial(s.Network.Dialer("caller")), DisableKeepAlives: true}
 	resp, err := (&http.Client{Transport: t}).Do(req)
 	if err != nil {
 		return result.Internal, fmt.Errorf("book: %w", err)
--- a/demo/site.go
+++ b/demo/site.go
@@ -10,6 +10,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -92,6 +93,7 @@
 	mu        sync.Mutex
 	platform  *Process
 	engines   map[engine.ServerID]*EngineProcess
+	all       []*EngineProcess // dead ones too
 	services  []*ServiceProcess
 	entries   []*EntryProcess
 	processes []*Process
@@ -230,6 +232,7 @@
 	}
 	s.mu.Lock()
 	s.engines[cfg.ID] = e
+	s.all = append(s.all, e)
 	s.mu.Unlock()
 	s.Platform.SetVM(platform.VM{
 		ID: cfg.ID, Role: platform.RoleEngine, Address: e.Address, Domain: domain, Incarnation: cfg.Incarnation,
@@ -321,3 +324,10 @@
 		_ = p.server.Close()
 	}
 }
+
+// AllEngines returns every engine that ever ran at the site, dead ones too.
+func (s *Site) AllEngines() []*EngineProcess {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.all)
+}
--- a/engine/client.go
+++ b/engine/client.go
@@ -34,7 +34,7 @@
 	pooled *http.Client
 }
 
-// dialTimeout bounds the opening of a connection to an engine.
+// dialTimeout bounds the opening of a connection.
 const dialTimeout = 3 * time.Second
 
 // idleConnLimit is how long a connection for reports is kept unused.
@@ -48,9 +48,7 @@
 
 // NewClient returns a client that dials with d; nil dials as package net does.
 func NewClient(d Dialer) *Client {
-	if d == nil {
-		d = (&net.Dialer{Timeout: dialTimeout}).DialContext
-	}
+	d = LimitDial(d)
 	single := newTransport(d)
 	single.DisableKeepAlives = true
 	pooled := newTransport(d)
@@ -62,6 +60,20 @@
 	}
 }
 
+// LimitDial returns a dialer that gives up after a few seconds. It needs a
+// limit of its own: [http.Transport] goes on dialling when the request that
+// asked for the connection has ended. A nil d dials as package net does.
+func LimitDial(d Dialer) Dialer {
+	if d == nil {
+		d = (&net.Dialer{}).DialContext
+	}
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+		defer cancel()
+		return d(ctx, network, address)
+	}
+}
+
 // newTransport returns a transport that speaks only HTTP/1, since HTTP/2 puts
 // all streams on one connection.
 func newTransport(d Dialer) *http.Transport {
--- a/engine/feed.go
+++ b/engine/feed.go
@@ -83,23 +83,24 @@
 
 // await handles one event, or returns at instant at; zero waits for ever.
 func (u *run) await(ctx context.Context, at time.Time) error {
-	var due <-chan time.Time
+	due := ctx
 	if !at.IsZero() {
-		t := time.NewTimer(time.Until(at))
-		defer t.Stop()
-		due = t.C
+		var cancel context.CancelFunc
+		due, cancel = context.WithDeadline(ctx, at)
+		defer cancel()
 	}
 	select {
 	case e := <-u.events:
 		return u.handle(ctx, e)
-	case <-due:
+	case <-due.Done():
+	}
+	switch {
+	case ctx.Err() == nil:
 		return nil
-	case <-ctx.Done():
-		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-			return result.New(result.DeadlinePassed, "deadline at position %d", u.gen.Next())
-		}
-		return result.Wrap(result.CallerGone, context.Cause(ctx), "at position %d", u.gen.Next())
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return result.New(result.DeadlinePassed, "deadline at position %d", u.gen.Next())
 	}
+	return result.Wrap(result.CallerGone, context.Cause(ctx), "at position %d", u.gen.Next())
 }
 
 func (u *run) handle(ctx context.Context, e event) error {
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -16,6 +17,7 @@
 	"go.uber.org/zap"
 
 	"quetzalhold/caller"
+	"quetzalhold/clock"
 	"quetzalhold/engine"
 	"quetzalhold/names"
 	"quetzalhold/operator"
@@ -51,7 +53,7 @@
 
 	draining atomic.Bool  // not ready, but requests are still taken
 	stopping atomic.Bool  // no new requests
-	open     atomic.Int64 // requests under way
+	open     atomic.Int64 // callers' requests under way
 	listed   atomic.Bool  // the list of VMs was read once
 
 	mu         sync.Mutex
@@ -176,11 +178,16 @@
 	}
 }
 
-// count counts the requests under way.
+// callersPrefix is the path below which callers' requests are.
+const callersPrefix = "/v1/"
+
+// count counts the callers' requests under way.
 func (d *Daemon) count(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		d.open.Add(1)
-		defer d.open.Add(-1)
+		if strings.HasPrefix(r.URL.Path, callersPrefix) {
+			d.open.Add(1)
+			defer d.open.Add(-1)
+		}
 		h.ServeHTTP(w, r)
 	})
 }
@@ -218,6 +225,7 @@
 	stop()
 	wg.Wait()
 	d.engines.CloseIdle()
+	d.platform.CloseIdle()
 	return errors.Join(err, d.telemetry.Close(context.Background()))
 }
 
@@ -225,18 +233,34 @@
 // that it is not ready, for the balancer to hear of it.
 const readyDelay = 2 * time.Second
 
-// shutdown ends the HTTP server without cutting a request.
+// The pace at which a shutdown looks for requests under way, and what is left
+// to them once none is.
+const (
+	drainPoll  = 50 * time.Millisecond
+	closeLimit = 5 * time.Second
+)
+
+// shutdown ends the HTTP server without cutting a request. The server listens
+// until the last one has ended: callers probe the entry VM that has their
+// question, and new requests get a numbered refusal.
 func (d *Daemon) shutdown() error {
 	d.telemetry.Log.Info("stopping", zap.Int64("open", d.open.Load()))
 	d.draining.Store(true)
-	time.Sleep(readyDelay)
-	d.stopping.Store(true)
 	ctx, cancel := context.WithTimeout(context.Background(), d.settings.Limits.WithDefaults().DrainMs.Duration())
 	defer cancel()
-	if err := d.http.Shutdown(ctx); err != nil {
-		return result.Wrap(result.Stopping, err, "%d requests were cut", d.open.Load())
+	_ = clock.Sleep(ctx, readyDelay) // a shorter drain limit ends it sooner
+	d.stopping.Store(true)
+	for d.open.Load() > 0 && ctx.Err() == nil {
+		_ = clock.Sleep(ctx, drainPoll) // the loop sees the end of ctx
+	}
+	cut := d.open.Load()
+	closing, stop := context.WithTimeout(context.Background(), closeLimit)
+	defer stop()
+	err := d.http.Shutdown(closing)
+	if cut > 0 {
+		return result.Wrap(result.Stopping, err, "%d requests were cut", cut)
 	}
-	return nil
+	return err
 }
 
 // Kill ends the daemon at once, as the loss of its VM does: connections are
@@ -269,7 +293,7 @@
 		Address:  d.settings.AdvertiseAddress(),
 		Ready:    !d.draining.Load() && !d.store.Empty() && d.listed.Load(),
 		Stopping: d.draining.Load(),
-		Open:     int(d.open.Load()) - 1, // without this call
+		Open:     int(d.open.Load()),
 		Cancels:  d.canceller.Pending(),
 		Engines:  []operator.EngineStatus{},
 		Objects:  []operator.ObjectVersion{},
--- a/entry/sync.go
+++ b/entry/sync.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"quetzalhold/clock"
 	"quetzalhold/engine"
 	"quetzalhold/operator"
 	"quetzalhold/peer"
@@ -26,18 +27,6 @@
 	relist = time.Minute
 )
 
-// wait sleeps for d; false if ctx ends first.
-func wait(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // apply takes over configuration objects.
 func (d *Daemon) apply(objs []platform.Object) {
 	faults := d.store.Apply(objs)
@@ -71,13 +60,13 @@
 		d.reached(err)
 		if err != nil {
 			d.askPeers(ctx)
-			wait(ctx, pause)
+			_ = clock.Sleep(ctx, pause) // the loop sees the end of ctx
 			pause = min(2*pause, watchMaxPause)
 			continue
 		}
 		pause = watchPause
 		d.watchFrom(ctx, rev)
-		wait(ctx, watchPause)
+		_ = clock.Sleep(ctx, watchPause) // the loop sees the end of ctx
 	}
 }
 
@@ -136,7 +125,7 @@
 		if err == nil {
 			d.setVMs(vms)
 		}
-		wait(ctx, vmPeriod)
+		_ = clock.Sleep(ctx, vmPeriod) // the loop sees the end of ctx
 	}
 }
 
@@ -172,7 +161,7 @@
 		if !d.listed.Load() {
 			pause = watchPause
 		}
-		wait(ctx, pause)
+		_ = clock.Sleep(ctx, pause) // the loop sees the end of ctx
 	}
 }
 
--- a/memnet/conn.go
+++ b/memnet/conn.go
@@ -38,9 +38,16 @@
 	return h
 }
 
-// wakeAt wakes all waiters at instant t.
+// wakeAt wakes all waiters at instant t. The caller holds h.mu. There is no
+// timer for a past instant: in a [testing/synctest] bubble such timers crash
+// the race detector (Go 1.26).
 func (h *half) wakeAt(t time.Time) {
-	time.AfterFunc(time.Until(t), func() {
+	d := time.Until(t)
+	if d <= 0 {
+		h.cond.Broadcast()
+		return
+	}
+	time.AfterFunc(d, func() {
 		h.mu.Lock()
 		defer h.mu.Unlock()
 		h.cond.Broadcast()
--- a/memnet/memnet.go
+++ b/memnet/memnet.go
@@ -11,6 +11,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"quetzalhold/clock"
 )
 
 // Host is an IP number.
@@ -92,12 +94,12 @@
 // dial connects two hosts. It hangs while they are cut off from each other.
 func (n *Network) dial(ctx context.Context, from Host, address string) (net.Conn, error) {
 	to := hostOf(address)
-	if err := sleep(ctx, 2*n.latency(from, to)); err != nil {
+	if err := clock.Sleep(ctx, 2*n.latency(from, to)); err != nil {
 		return nil, err
 	}
 	for n.separated(from, to) {
 		// A lost SYN is sent again after a second.
-		if err := sleep(ctx, time.Second); err != nil {
+		if err := clock.Sleep(ctx, time.Second); err != nil {
 			return nil, err
 		}
 	}
@@ -118,17 +120,6 @@
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) error {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
 func (n *Network) latency(a, b Host) time.Duration {
 	if n.Latency == nil {
 		return 0
--- a/operator/client.go
+++ b/operator/client.go
@@ -31,7 +31,7 @@
 	return &Client{
 		entries: entries,
 		key:     key,
-		http:    &http.Client{Timeout: clientLimit, Transport: &http.Transport{DisableKeepAlives: true}},
+		http:    &http.Client{Timeout: clientLimit, Transport: &http.Transport{DialContext: engine.LimitDial(nil), DisableKeepAlives: true}},
 	}
 }
 
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -77,7 +77,7 @@
 
 // NewClient returns a client that dials with d; nil dials as package net does.
 func NewClient(d engine.Dialer) *Client {
-	return &Client{http: &http.Client{Transport: &http.Transport{DialContext: d, DisableKeepAlives: true}}}
+	return &Client{http: &http.Client{Transport: &http.Transport{DialContext: engine.LimitDial(d), DisableKeepAlives: true}}}
 }
 
 // Objects returns the configuration objects that the entry VM at address
--- a/service/service.go
+++ b/service/service.go
@@ -283,7 +283,7 @@
 // own account on reused connections.
 func (c *Client) client() *http.Client {
 	c.once.Do(func() {
-		t := &http.Transport{DialContext: c.Dial, DisableKeepAlives: true, DisableCompression: true}
+		t := &http.Transport{DialContext: engine.LimitDial(c.Dial), DisableKeepAlives: true, DisableCompression: true}
 		c.http = &http.Client{
 			Transport:     t,
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -11,6 +11,7 @@
 
 	"github.com/tmaxmax/go-sse"
 
+	"quetzalhold/clock"
 	"quetzalhold/engine"
 	"quetzalhold/result"
 )
@@ -31,6 +32,7 @@
 	CacheLoss   uint64        // one in so many cache events is never published
 	LoadLag     time.Duration // age that a load report may have
 	LoadTime    time.Duration // to load a version
+	EndDelay    time.Duration // from the last token to the end of the stream
 	Retention   time.Duration // a stream is kept without a reader
 	StopOneIn   uint64        // see Script
 	IgnoreFence bool          // takes orders with an old fencing number
@@ -106,10 +108,10 @@
 
 // stream is one generation on the engine, as seen by its readers.
 type stream struct {
-	start     engine.Start
-	admitted  chan struct{}
-	cancelled chan struct{}
-	once      sync.Once
+	start    engine.Start
+	admitted chan struct{}
+	ctx      context.Context // ends when the stream is cancelled
+	cancel   context.CancelFunc
 
 	mu       sync.Mutex
 	tokens   []string // from start.Offset on
@@ -227,13 +229,13 @@
 		return nil, result.New(result.StaleAttempt, "stream %s exists", s.Stream)
 	}
 	st := &stream{
-		start:     s,
-		admitted:  make(chan struct{}),
-		cancelled: make(chan struct{}),
-		reader:    s.Attempt,
-		changed:   make(chan struct{}),
-		unreadAt:  time.Now(),
+		start:    s,
+		admitted: make(chan struct{}),
+		reader:   s.Attempt,
+		changed:  make(chan struct{}),
+		unreadAt: time.Now(),
 	}
+	st.ctx, st.cancel = context.WithCancel(e.ctx)
 	e.streams[s.Stream] = st
 	e.counts.Starts[s.Request]++
 	if s.Offset == 0 {
@@ -279,8 +281,7 @@
 	select {
 	case <-st.admitted:
 		return true
-	case <-st.cancelled:
-	case <-e.ctx.Done():
+	case <-st.ctx.Done():
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -324,6 +325,9 @@
 		st.append(word)
 		e.count(func(c *EngineCounts) { c.Generated++ })
 	}
+	if !e.sleep(st, e.cfg.EndDelay) {
+		return
+	}
 	st.finish(engine.FinishLength)
 }
 
@@ -344,13 +348,7 @@
 
 // sleep waits for d of running time; false if the stream ends first.
 func (e *Engine) sleep(st *stream, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-st.cancelled:
-		return false
-	case <-e.ctx.Done():
+	if clock.Sleep(st.ctx, d) != nil {
 		return false
 	}
 	if e.faults.wait(e.ctx, e.ctx) != nil {
@@ -361,13 +359,8 @@
 
 // retain keeps a finished stream until nobody may want it any more.
 func (e *Engine) retain(st *stream) {
-	t := time.NewTimer(e.cfg.Retention)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-st.cancelled:
-	case <-e.ctx.Done():
-	}
+	// Sooner, if it is cancelled or the engine stops.
+	_ = clock.Sleep(st.ctx, e.cfg.Retention)
 }
 
 func (e *Engine) forget(st *stream) {
@@ -377,8 +370,6 @@
 	delete(e.streams, st.start.Stream)
 }
 
-func (st *stream) cancel() { st.once.Do(func() { close(st.cancelled) }) }
-
 func (st *stream) append(word string) {
 	st.update(func() { st.tokens = append(st.tokens, word) })
 }
@@ -601,7 +592,8 @@
 	if have {
 		return
 	}
-	time.Sleep(e.cfg.LoadTime)
+	// An engine that stops meanwhile is gone with what it loads.
+	_ = clock.Sleep(e.ctx, e.cfg.LoadTime)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if !slices.Contains(e.versions, l) {
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -13,6 +13,7 @@
 	"github.com/tmaxmax/go-sse"
 	"golang.org/x/time/rate"
 
+	"quetzalhold/clock"
 	"quetzalhold/platform"
 	"quetzalhold/result"
 )
@@ -115,7 +116,7 @@
 		f, faulted := p.fault, p.faulted
 		p.mu.Unlock()
 		if !f.Down {
-			return sleepFor(ctx, f.Delay)
+			return clock.Sleep(ctx, f.Delay) == nil
 		}
 		select {
 		case <-faulted:
@@ -125,20 +126,6 @@
 	}
 }
 
-func sleepFor(ctx context.Context, d time.Duration) bool {
-	if d == 0 {
-		return true
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // Fail orders faults in place of the earlier ones.
 func (p *Platform) Fail(f PlatformFault) {
 	p.mu.Lock()
@@ -332,39 +319,52 @@
 // sendChanges sends each change after revision from, and a comment when there
 // was none for a while.
 func (p *Platform) sendChanges(ctx context.Context, sess *sse.Session, from platform.Revision) {
-	t := time.NewTicker(watchHeartbeat)
-	defer t.Stop()
 	if sess.Flush() != nil {
 		return
 	}
 	for {
-		p.mu.Lock()
-		changed := p.changed
-		news := slices.Clone(p.changes)
-		p.mu.Unlock()
+		beat, stop := context.WithTimeout(ctx, watchHeartbeat)
+		changed, news := p.changesAfter(from)
 		for _, c := range news {
-			if c.revision <= from {
-				continue
-			}
 			if !p.up(ctx) || sendChange(sess, c) != nil {
+				stop()
 				return
 			}
 			from = c.revision
 		}
 		select {
 		case <-changed:
-		case <-t.C:
-			m := &sse.Message{}
-			m.AppendComment("watching")
-			if !p.up(ctx) || sess.Send(m) != nil || sess.Flush() != nil {
-				return
-			}
-		case <-ctx.Done():
+		case <-beat.Done():
+		}
+		idle := beat.Err() != nil
+		stop()
+		if ctx.Err() != nil || idle && !p.heartbeat(ctx, sess) {
 			return
 		}
 	}
 }
 
+// changesAfter returns the changes after a revision, and a channel that is
+// closed at the next one.
+func (p *Platform) changesAfter(from platform.Revision) (<-chan struct{}, []change) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var news []change
+	for _, c := range p.changes {
+		if c.revision > from {
+			news = append(news, c)
+		}
+	}
+	return p.changed, news
+}
+
+// heartbeat sends a comment; false if that fails.
+func (p *Platform) heartbeat(ctx context.Context, sess *sse.Session) bool {
+	m := &sse.Message{}
+	m.AppendComment("watching")
+	return p.up(ctx) && sess.Send(m) == nil && sess.Flush() == nil
+}
+
 func sendChange(sess *sse.Session, c change) error {
 	b, err := json.Marshal(c.object)
 	if err != nil {
--- a/standin/reader.go
+++ b/standin/reader.go
@@ -51,12 +51,10 @@
 		}
 		select {
 		case <-p.changed:
-		case <-r.stream.cancelled:
+		case <-r.stream.ctx.Done():
 			return
 		case <-ctx.Done():
 			return
-		case <-r.engine.ctx.Done():
-			return
 		}
 	}
 }
--- a/standin/service.go
+++ b/standin/service.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"quetzalhold/clock"
 	"quetzalhold/result"
 	"quetzalhold/service"
 )
@@ -139,7 +140,7 @@
 		if fault.Silent {
 			<-r.Context().Done()
 		}
-		if !sleepFor(r.Context(), fault.Delay) || fault.LoseAnswer > 0 {
+		if clock.Sleep(r.Context(), fault.Delay) != nil || fault.LoseAnswer > 0 {
 			panic(http.ErrAbortHandler)
 		}
 		if fault.Cross > 0 {
