--- a/caller/client.go
+++ b/caller/client.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/tmaxmax/go-sse"
+	"go.opentelemetry.io/otel/propagation"
 
 	"quetzalhold/clock"
 	"quetzalhold/engine"
@@ -174,6 +175,7 @@
 	}
 	req.Header.Set("Authorization", "Bearer "+a.client.key)
 	req.Header.Set("Content-Type", "application/json")
+	propagation.TraceContext{}.Inject(ctx, propagation.HeaderCarrier(req.Header))
 	if a.cursor != "" {
 		req.Header.Set(HeaderLastEvent, a.cursor)
 	}
--- a/caller/server.go
+++ b/caller/server.go
@@ -231,12 +231,12 @@
 	} else {
 		out = &wholeOutput{w: w}
 	}
+	defer out.close()
 	d, err := s.newDelivery(q, out)
 	if err != nil {
-		result.Write(w, err)
+		out.fail(result.Of(err))
 		return err
 	}
-	defer out.close()
 	s.note(q, "accept", string(q.org.Names.Code), d.answer.Next())
 	err = d.run(ctx)
 	if err != nil {
--- /dev/null
+++ b/engine/choice_test.go
@@ -0,0 +1,124 @@
+package engine
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"quetzalhold/names"
+)
+
+// first picks the lowest index, so that a choice is decided by cost.
+func first(int) int { return 0 }
+
+func TestChoose(t *testing.T) {
+	now := at(10_000)
+	fresh := func(id ServerID, d names.ID) Candidate {
+		return Candidate{ID: id, Domain: d, ReportedAt: now, HeardAt: now}
+	}
+	with := func(c Candidate, f func(*Candidate)) Candidate {
+		f(&c)
+		return c
+	}
+	tests := []struct {
+		name string
+		need Need
+		all  []Candidate
+		want ServerID
+		ok   bool
+	}{
+		{"nobody", Need{}, nil, "", false},
+		{"own work is exact", Need{Domain: "x"}, []Candidate{
+			with(fresh("a", "x"), func(c *Candidate) { c.InFlight = 1000 }), fresh("b", "x"),
+		}, "b", true},
+		{"reports count for others' work", Need{Domain: "x"}, []Candidate{
+			with(fresh("a", "x"), func(c *Candidate) { c.Reported = 1000 }), fresh("b", "x"),
+		}, "b", true},
+		{"old reports fade before own work", Need{Domain: "x"}, []Candidate{
+			with(fresh("a", "x"), func(c *Candidate) { c.Reported = 1000; c.ReportedAt = now.Add(-20 * time.Second) }),
+			with(fresh("b", "x"), func(c *Candidate) { c.InFlight = 100 }),
+		}, "a", true},
+		{"a cached prompt wins over a little load", Need{Domain: "x", Prefill: 4000}, []Candidate{
+			fresh("a", "x"), with(fresh("b", "x"), func(c *Candidate) { c.Cached = 3900; c.InFlight = 200 }),
+		}, "b", true},
+		{"another region costs", Need{Domain: "x"}, []Candidate{
+			fresh("a", "y"), with(fresh("b", "x"), func(c *Candidate) { c.InFlight = 500 }),
+		}, "b", true},
+		{"but not more than a long queue", Need{Domain: "x"}, []Candidate{
+			fresh("a", "y"), with(fresh("b", "x"), func(c *Candidate) { c.InFlight = 5000 }),
+		}, "a", true},
+		{"silent ones last", Need{Domain: "x"}, []Candidate{
+			with(fresh("a", "x"), func(c *Candidate) { c.SilentAt = now.Add(time.Second) }),
+			with(fresh("b", "x"), func(c *Candidate) { c.InFlight = 9999 }),
+		}, "b", true},
+		{"a silent one if there is no other", Need{Domain: "x"}, []Candidate{
+			with(fresh("a", "x"), func(c *Candidate) { c.SilentAt = now.Add(time.Second) }),
+		}, "a", true},
+		{"the excluded never", Need{Domain: "x", Exclude: []ServerID{"a"}}, []Candidate{fresh("a", "x")}, "", false},
+	}
+	Convey("Choose", t, func() {
+		for _, tt := range tests {
+			Convey(tt.name, func() {
+				tt.need.Now = now
+				got, ok := Chooser{Rand: first}.Choose(tt.need, tt.all)
+				So(ok, ShouldEqual, tt.ok)
+				So(got.ID, ShouldEqual, tt.want)
+			})
+		}
+	})
+}
+
+func TestPool(t *testing.T) {
+	now := at(0)
+	v := Loaded{Version: "m@1"}
+	list := []Server{{ID: "a", Address: "10.0.0.1:1", Incarnation: 1}, {ID: "b", Address: "10.0.0.2:1", Incarnation: 1}}
+	ids := func(p *Pool) []ServerID {
+		var got []ServerID
+		for _, c := range p.Candidates(v, nil) {
+			got = append(got, c.ID)
+		}
+		return got
+	}
+	Convey("A pool", t, func() {
+		var p Pool
+		p.SetList(list)
+		So(ids(&p), ShouldResemble, []ServerID{"a", "b"})
+		Convey("passes over an engine without the version", func() {
+			p.Reported(LoadReport{Server: "a", Incarnation: 1}, now)
+			So(ids(&p), ShouldResemble, []ServerID{"b"})
+		})
+		Convey("gives a leaving engine no new work, though the list lags", func() {
+			p.Refused("a", now, true)
+			p.SetList(list)
+			So(ids(&p), ShouldResemble, []ServerID{"b"})
+			Convey("until it comes back as a new incarnation", func() {
+				p.Reported(LoadReport{Server: "a", Incarnation: 2, Versions: []Loaded{v}}, now)
+				So(ids(&p), ShouldResemble, []ServerID{"a", "b"})
+			})
+			Convey("and hears no report of an older incarnation", func() {
+				p.Reported(LoadReport{Server: "a", Incarnation: 2, Versions: []Loaded{v}}, now)
+				p.Reported(LoadReport{Server: "a", Incarnation: 1, Draining: true}, now)
+				So(ids(&p), ShouldResemble, []ServerID{"a", "b"})
+			})
+		})
+		Convey("forgets an engine that is no longer listed", func() {
+			p.SetList(list[:1])
+			So(ids(&p), ShouldResemble, []ServerID{"a"})
+		})
+		Convey("counts work in flight exactly", func() {
+			p.Reserve("a", 100)
+			p.Received("a", 1)
+			So(p.Candidates(v, nil)[0].InFlight, ShouldEqual, 99)
+			p.Release("a", 99)
+			So(p.Candidates(v, nil)[0].InFlight, ShouldEqual, 0)
+		})
+		Convey("drops its belief about a cache at a gap", func() {
+			blocks := []BlockHash{1, 2}
+			p.Cached("a", CacheEvents{Incarnation: 1, Events: []CacheEvent{{Seq: 1, Added: blocks}}})
+			So(p.Candidates(v, blocks)[0].Cached, ShouldEqual, 2*BlockWords)
+			p.Cached("a", CacheEvents{Incarnation: 1, Events: []CacheEvent{{Seq: 3, Added: []BlockHash{9}}}})
+			So(p.Candidates(v, blocks)[0].Cached, ShouldEqual, 0)
+		})
+	})
+}
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -104,8 +104,8 @@
 		Tracer:   d.telemetry.Tracer,
 		Note:     d.note,
 	}
-	d.platform = platform.NewClient(s.Platform, platform.WithDial(d.dial))
-	d.peers = peer.NewClient(d.dial)
+	d.platform = platform.NewClient(s.Platform, platform.WithDial(d.dial), platform.WithTracer(d.telemetry.Tracer))
+	d.peers = peer.NewClient(d.dial, d.telemetry.Tracer)
 	d.http = d.newServer(limits)
 	return d, nil
 }
--- a/operator/api.go
+++ b/operator/api.go
@@ -8,6 +8,8 @@
 	"strings"
 	"time"
 
+	"go.opentelemetry.io/otel/propagation"
+
 	"quetzalhold/engine"
 	"quetzalhold/names"
 	"quetzalhold/platform"
@@ -116,7 +118,8 @@
 		result.Write(w, result.New(result.NotAllowed, "operator key").AsNotRun())
 		return
 	}
-	v, err := f(r)
+	ctx := propagation.TraceContext{}.Extract(r.Context(), propagation.HeaderCarrier(r.Header))
+	v, err := f(r.WithContext(ctx))
 	if err != nil {
 		a.fail(w, r, err)
 		return
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -15,6 +15,9 @@
 	"strings"
 	"time"
 
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
+
 	"quetzalhold/engine"
 	"quetzalhold/platform"
 	"quetzalhold/result"
@@ -72,12 +75,14 @@
 
 // Client calls other entry VMs. Use [NewClient].
 type Client struct {
-	http *http.Client
+	http   *http.Client
+	tracer trace.Tracer
 }
 
-// NewClient returns a client that dials with d; nil dials as package net does.
-func NewClient(d engine.Dialer) *Client {
-	return &Client{http: &http.Client{Transport: &http.Transport{DialContext: engine.LimitDial(d), DisableKeepAlives: true}}}
+// NewClient returns a client that dials with d and makes a span for each call;
+// a nil d dials as package net does.
+func NewClient(d engine.Dialer, t trace.Tracer) *Client {
+	return &Client{tracer: t, http: &http.Client{Transport: &http.Transport{DialContext: engine.LimitDial(d), DisableKeepAlives: true}}}
 }
 
 // Objects returns the configuration objects that the entry VM at address
@@ -85,11 +90,14 @@
 func (c *Client) Objects(ctx context.Context, address string, t Token) ([]platform.Object, error) {
 	ctx, cancel := context.WithTimeout(ctx, callLimit)
 	defer cancel()
+	ctx, span := c.tracer.Start(ctx, "peer objects", trace.WithSpanKind(trace.SpanKindClient))
+	defer span.End()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+pathObjects, nil)
 	if err != nil {
 		return nil, fmt.Errorf("build request: %w", err)
 	}
 	req.Header.Set("Authorization", "Bearer "+string(t))
+	propagation.TraceContext{}.Inject(ctx, propagation.HeaderCarrier(req.Header))
 	resp, err := c.http.Do(req)
 	if err != nil {
 		return nil, fmt.Errorf("call peer: %w", err)
--- a/result/info.go
+++ b/result/info.go
@@ -1,6 +1,10 @@
 package result
 
-import "net/http"
+import (
+	"bytes"
+	"fmt"
+	"net/http"
+)
 
 // Info describes a code for callers and operators.
 type Info struct {
@@ -101,3 +105,15 @@
 		Action:  askOperator,
 	}
 }
+
+// Markdown returns the table of codes as a page of documentation.
+func Markdown() []byte {
+	var b bytes.Buffer
+	b.WriteString("# Result codes\n\n")
+	b.WriteString("Generated from package `result`; `go test ./result -update` writes it anew.\n\n")
+	b.WriteString("| code | name | HTTP | meaning | what to do |\n|---|---|---|---|---|\n")
+	for _, i := range table {
+		fmt.Fprintf(&b, "| %d | %s | %d | %s | %s |\n", int(i.Code), i.Code, i.Status, i.Meaning, i.Action)
+	}
+	return b.Bytes()
+}
--- a/result/result_test.go
+++ b/result/result_test.go
@@ -7,6 +7,8 @@
 	"testing"
 
 	. "github.com/smartystreets/goconvey/convey"
+
+	"quetzalhold/golden"
 )
 
 func TestTable(t *testing.T) {
@@ -46,3 +48,9 @@
 		So(CodeOf(nil), ShouldEqual, OK)
 	})
 }
+
+func TestDocs(t *testing.T) {
+	Convey("docs/RESULT-CODES.md lists the codes as they are", t, func() {
+		So(golden.Check("../docs/RESULT-CODES.md", Markdown()), ShouldBeEmpty)
+	})
+}
