--- a/caller/output.go
+++ b/caller/output.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -19,30 +20,71 @@
 	piece(id string, f Form, d engine.Delta) error
 	finish(id string, f Form, d engine.Delta, text string, u Usage) error
 	fail(e *result.Error)
-	close()
+	close() bool
 }
 
+// heartbeat is the longest silence towards a caller, also before the first
+// token: after it, something tells the caller that the connection still works.
+const heartbeat = 300 * time.Millisecond
+
 // wholeOutput writes the answer at once when it is complete.
 type wholeOutput struct {
-	w    http.ResponseWriter
-	done bool
+	w http.ResponseWriter
+
+	mu    sync.Mutex
+	done  bool
+	timer *time.Timer // of heartbeats, if the caller asked for them
+}
+
+// heartbeatValue is the value of the header by which callers ask for
+// heartbeats.
+var heartbeatValue = strconv.Itoa(http.StatusProcessing)
+
+func newWholeOutput(w http.ResponseWriter, r *http.Request) *wholeOutput {
+	o := &wholeOutput{w: w}
+	if r.Header.Get(HeaderHeartbeat) == heartbeatValue {
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		o.timer = time.AfterFunc(heartbeat, o.beat)
+	}
+	return o
+}
+
+func (o *wholeOutput) beat() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.done {
+		return
+	}
+	o.w.WriteHeader(http.StatusProcessing)
+	o.timer.Reset(heartbeat)
 }
 
 func (o *wholeOutput) piece(string, Form, engine.Delta) error { return nil }
 
 func (o *wholeOutput) finish(_ string, f Form, d engine.Delta, text string, u Usage) error {
-	o.done = true
+	o.close()
 	o.w.Header().Set("Content-Type", "application/json")
 	return callerGone(json.NewEncoder(o.w).Encode(f.Whole(text, d.Finish, u)))
 }
 
 func (o *wholeOutput) fail(e *result.Error) {
-	if !o.done {
+	if !o.close() {
 		result.Write(o.w, e)
 	}
 }
 
-func (o *wholeOutput) close() {}
+// close ends the heartbeats and reports whether they had ended before.
+func (o *wholeOutput) close() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	ended := o.done
+	o.done = true
+	if o.timer != nil {
+		o.timer.Stop()
+	}
+	return ended
+}
 
 func callerGone(err error) error {
 	if err == nil {
@@ -51,10 +93,6 @@
 	return result.Wrap(result.CallerGone, err, "write")
 }
 
-// heartbeat is the longest silence on a streamed answer, also before its first
-// token: after it, a comment tells the caller that the connection still works.
-const heartbeat = 300 * time.Millisecond
-
 // streamOutput writes each piece as an event. A slow caller blocks the write
 // and with it the reading from the engine; only the connection's own buffers
 // hold what it has not taken.
@@ -180,9 +218,12 @@
 	o.timer.Reset(due)
 }
 
-func (o *streamOutput) close() {
+// close ends the heartbeats and reports whether they had ended before.
+func (o *streamOutput) close() bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	ended := o.closed
 	o.closed = true
 	o.timer.Stop()
+	return ended
 }
--- a/caller/server.go
+++ b/caller/server.go
@@ -229,7 +229,7 @@
 	if q.question.Stream {
 		out = newStreamOutput(w, r, s.Limits.WithDefaults())
 	} else {
-		out = &wholeOutput{w: w}
+		out = newWholeOutput(w, r)
 	}
 	defer out.close()
 	d, err := s.newDelivery(q, out)
--- a/caller/wire.go
+++ b/caller/wire.go
@@ -17,6 +17,10 @@
 	HeaderDeadline    = "Quetzalhold-Deadline" // an RFC 3339 instant
 	HeaderLastEvent   = "Last-Event-ID"
 	HeaderIdempotency = "Idempotency-Key"
+	// HeaderHeartbeat asks for a 102 response now and then while a whole
+	// answer is awaited; its only value is 102. Callers that do not know
+	// informational responses leave it out.
+	HeaderHeartbeat = "Quetzalhold-Heartbeat"
 )
 
 // The paths that tell of an entry VM's health.
--- a/demo/site.go
+++ b/demo/site.go
@@ -331,3 +331,10 @@
 	defer s.mu.Unlock()
 	return slices.Clone(s.all)
 }
+
+// Services returns the service stand-ins of the site.
+func (s *Site) Services() []*ServiceProcess {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.services)
+}
--- a/golden/golden.go
+++ b/golden/golden.go
@@ -32,3 +32,18 @@
 	}
 	return ""
 }
+
+// seedFlag is the flag by which randomised tests take their seed.
+const seedFlag = "rapid.seed"
+
+// FixSeed gives randomised tests the same seed at every run, unless the command
+// line names one. It must come after the flags were parsed.
+func FixSeed() {
+	f := flag.Lookup(seedFlag)
+	if f == nil || f.Value.String() != f.DefValue {
+		return
+	}
+	if err := f.Value.Set("20261204"); err != nil {
+		panic(err) // only if the flag were no number
+	}
+}
--- /dev/null
+++ b/names/names_test.go
@@ -0,0 +1,49 @@
+package names
+
+import (
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"quetzalhold/result"
+)
+
+func TestRegistry(t *testing.T) {
+	north := Set{Code: "cn-a", Title: "Cascadia North A", Legacy: "COAST-01"}
+	Convey("A registry", t, func() {
+		var r Registry
+		So(r.Add(Domain, north), ShouldBeNil)
+		Convey("resolves a name in any scheme", func() {
+			for _, s := range []Scheme{ByCode, ByTitle, ByLegacy} {
+				id, err := r.Resolve(Domain, north.In(s))
+				So(err, ShouldBeNil)
+				So(id, ShouldEqual, north.Code)
+				So(r.Show(Domain, id, s), ShouldEqual, north.In(s))
+			}
+		})
+		Convey("keeps the kinds apart", func() {
+			_, err := r.Resolve(Service, "cn-a")
+			So(result.CodeOf(err), ShouldEqual, result.UnknownName)
+			So(r.Add(Service, north), ShouldBeNil)
+		})
+		Convey("refuses a clash between schemes and changes nothing", func() {
+			err := r.Add(Domain, Set{Code: "wv-a", Title: "Willamette", Legacy: "cn-a"})
+			So(result.CodeOf(err), ShouldEqual, result.NameClash)
+			_, err = r.Resolve(Domain, "Willamette")
+			So(result.CodeOf(err), ShouldEqual, result.UnknownName)
+		})
+		Convey("refuses the same thing twice", func() {
+			So(result.CodeOf(r.Add(Domain, north)), ShouldEqual, result.Duplicate)
+		})
+		Convey("shows an unknown thing by its id", func() {
+			So(r.Show(Domain, "x", ByTitle), ShouldEqual, "x")
+			So(r.Names(Domain, "x"), ShouldResemble, Set{Code: "x"})
+		})
+	})
+	Convey("A name is needed in each scheme, without spaces around it", t, func() {
+		faults := Set{Code: "a", Title: " b"}.Check("names")
+		So(len(faults), ShouldEqual, 2)
+		So(faults[0].Field, ShouldEqual, "names.title")
+		So(faults[1].Code, ShouldEqual, result.MissingField)
+	})
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -132,6 +132,9 @@
 func Parse(raw []byte) (*Entry, error) {
 	var e Entry
 	faults := DecodeStrict(raw, &e)
+	if len(faults) == 1 && faults[0].Code == result.SettingsUnreadable {
+		return nil, faults[0]
+	}
 	// A fault in one field must not hide those in the others.
 	faults = append(faults, e.Check()...)
 	if len(faults) > 0 {
--- a/settings/strict.go
+++ b/settings/strict.go
@@ -4,9 +4,12 @@
 	"bytes"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
+	"maps"
 	"reflect"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/go-viper/mapstructure/v2"
@@ -27,10 +30,8 @@
 	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
 		return []*result.Error{result.New(result.SettingsUnreadable, "text after the end of the object")}
 	}
-	var meta mapstructure.Metadata
 	d, err := mapstructure.NewDecoder(&mapstructure.DecoderConfig{
 		Result:     into,
-		Metadata:   &meta,
 		TagName:    "json",
 		MatchName:  func(key, field string) bool { return key == field },
 		DecodeHook: mapstructure.ComposeDecodeHookFunc(numberHook, mapstructure.StringToTimeHookFunc(time.RFC3339Nano)),
@@ -39,13 +40,52 @@
 		return []*result.Error{result.Wrap(result.Internal, err, "decoder")}
 	}
 	faults := typeFaults(d.Decode(tree))
-	slices.Sort(meta.Unused)
-	for _, f := range meta.Unused {
-		faults = append(faults, result.New(result.UnknownField, "there is no such field").On(f))
+	return append(faults, unknownFields("", tree, reflect.TypeOf(into))...)
+}
+
+// unknownFields returns a fault for each key in tree that type t has no field
+// for.
+func unknownFields(path string, tree any, t reflect.Type) []*result.Error {
+	for t.Kind() == reflect.Pointer {
+		t = t.Elem()
+	}
+	var faults []*result.Error
+	switch node := tree.(type) {
+	case []any:
+		if t.Kind() != reflect.Slice {
+			return nil
+		}
+		for i, item := range node {
+			faults = append(faults, unknownFields(fmt.Sprintf("%s[%d]", path, i), item, t.Elem())...)
+		}
+	case map[string]any:
+		if t.Kind() != reflect.Struct {
+			return nil
+		}
+		for _, key := range slices.Sorted(maps.Keys(node)) {
+			field := strings.TrimPrefix(path+"."+key, ".")
+			ft, ok := fieldType(t, key)
+			if !ok {
+				faults = append(faults, result.New(result.UnknownField, "there is no such field").On(field))
+				continue
+			}
+			faults = append(faults, unknownFields(field, node[key], ft)...)
+		}
 	}
 	return faults
 }
 
+// fieldType returns the type of the field that a JSON key stands for.
+func fieldType(t reflect.Type, key string) (reflect.Type, bool) {
+	for f := range t.Fields() {
+		name, _, _ := strings.Cut(f.Tag.Get("json"), ",")
+		if name == key {
+			return f.Type, true
+		}
+	}
+	return nil, false
+}
+
 // numberHook keeps a JSON number from passing for a string.
 func numberHook(from, to reflect.Type, data any) (any, error) {
 	if from == reflect.TypeFor[json.Number]() && to.Kind() == reflect.String {
@@ -73,5 +113,30 @@
 		fault.Detail = de.Unwrap().Error()
 		fault.Field = de.Name()
 	}
+	var ue *mapstructure.UnconvertibleTypeError
+	if errors.As(err, &ue) {
+		fault.Detail = fmt.Sprintf("want %s, got %s", kindName(ue.Expected.Kind()), kindName(reflect.TypeOf(ue.Value).Kind()))
+	}
+	var pe *mapstructure.ParseError
+	if errors.As(err, &pe) {
+		fault.Detail = fmt.Sprintf("want %s, got %v", kindName(pe.Expected.Kind()), pe.Value)
+	}
 	return []*result.Error{fault}
 }
+
+// kindName describes a kind of value to people who write JSON.
+func kindName(k reflect.Kind) string {
+	switch {
+	case k == reflect.String:
+		return "text"
+	case k == reflect.Bool:
+		return "true or false"
+	case k == reflect.Struct, k == reflect.Map:
+		return "an object"
+	case k == reflect.Slice, k == reflect.Array:
+		return "a list"
+	case k >= reflect.Int && k <= reflect.Uint64:
+		return "a whole number"
+	}
+	return "a number"
+}
--- a/standin/service.go
+++ b/standin/service.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"sync"
 	"time"
@@ -127,6 +128,8 @@
 // handle runs a call under the faults in force.
 func (s *Service) handle(f func(*http.Request) any) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
+		// The end of the connection is noticed only after the body.
+		_, _ = io.Copy(io.Discard, r.Body)
 		fault := s.takeFault()
 		w.Header().Set(service.HeaderRequestID, r.Header.Get(service.HeaderRequestID))
 		switch {
