booking, platform: records decide who may run a booking; call budget

Cause: a caller that repeats a booking at another entry VM ran it twice, since nothing outlived the entry VM. Change: a record in the platform is claimed by conditional update before the call; buckets are written by group commit through an owner picked by rendezvous hashing, by anyone when the owner is silent; calls to the platform come from a budget with priorities. Ruled out: the owner as a lock (lost with its VM), running without a record during an outage (runs twice). Not shown by any red test: the read-back of a lost write alone, since claims are idempotent.

--- a/caller/services.go
+++ b/caller/services.go
@@ -13,6 +13,7 @@
 	"go.opentelemetry.io/otel/trace"
 	"go.uber.org/zap"
 
+	"quetzalhold/booking"
 	"quetzalhold/engine"
 	"quetzalhold/names"
 	"quetzalhold/operator"
@@ -28,6 +29,9 @@
 	Configuration func() *operator.Configuration
 	// Do does a call; usually [service.Client.Do].
 	Do func(context.Context, *operator.Service, operator.Call, service.Call) (service.Reply, error)
+	// Book runs a call that is not idempotent but has a key; usually
+	// [booking.Desk.Run].
+	Book func(context.Context, booking.Booking, func(context.Context) (booking.Answer, error)) (booking.Answer, bool, error)
 	// Stopping reports whether the entry VM takes no new requests.
 	Stopping func() bool
 	// Telemetry takes logs, spans and metrics.
@@ -64,7 +68,7 @@
 	if err == nil {
 		span.SetAttributes(attribute.String("request", string(sc.call.Request)))
 		w.Header().Set(HeaderRequestID, string(sc.call.Request))
-		reply, err = s.Do(ctx, sc.service, sc.kind, sc.call)
+		reply, err = s.run(ctx, sc)
 	}
 	if err != nil {
 		span.SetStatus(codes.Error, err.Error())
@@ -75,6 +79,36 @@
 	s.report(sc, begin, err)
 }
 
+// run does a call. One that is not idempotent goes through a booking record if
+// its caller chose a key, and is sent once without.
+func (s *Services) run(ctx context.Context, sc *serviceCall) (service.Reply, error) {
+	key := sc.call.Header.Get(HeaderIdempotency)
+	if sc.kind.Idempotent || key == "" {
+		return s.Do(ctx, sc.service, sc.kind, sc.call)
+	}
+	b := booking.Booking{
+		Organisation: sc.org.Names.Code,
+		Service:      sc.service.Names.Code,
+		Key:          key,
+		Call:         []byte(sc.call.Method + " " + sc.call.Path + "\n" + string(sc.call.Body)),
+		Deadline:     sc.call.Deadline,
+	}
+	a, replayed, err := s.Book(ctx, b, func(ctx context.Context) (booking.Answer, error) {
+		reply, err := s.Do(ctx, sc.service, sc.kind, sc.call)
+		return booking.Answer{Status: reply.Status, Header: reply.Header, Body: reply.Body}, err
+	})
+	s.Telemetry.Metrics.Booking(result.CodeOf(err))
+	reply := service.Reply{Status: a.Status, Header: a.Header, Body: a.Body}
+	if replayed {
+		reply.Header = reply.Header.Clone()
+		if reply.Header == nil {
+			reply.Header = make(http.Header)
+		}
+		reply.Header.Set(HeaderReplayed, "true")
+	}
+	return reply, err
+}
+
 // accept reads and checks a call.
 func (s *Services) accept(w http.ResponseWriter, r *http.Request) (*serviceCall, error) {
 	now := time.Now()
--- a/caller/wire.go
+++ b/caller/wire.go
@@ -17,6 +17,7 @@
 	HeaderDeadline    = "Quetzalhold-Deadline" // an RFC 3339 instant
 	HeaderLastEvent   = "Last-Event-ID"
 	HeaderIdempotency = "Idempotency-Key"
+	HeaderReplayed    = "Quetzalhold-Replayed" // on the stored answer of an earlier request
 	// HeaderHeartbeat asks for a 102 response now and then while a whole
 	// answer is awaited; its only value is 102. Callers that do not know
 	// informational responses leave it out.
--- a/demo/site.go
+++ b/demo/site.go
@@ -303,6 +303,7 @@
 	e.stop = stop
 	e.Process = Process{Host: string(id), Address: l.Addr().String(), kill: e.Daemon.Kill}
 	go func() { e.done <- e.Serve(ctx, l) }()
+	s.Platform.SetVM(platform.VM{ID: id, Role: platform.RoleEntry, Address: e.Address, Domain: domain, Incarnation: 1})
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.entries = append(s.entries, e)
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -16,6 +16,7 @@
 
 	"go.uber.org/zap"
 
+	"quetzalhold/booking"
 	"quetzalhold/caller"
 	"quetzalhold/clock"
 	"quetzalhold/engine"
@@ -49,6 +50,9 @@
 	services  *service.Client
 	platform  *platform.Client
 	peers     *peer.Client
+	owners    owners
+	ledger    booking.Ledger
+	desk      *booking.Desk
 	http      *http.Server
 
 	draining atomic.Bool  // not ready, but requests are still taken
@@ -104,12 +108,27 @@
 		Tracer:   d.telemetry.Tracer,
 		Note:     d.note,
 	}
-	d.platform = platform.NewClient(s.Platform, platform.WithDial(d.dial), platform.WithTracer(d.telemetry.Tracer))
-	d.peers = peer.NewClient(d.dial, d.telemetry.Tracer)
+	d.platform = d.newPlatform(limits)
+	d.peers = peer.NewClient(peer.NewToken(s.CursorKey), d.dial, d.telemetry.Tracer)
+	d.ledger.Get = d.platform.Get
+	d.ledger.Put = d.platform.Put
+	d.owners.self = s.AdvertiseAddress()
+	d.owners.setEntries(s.Peers)
+	d.desk = &booking.Desk{Do: d.changeBooking, Limits: booking.Limits{Keep: limits.BookingKeepMs.Duration()}}
 	d.http = d.newServer(limits)
 	return d, nil
 }
 
+// burstSeconds is how many seconds' calls to the platform may be made at once.
+const burstSeconds = 2
+
+func (d *Daemon) newPlatform(l settings.Limits) *platform.Client {
+	budget := platform.NewBudget(float64(l.PlatformCalls), burstSeconds*l.PlatformCalls)
+	budget.Observe = func(p platform.Priority, room bool) { d.telemetry.Metrics.Platform(p.String(), room) }
+	return platform.NewClient(d.settings.Platform,
+		platform.WithDial(d.dial), platform.WithTracer(d.telemetry.Tracer), platform.WithBudget(budget))
+}
+
 func (d *Daemon) newRunner(l settings.Limits) *engine.Runner {
 	ch := d.chooser
 	ch.RegionOf = d.settings.RegionOf
@@ -147,6 +166,7 @@
 	calls := &caller.Services{
 		Configuration: d.store.Current,
 		Do:            d.services.Do,
+		Book:          d.desk.Run,
 		Stopping:      d.stopping.Load,
 		Telemetry:     d.telemetry,
 		Limits:        l,
@@ -163,7 +183,7 @@
 		History:  d.History,
 	}
 	api.Register(mux)
-	share := &peer.Server{Token: peer.NewToken(d.settings.CursorKey), Objects: d.store.All}
+	share := &peer.Server{Token: peer.NewToken(d.settings.CursorKey), Objects: d.store.All, Book: d.ledger.Do}
 	share.Register(mux)
 	mux.Handle("GET /metrics", d.telemetry.Handler())
 	mux.HandleFunc("GET "+caller.PathAlive, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
@@ -253,6 +273,7 @@
 	for d.open.Load() > 0 && ctx.Err() == nil {
 		_ = clock.Sleep(ctx, drainPoll) // the loop sees the end of ctx
 	}
+	d.settleBookings()
 	cut := d.open.Load()
 	closing, stop := context.WithTimeout(context.Background(), closeLimit)
 	defer stop()
@@ -263,6 +284,18 @@
 	return err
 }
 
+// settleBookings waits for the records of ended bookings to be written. One
+// that is not is answered with an unknown outcome when it is repeated.
+func (d *Daemon) settleBookings() {
+	ctx, cancel := context.WithTimeout(context.Background(), closeLimit)
+	defer cancel()
+	go func() {
+		d.desk.Wait()
+		cancel()
+	}()
+	<-ctx.Done()
+}
+
 // Kill ends the daemon at once, as the loss of its VM does: connections are
 // cut and nothing is finished.
 func (d *Daemon) Kill() { _ = d.http.Close() }
--- /dev/null
+++ b/entry/owners.go
@@ -0,0 +1,88 @@
+package entry
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/dgryski/go-rendezvous"
+
+	"quetzalhold/booking"
+)
+
+// owners picks the entry VM through which changes of a bucket go, so that they
+// share writes. Any choice is safe; entry VMs that differ in their choice only
+// write more. The zero value owns everything itself.
+type owners struct {
+	self string
+
+	mu     sync.Mutex
+	hash   *rendezvous.Rendezvous
+	listed []string
+	failed map[string]time.Time
+}
+
+// ownerPause is how long an owner that did not answer is passed over.
+const ownerPause = 10 * time.Second
+
+// setEntries takes over the addresses of the other entry VMs.
+func (o *owners) setEntries(addresses []string) {
+	all := append([]string{o.self}, addresses...)
+	slices.Sort(all)
+	all = slices.Compact(all)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if slices.Equal(all, o.listed) || len(addresses) == 0 {
+		return
+	}
+	o.listed = all
+	o.hash = rendezvous.New(all, xxhash.Sum64String)
+}
+
+// owner returns the address of the bucket's owner; empty for this entry VM.
+func (o *owners) owner(b booking.BucketID, now time.Time) string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.hash == nil {
+		return ""
+	}
+	address := o.hash.Lookup(string(b.Name()))
+	if address == o.self || now.Before(o.failed[address].Add(ownerPause)) {
+		return ""
+	}
+	return address
+}
+
+// fail notes that an owner did not answer.
+func (o *owners) fail(address string, now time.Time) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.failed == nil {
+		o.failed = make(map[string]time.Time)
+	}
+	o.failed[address] = now
+}
+
+// ownerLimit bounds the call to a bucket's owner.
+const ownerLimit = 700 * time.Millisecond
+
+// changeBooking makes a change of a booking's record through the bucket's
+// owner, and by itself where the owner does not answer: making a change twice
+// does no harm.
+func (d *Daemon) changeBooking(ctx context.Context, op booking.Op) (booking.Reply, error) {
+	now := time.Now()
+	address := d.owners.owner(op.ID.Bucket(), now)
+	if address == "" {
+		return d.ledger.Do(ctx, op)
+	}
+	limited, cancel := context.WithTimeout(ctx, ownerLimit)
+	reply, err := d.peers.Book(limited, address, op)
+	cancel()
+	if err == nil {
+		return reply, nil
+	}
+	d.owners.fail(address, now)
+	return d.ledger.Do(ctx, op)
+}
--- a/entry/sync.go
+++ b/entry/sync.go
@@ -10,7 +10,6 @@
 	"quetzalhold/clock"
 	"quetzalhold/engine"
 	"quetzalhold/operator"
-	"quetzalhold/peer"
 	"quetzalhold/platform"
 	"quetzalhold/result"
 	"quetzalhold/service"
@@ -107,7 +106,7 @@
 // askPeers takes the configuration over from the first entry VM that has one.
 func (d *Daemon) askPeers(ctx context.Context) {
 	for _, address := range d.settings.Peers {
-		objs, err := d.peers.Objects(ctx, address, peer.NewToken(d.settings.CursorKey))
+		objs, err := d.peers.Objects(ctx, address)
 		if err != nil {
 			d.telemetry.Log.Debug("peer not reached", zap.String("address", address), zap.Error(err))
 			continue
@@ -132,8 +131,13 @@
 func (d *Daemon) setVMs(vms []platform.VM) {
 	var engines []engine.Server
 	var services []service.Server
+	var entries []string
 	for _, vm := range vms {
 		switch vm.Role {
+		case platform.RoleEntry:
+			if !vm.Leaving {
+				entries = append(entries, vm.Address)
+			}
 		case platform.RoleEngine:
 			engines = append(engines, engine.Server{
 				ID: vm.ID, Address: vm.Address, Domain: vm.Domain, Incarnation: vm.Incarnation, Leaving: vm.Leaving,
@@ -146,6 +150,7 @@
 	}
 	d.pool.SetList(engines)
 	d.services.SetServers(services)
+	d.owners.setEntries(entries)
 	d.listed.Store(true)
 }
 
--- a/result/code_string.go
+++ b/result/code_string.go
@@ -44,6 +44,8 @@
 	_ = x[ServiceRefused-3003]
 	_ = x[ServiceFailed-3004]
 	_ = x[UnknownCall-3005]
+	_ = x[BookingUnderWay-3006]
+	_ = x[KeyReused-3007]
 	_ = x[PlatformDown-4000]
 	_ = x[VersionConflict-4001]
 	_ = x[ObjectMissing-4002]
@@ -71,7 +73,7 @@
 	_Code_name_0 = "OK"
 	_Code_name_1 = "BadRequestBodyTooLargeUnknownKeyUnknownModelDeadlinePassedBadCursorCursorMismatchReceivedTextNeededReceivedTextMismatchCallerGoneSupersededUnknownPathBadDeadlineUnknownRequestNotAllowed"
 	_Code_name_2 = "NoServerEngineRefusedEngineLostAttemptsSpentOverloadedDrainingStreamUnknownStaleAttemptStaleFenceVersionMissingCrossedAnswerEngineSilentEngineMalformedVersionWithdrawn"
-	_Code_name_3 = "UnknownServiceServiceNotReachedOutcomeUnknownServiceRefusedServiceFailedUnknownCall"
+	_Code_name_3 = "UnknownServiceServiceNotReachedOutcomeUnknownServiceRefusedServiceFailedUnknownCallBookingUnderWayKeyReused"
 	_Code_name_4 = "PlatformDownVersionConflictObjectMissingObjectTooLargeRateExceeded"
 	_Code_name_5 = "SettingsUnreadableUnknownFieldWrongTypeMissingFieldOutOfRangeNotIPNumberUnknownDomainNameClashUnknownNameBadReferenceDuplicateNoConfigurationNoPreset"
 	_Code_name_6 = "InvariantBrokenInternalStopping"
@@ -80,7 +82,7 @@
 var (
 	_Code_index_1 = [...]uint8{0, 10, 22, 32, 44, 58, 67, 81, 99, 119, 129, 139, 150, 161, 175, 185}
 	_Code_index_2 = [...]uint8{0, 8, 21, 31, 44, 54, 62, 75, 87, 97, 111, 124, 136, 151, 167}
-	_Code_index_3 = [...]uint8{0, 14, 31, 45, 59, 72, 83}
+	_Code_index_3 = [...]uint8{0, 14, 31, 45, 59, 72, 83, 98, 107}
 	_Code_index_4 = [...]uint8{0, 12, 27, 40, 54, 66}
 	_Code_index_5 = [...]uint8{0, 18, 30, 39, 51, 61, 72, 85, 94, 105, 117, 126, 141, 149}
 	_Code_index_6 = [...]uint8{0, 15, 23, 31}
@@ -96,7 +98,7 @@
 	case 2000 <= i && i <= 2013:
 		i -= 2000
 		return _Code_name_2[_Code_index_2[i]:_Code_index_2[i+1]]
-	case 3000 <= i && i <= 3005:
+	case 3000 <= i && i <= 3007:
 		i -= 3000
 		return _Code_name_3[_Code_index_3[i]:_Code_index_3[i+1]]
 	case 4000 <= i && i <= 4004:
--- a/result/info.go
+++ b/result/info.go
@@ -61,6 +61,8 @@
 	{ServiceRefused, http.StatusServiceUnavailable, "The service refused the call before running it.", askLater},
 	{ServiceFailed, http.StatusBadGateway, "Every server of the service failed.", askLater},
 	{UnknownCall, http.StatusNotFound, "The service has no such call.", "check method and path"},
+	{BookingUnderWay, http.StatusConflict, "Another request with the same key runs the call now.", askLater},
+	{KeyReused, http.StatusConflict, "The key was used for another call.", "use a new key"},
 
 	{PlatformDown, http.StatusServiceUnavailable, "The platform did not answer.", askLater},
 	{VersionConflict, http.StatusConflict, "The object changed since it was read.", "read it again and decide anew"},
--- a/result/result.go
+++ b/result/result.go
@@ -67,6 +67,8 @@
 	ServiceRefused                       // 3003
 	ServiceFailed                        // 3004
 	UnknownCall                          // 3005
+	BookingUnderWay                      // 3006
+	KeyReused                            // 3007
 )
 
 // Codes about the platform.
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -66,6 +66,10 @@
 	ResumeGraceMs   Millis `json:"resumeGraceMs,omitempty"`
 	DrainMs         Millis `json:"drainMs,omitempty"`
 	HistoryRequests int    `json:"historyRequests,omitempty"`
+	// PlatformCalls is the number of calls a second that the entry VM makes to
+	// the platform; twice as many at once.
+	PlatformCalls int    `json:"platformCalls,omitempty"`
+	BookingKeepMs Millis `json:"bookingKeepMs,omitempty"`
 }
 
 // The defaults of Limits.
@@ -77,6 +81,8 @@
 	defaultResumeGraceMs   Millis = 15_000
 	defaultDrainMs         Millis = 15 * 60_000
 	defaultHistoryRequests        = 10_000
+	defaultPlatformCalls          = 50
+	defaultBookingKeepMs   Millis = 60 * 60_000
 )
 
 // WithDefaults returns l with its zero fields set to the defaults.
@@ -88,6 +94,8 @@
 	orDefault(&l.ResumeGraceMs, defaultResumeGraceMs)
 	orDefault(&l.DrainMs, defaultDrainMs)
 	orDefault(&l.HistoryRequests, defaultHistoryRequests)
+	orDefault(&l.PlatformCalls, defaultPlatformCalls)
+	orDefault(&l.BookingKeepMs, defaultBookingKeepMs)
 	return l
 }
 
@@ -243,6 +251,8 @@
 		{"resumeGraceMs", int64(l.ResumeGraceMs)},
 		{"drainMs", int64(l.DrainMs)},
 		{"historyRequests", int64(l.HistoryRequests)},
+		{"platformCalls", int64(l.PlatformCalls)},
+		{"bookingKeepMs", int64(l.BookingKeepMs)},
 	}
 	for _, f := range fields {
 		if f.v < 0 {
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -248,7 +248,9 @@
 	case len(in.Value) > platform.MaxValue:
 		return old, result.New(result.ObjectTooLarge, "%d bytes", len(in.Value))
 	}
-	o := platform.Object{Kind: k, Name: n, Version: old.Version + 1, Writer: in.Writer, Value: in.Value}
+	o := platform.Object{
+		Kind: k, Name: n, Version: old.Version + 1, Writer: in.Writer, Value: in.Value, Deleted: in.Delete,
+	}
 	p.objects[objectKey{k, n}] = o
 	p.revision++
 	p.changes = append(p.changes, change{p.revision, o})
--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -22,6 +22,8 @@
 	gap        metric.Float64Histogram
 	resume     metric.Float64Histogram
 	calls      metric.Int64Counter
+	platform   metric.Int64Counter
+	bookings   metric.Int64Counter
 }
 
 // resumeBounds are the buckets of latencies, in seconds.
@@ -50,6 +52,8 @@
 	mt.steps = counter("quetzalhold.attempt.steps", "{step}", "Steps of attempts by what happened.")
 	mt.violations = counter("quetzalhold.invariant.violations", "{violation}", "Broken internal checks.")
 	mt.calls = counter("quetzalhold.service.calls", "{call}", "Calls to plain services by result code.")
+	mt.platform = counter("quetzalhold.platform.calls", "{call}", "Calls to the platform, a watch as one, by priority and whether the budget had room.")
+	mt.bookings = counter("quetzalhold.bookings", "{booking}", "Bookings with a key by result code.")
 	mt.first = histogram("quetzalhold.first.token", "Time from request to first token.")
 	mt.gap = histogram("quetzalhold.token.gap", "Time between two tokens of an answer.")
 	mt.resume = histogram("quetzalhold.resume", "Time from the last token before a loss to the next.")
@@ -72,6 +76,16 @@
 // Call counts a call to a plain service.
 func (m *Metrics) Call(c result.Code) { m.calls.Add(context.Background(), 1, code(c)) }
 
+// Platform counts a call to the platform, or one that the budget had no room
+// for.
+func (m *Metrics) Platform(priority string, room bool) {
+	m.platform.Add(context.Background(), 1,
+		metric.WithAttributes(attribute.String("priority", priority), attribute.Bool("room", room)))
+}
+
+// Booking counts a booking with a key.
+func (m *Metrics) Booking(c result.Code) { m.bookings.Add(context.Background(), 1, code(c)) }
+
 // Opened counts an answer that begins.
 func (m *Metrics) Opened() { m.open.Add(context.Background(), 1) }
 
