peer: membership, pushed configuration and digests between entry VMs

Change: one heartbeat a period to a random member of the failure domain (two duties by rendezvous hashing: watchers of the platform, delegates to other domains), words about members and leaving servers inside it, push of new objects to three, digests for what was missed.

--- a/engine/pool.go
+++ b/engine/pool.go
@@ -27,6 +27,7 @@
 	RefusedAt  time.Time // when it last refused work
 	Listed     bool      // the platform's list has it
 	Left       bool      // it said, or the list says, that it leaves
+	LeftAt     time.Time // when that was found first
 
 	inFlight Tokens // of this entry VM's streams, not yet received
 	streams  int    // of this entry VM
@@ -83,14 +84,16 @@
 	}
 	st := sh.servers[s.ID]
 	if st == nil || st.Incarnation < s.Incarnation {
-		sh.servers[s.ID] = &State{Server: s, Listed: true, Left: s.Leaving}
+		st = &State{Server: s, Listed: true}
+		st.leave(s.Leaving, time.Now())
+		sh.servers[s.ID] = st
 		return
 	}
 	st.Listed = true
 	if st.Incarnation == s.Incarnation {
 		// A lagging list must not bring back a server that already said it
 		// leaves.
-		st.Left = st.Left || s.Leaving
+		st.leave(s.Leaving, time.Now())
 	}
 }
 
@@ -155,7 +158,7 @@
 func (p *Pool) Refused(id ServerID, now time.Time, draining bool) {
 	p.update(id, func(st *State) {
 		st.RefusedAt = now
-		st.Left = st.Left || draining
+		st.leave(draining, now)
 	})
 }
 
@@ -175,10 +178,39 @@
 		st.Report = r
 		st.ReportedAt = now
 		st.HeardAt = later(st.HeardAt, now)
-		st.Left = st.Left || r.Draining
+		st.leave(r.Draining, now)
 	})
 }
 
+// leave notes that the server takes no new work, if that is so.
+func (st *State) leave(leaves bool, now time.Time) {
+	if leaves && !st.Left {
+		st.Left = true
+		st.LeftAt = now
+	}
+}
+
+// Leave notes another entry VM's word that an incarnation of the server leaves.
+func (p *Pool) Leave(id ServerID, inc Incarnation, now time.Time) {
+	p.update(id, func(st *State) { st.leave(inc == st.Incarnation, now) })
+}
+
+// LeftSince returns the servers found to be leaving after an instant.
+func (p *Pool) LeftSince(t time.Time) []Server {
+	var all []Server
+	for i := range p.shards {
+		sh := &p.shards[i]
+		sh.mu.Lock()
+		for _, st := range sh.servers {
+			if st.Left && st.LeftAt.After(t) {
+				all = append(all, st.Server)
+			}
+		}
+		sh.mu.Unlock()
+	}
+	return all
+}
+
 // Reserve adds n tokens of a new stream to the server's work in flight.
 func (p *Pool) Reserve(id ServerID, n Tokens) {
 	p.update(id, func(st *State) {
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -50,6 +50,8 @@
 	services  *service.Client
 	platform  *platform.Client
 	peers     *peer.Client
+	members   *peer.Membership
+	gossip    *peer.Gossip
 	owners    owners
 	ledger    booking.Ledger
 	desk      *booking.Desk
@@ -112,13 +114,35 @@
 	d.peers = peer.NewClient(peer.NewToken(s.CursorKey), d.dial, d.telemetry.Tracer)
 	d.ledger.Get = d.platform.Get
 	d.ledger.Put = d.platform.Put
-	d.owners.self = s.AdvertiseAddress()
-	d.owners.setEntries(s.Peers)
+	d.newGossip()
+	d.owners.self = d.members.Self().Address
 	d.desk = &booking.Desk{Do: d.changeBooking, Limits: booking.Limits{Keep: limits.BookingKeepMs.Duration()}}
 	d.http = d.newServer(limits)
 	return d, nil
 }
 
+// newGossip sets up the exchange with the other entry VMs. Each start is a new
+// incarnation.
+func (d *Daemon) newGossip() {
+	d.members = peer.NewMembership(peer.Member{
+		Address:     peer.Address(d.settings.AdvertiseAddress()),
+		ID:          engine.ServerID(d.settings.ID),
+		Domain:      d.settings.DomainID(),
+		Incarnation: engine.Incarnation(time.Now().UnixMilli()),
+	})
+	d.gossip = &peer.Gossip{
+		Members:     d.members,
+		Client:      d.peers,
+		Store:       &d.store,
+		Applied:     d.apply,
+		Leaving:     d.leaving,
+		NoteLeaving: d.noteLeaving,
+	}
+	for _, p := range d.settings.Peers {
+		d.gossip.Seeds = append(d.gossip.Seeds, peer.Address(p))
+	}
+}
+
 // burstSeconds is how many seconds' calls to the platform may be made at once.
 const burstSeconds = 2
 
@@ -178,12 +202,12 @@
 		Store:    &d.store,
 		Put:      d.platform.Put,
 		Get:      d.platform.Get,
-		Accepted: func(o platform.Object) { d.apply([]platform.Object{o}) },
+		Accepted: func(o platform.Object) { d.learn(context.Background(), []platform.Object{o}) },
 		Status:   d.status,
 		History:  d.History,
 	}
 	api.Register(mux)
-	share := &peer.Server{Token: peer.NewToken(d.settings.CursorKey), Objects: d.store.All, Book: d.ledger.Do}
+	share := &peer.Server{Token: peer.NewToken(d.settings.CursorKey), Gossip: d.gossip, Book: d.ledger.Do}
 	share.Register(mux)
 	mux.Handle("GET /metrics", d.telemetry.Handler())
 	mux.HandleFunc("GET "+caller.PathAlive, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
@@ -230,7 +254,7 @@
 	run, stop := context.WithCancel(context.Background())
 	defer stop()
 	var wg sync.WaitGroup
-	for _, loop := range []func(context.Context){d.watchConfiguration, d.pollVMs, d.pollEngines} {
+	for _, loop := range []func(context.Context){d.watchConfiguration, d.pollVMs, d.pollEngines, d.gossip.Run} {
 		wg.Go(func() { loop(run) })
 	}
 	failed := make(chan error, 1)
@@ -246,6 +270,7 @@
 	wg.Wait()
 	d.engines.CloseIdle()
 	d.platform.CloseIdle()
+	d.peers.CloseIdle()
 	return errors.Join(err, d.telemetry.Close(context.Background()))
 }
 
@@ -266,6 +291,7 @@
 func (d *Daemon) shutdown() error {
 	d.telemetry.Log.Info("stopping", zap.Int64("open", d.open.Load()))
 	d.draining.Store(true)
+	d.members.Leave()
 	ctx, cancel := context.WithTimeout(context.Background(), d.settings.Limits.WithDefaults().DrainMs.Duration())
 	defer cancel()
 	_ = clock.Sleep(ctx, readyDelay) // a shorter drain limit ends it sooner
@@ -338,6 +364,13 @@
 	for _, o := range cfg.Objects() {
 		st.Objects = append(st.Objects, operator.ObjectVersion{Kind: o.Kind, Name: o.Name, Version: o.Version})
 	}
+	for _, m := range d.members.Members() {
+		st.Members = append(st.Members, operator.MemberStatus{
+			ID: m.ID, Address: string(m.Address), State: m.State.String(), Incarnation: m.Incarnation,
+		})
+	}
+	st.Watcher = d.members.Has(peer.Watcher)
+	st.Delegate = d.members.Has(peer.Delegate)
 	for _, s := range d.pool.Servers() {
 		st.Engines = append(st.Engines, operator.EngineStatus{
 			ID: s.ID, Domain: s.Domain, HeardAt: d.pool.HeardAt(s.ID), Leaving: s.Leaving,
--- a/entry/owners.go
+++ b/entry/owners.go
@@ -10,31 +10,35 @@
 	"github.com/dgryski/go-rendezvous"
 
 	"quetzalhold/booking"
+	"quetzalhold/peer"
 )
 
 // owners picks the entry VM through which changes of a bucket go, so that they
 // share writes. Any choice is safe; entry VMs that differ in their choice only
 // write more. The zero value owns everything itself.
 type owners struct {
-	self string
+	self peer.Address
 
 	mu     sync.Mutex
 	hash   *rendezvous.Rendezvous
 	listed []string
-	failed map[string]time.Time
+	failed map[peer.Address]time.Time
 }
 
 // ownerPause is how long an owner that did not answer is passed over.
 const ownerPause = 10 * time.Second
 
 // setEntries takes over the addresses of the other entry VMs.
-func (o *owners) setEntries(addresses []string) {
-	all := append([]string{o.self}, addresses...)
+func (o *owners) setEntries(list []peer.Member) {
+	all := []string{string(o.self)}
+	for _, m := range list {
+		all = append(all, string(m.Address))
+	}
 	slices.Sort(all)
 	all = slices.Compact(all)
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if slices.Equal(all, o.listed) || len(addresses) == 0 {
+	if slices.Equal(all, o.listed) || len(list) == 0 {
 		return
 	}
 	o.listed = all
@@ -42,13 +46,13 @@
 }
 
 // owner returns the address of the bucket's owner; empty for this entry VM.
-func (o *owners) owner(b booking.BucketID, now time.Time) string {
+func (o *owners) owner(b booking.BucketID, now time.Time) peer.Address {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.hash == nil {
 		return ""
 	}
-	address := o.hash.Lookup(string(b.Name()))
+	address := peer.Address(o.hash.Lookup(string(b.Name())))
 	if address == o.self || now.Before(o.failed[address].Add(ownerPause)) {
 		return ""
 	}
@@ -56,11 +60,11 @@
 }
 
 // fail notes that an owner did not answer.
-func (o *owners) fail(address string, now time.Time) {
+func (o *owners) fail(address peer.Address, now time.Time) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.failed == nil {
-		o.failed = make(map[string]time.Time)
+		o.failed = make(map[peer.Address]time.Time)
 	}
 	o.failed[address] = now
 }
--- a/entry/sync.go
+++ b/entry/sync.go
@@ -10,6 +10,7 @@
 	"quetzalhold/clock"
 	"quetzalhold/engine"
 	"quetzalhold/operator"
+	"quetzalhold/peer"
 	"quetzalhold/platform"
 	"quetzalhold/result"
 	"quetzalhold/service"
@@ -24,6 +25,13 @@
 	watchMaxPause = 5 * time.Second
 	// relist is how often the configuration is listed although a watch runs.
 	relist = time.Minute
+	// emptyWait is how long an entry VM that starts waits for the others'
+	// configuration before it asks the platform itself.
+	emptyWait = 3 * time.Second
+	// leavingFor is how long the others are told of a leaving server; by then
+	// the platform's list says it too.
+	leavingFor = 30 * time.Second
+	maxLeaving = 16
 )
 
 // apply takes over configuration objects.
@@ -40,6 +48,17 @@
 	}
 }
 
+// learn takes over objects from the platform and pushes those that are new to
+// other entry VMs.
+func (d *Daemon) learn(ctx context.Context, objs []platform.Object) {
+	fresh := d.store.Fresh(objs)
+	if len(fresh) == 0 {
+		return
+	}
+	d.apply(fresh)
+	d.gossip.Push(ctx, fresh)
+}
+
 // reached notes how a call to the platform ended.
 func (d *Daemon) reached(err error) {
 	d.mu.Lock()
@@ -51,21 +70,27 @@
 }
 
 // watchConfiguration lists the configuration and then watches it, over and
-// over. While the platform is down, it asks the other entry VMs.
+// over, while this entry VM is a watcher of its failure domain. Any other takes
+// it from the other entry VMs, and from the platform only if they have none.
 func (d *Daemon) watchConfiguration(ctx context.Context) {
 	pause := watchPause
+	begin := time.Now()
 	for ctx.Err() == nil {
+		alone := d.store.Empty() && time.Since(begin) > emptyWait
+		if !alone && !d.members.Has(peer.Watcher) {
+			_ = clock.Sleep(ctx, watchPause) // the loop sees the end of ctx
+			continue
+		}
 		rev, err := d.listConfiguration(ctx)
 		d.reached(err)
 		if err != nil {
-			d.askPeers(ctx)
-			_ = clock.Sleep(ctx, pause) // the loop sees the end of ctx
+			_ = clock.Sleep(ctx, pause)
 			pause = min(2*pause, watchMaxPause)
 			continue
 		}
 		pause = watchPause
 		d.watchFrom(ctx, rev)
-		_ = clock.Sleep(ctx, watchPause) // the loop sees the end of ctx
+		_ = clock.Sleep(ctx, watchPause)
 	}
 }
 
@@ -83,7 +108,7 @@
 		}
 		all = append(all, l.Objects...)
 	}
-	d.apply(all)
+	d.learn(ctx, all)
 	return rev, nil
 }
 
@@ -94,7 +119,7 @@
 	defer cancel()
 	err := d.platform.Watch(ctx, rev, func(_ platform.Revision, o platform.Object) error {
 		d.reached(nil)
-		d.apply([]platform.Object{o})
+		d.learn(ctx, []platform.Object{o})
 		return nil
 	})
 	if ctx.Err() == nil {
@@ -103,18 +128,6 @@
 	}
 }
 
-// askPeers takes the configuration over from the first entry VM that has one.
-func (d *Daemon) askPeers(ctx context.Context) {
-	for _, address := range d.settings.Peers {
-		objs, err := d.peers.Objects(ctx, address)
-		if err != nil {
-			d.telemetry.Log.Debug("peer not reached", zap.String("address", address), zap.Error(err))
-			continue
-		}
-		d.apply(objs)
-	}
-}
-
 // pollVMs reads the platform's list of VMs. While the platform is down, the
 // last list stays in force.
 func (d *Daemon) pollVMs(ctx context.Context) {
@@ -131,12 +144,14 @@
 func (d *Daemon) setVMs(vms []platform.VM) {
 	var engines []engine.Server
 	var services []service.Server
-	var entries []string
+	var entries []peer.Member
 	for _, vm := range vms {
 		switch vm.Role {
 		case platform.RoleEntry:
 			if !vm.Leaving {
-				entries = append(entries, vm.Address)
+				entries = append(entries, peer.Member{
+					Address: peer.Address(vm.Address), ID: vm.ID, Domain: vm.Domain,
+				})
 			}
 		case platform.RoleEngine:
 			engines = append(engines, engine.Server{
@@ -151,6 +166,7 @@
 	d.pool.SetList(engines)
 	d.services.SetServers(services)
 	d.owners.setEntries(entries)
+	d.gossip.SetEntries(time.Now(), entries)
 	d.listed.Store(true)
 }
 
@@ -186,3 +202,20 @@
 		d.pool.Cached(s.ID, evs)
 	}
 }
+
+// leaving returns the backend servers lately found to be leaving.
+func (d *Daemon) leaving() []peer.LeavingServer {
+	var all []peer.LeavingServer
+	for _, s := range d.pool.LeftSince(time.Now().Add(-leavingFor)) {
+		all = append(all, peer.LeavingServer{ID: s.ID, Incarnation: s.Incarnation})
+	}
+	return all[:min(len(all), maxLeaving)]
+}
+
+// noteLeaving takes over another entry VM's word about leaving servers.
+func (d *Daemon) noteLeaving(all []peer.LeavingServer) {
+	now := time.Now()
+	for _, s := range all {
+		d.pool.Leave(s.ID, s.Incarnation, now)
+	}
+}
--- a/entry/telemetry_test.go
+++ b/entry/telemetry_test.go
@@ -145,7 +145,7 @@
 			time.Sleep(10 * time.Second)
 			found := false
 			for _, s := range spans.GetSpans() {
-				found = found || s.Name == "peer /peer/objects"
+				found = found || s.Name == "peer /peer/heartbeat"
 			}
 			So(found, ShouldBeTrue)
 		})
--- a/operator/api.go
+++ b/operator/api.go
@@ -24,14 +24,25 @@
 	Ready    bool            `json:"ready"`
 	Stopping bool            `json:"stopping"`
 	Preset   PresetID        `json:"preset"`
-	Open     int             `json:"open"` // answers under way
+	Open     int             `json:"open"` // callers' requests under way
 	Cancels  int             `json:"cancels"`
 	Platform PlatformStatus  `json:"platform"`
 	Engines  []EngineStatus  `json:"engines"`
+	Members  []MemberStatus  `json:"members"` // entry VMs of the failure domain
+	Watcher  bool            `json:"watcher"`
+	Delegate bool            `json:"delegate"`
 	Objects  []ObjectVersion `json:"objects"`
 	Faults   []*result.Error `json:"faults,omitempty"` // of objects left out
 }
 
+// MemberStatus is what an entry VM believes of another one.
+type MemberStatus struct {
+	ID          engine.ServerID    `json:"id"`
+	Address     string             `json:"address"`
+	State       string             `json:"state"`
+	Incarnation engine.Incarnation `json:"incarnation"`
+}
+
 // PlatformStatus is what an entry VM knows of the platform.
 type PlatformStatus struct {
 	ReachedAt time.Time `json:"reachedAt"` // the last answered call
--- /dev/null
+++ b/peer/gossip.go
@@ -0,0 +1,209 @@
+package peer
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"quetzalhold/clock"
+	"quetzalhold/engine"
+	"quetzalhold/names"
+	"quetzalhold/operator"
+	"quetzalhold/platform"
+)
+
+// Message is a heartbeat or its answer.
+type Message struct {
+	From    Member          `json:"from"`
+	Words   []Member        `json:"words,omitempty"`
+	Digest  operator.Digest `json:"digest"` // of the sender's configuration
+	Leaving []LeavingServer `json:"leaving,omitempty"`
+}
+
+// LeavingServer is a backend server that takes no new work.
+type LeavingServer struct {
+	ID          engine.ServerID    `json:"id"`
+	Incarnation engine.Incarnation `json:"incarnation"`
+}
+
+// Gossip keeps an entry VM in touch with the others: one heartbeat a period to
+// a random member of its failure domain, and for delegates one to another
+// domain. What is known travels with them, so their number and size do not grow
+// with the fleet. All exported fields but Seeds must be set before Run.
+type Gossip struct {
+	// Members is the membership of this entry VM's failure domain.
+	Members *Membership
+	// Client calls the other entry VMs.
+	Client *Client
+	// Store is the configuration.
+	Store *operator.Store
+	// Applied is told of objects that came from other entry VMs and are new.
+	Applied func([]platform.Object)
+	// Leaving returns the backend servers lately found to be leaving.
+	Leaving func() []LeavingServer
+	// NoteLeaving takes over such servers from others.
+	NoteLeaving func([]LeavingServer)
+	// Seeds are addresses to begin with, of any domain.
+	Seeds []Address
+
+	mu     sync.Mutex
+	others map[names.ID][]Address // of other domains
+}
+
+// The pace of gossip.
+const (
+	period         = time.Second
+	heartbeatLimit = 700 * time.Millisecond
+	// pushFanout is to how many members a new object is pushed at once.
+	pushFanout = 3
+)
+
+// SetEntries takes over the platform's list of entry VMs.
+func (g *Gossip) SetEntries(now time.Time, list []Member) {
+	g.Members.Seed(now, list)
+	self := g.Members.Self()
+	others := make(map[names.ID][]Address)
+	for _, m := range list {
+		if m.Domain != self.Domain {
+			others[m.Domain] = append(others[m.Domain], m.Address)
+		}
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.others = others
+}
+
+// Run sends heartbeats until ctx ends.
+func (g *Gossip) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		begin := time.Now()
+		g.Members.Advance(begin)
+		var wg sync.WaitGroup
+		for _, a := range g.targets() {
+			wg.Go(func() { g.beat(ctx, a) })
+		}
+		wg.Wait()
+		// A random part keeps entry VMs from beating in step.
+		pause := period/2 + rand.N(period)
+		_ = clock.Until(ctx, begin.Add(pause)) // the loop sees the end of ctx
+	}
+}
+
+// targets returns who gets a heartbeat this period.
+func (g *Gossip) targets() []Address {
+	t := g.Members.Pick(1)
+	if len(t) == 0 && len(g.Seeds) > 0 {
+		t = append(t, g.Seeds[rand.IntN(len(g.Seeds))])
+	}
+	if a, ok := g.otherDomain(); ok && g.Members.Has(Delegate) {
+		t = append(t, a)
+	}
+	return t
+}
+
+// otherDomain returns a random entry VM of a random other domain.
+func (g *Gossip) otherDomain() (Address, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if len(g.others) == 0 {
+		return "", false
+	}
+	domains := make([]names.ID, 0, len(g.others))
+	for d := range g.others {
+		domains = append(domains, d)
+	}
+	list := g.others[domains[rand.IntN(len(domains))]]
+	return list[rand.IntN(len(list))], true
+}
+
+// beat exchanges a heartbeat and, where the configurations differ, objects.
+func (g *Gossip) beat(ctx context.Context, a Address) {
+	limited, cancel := context.WithTimeout(ctx, heartbeatLimit)
+	defer cancel()
+	reply, err := g.Client.Heartbeat(limited, a, g.message())
+	if err != nil {
+		// The kept connection may have gone silent, not the member.
+		g.Client.CloseIdle()
+		again, stop := context.WithTimeout(ctx, heartbeatLimit)
+		defer stop()
+		reply, err = g.Client.Probe(again, a, g.message())
+	}
+	if err != nil {
+		if ctx.Err() == nil {
+			g.Members.Unanswered(time.Now(), a)
+		}
+		return
+	}
+	g.take(reply)
+	if reply.Digest != g.Store.Digest() {
+		g.reconcile(ctx, a)
+	}
+}
+
+func (g *Gossip) message() Message {
+	return Message{
+		From:    g.Members.Self(),
+		Words:   g.Members.Updates(),
+		Digest:  g.Store.Digest(),
+		Leaving: g.Leaving(),
+	}
+}
+
+func (g *Gossip) take(m Message) {
+	g.Members.Merge(time.Now(), append(m.Words, m.From))
+	g.NoteLeaving(m.Leaving)
+}
+
+// Answer answers another entry VM's heartbeat.
+func (g *Gossip) Answer(m Message) Message {
+	g.take(m)
+	return g.message()
+}
+
+// reconcile makes the configurations of two entry VMs equal, each object at the
+// newer of its versions.
+func (g *Gossip) reconcile(ctx context.Context, a Address) {
+	ctx, cancel := context.WithTimeout(ctx, callLimit)
+	defer cancel()
+	theirs, err := g.Client.Versions(ctx, a, g.Store.Digests())
+	if err != nil {
+		return
+	}
+	diff := g.Store.Compare(theirs)
+	if len(diff.Newer) > 0 {
+		if objs, err := g.Client.Fetch(ctx, a, diff.Newer); err == nil {
+			g.Accept(ctx, objs)
+		}
+	}
+	if len(diff.Older) > 0 {
+		// The next heartbeat tries again.
+		_ = g.Client.Push(ctx, a, g.Store.Select(diff.Older))
+	}
+}
+
+// Accept takes over objects from another entry VM and pushes those that are new
+// here on to others.
+func (g *Gossip) Accept(ctx context.Context, objs []platform.Object) {
+	fresh := g.Store.Fresh(objs)
+	if len(fresh) == 0 {
+		return
+	}
+	g.Applied(fresh)
+	g.Push(ctx, fresh)
+}
+
+// Push sends new objects to a few members of this domain at once. It returns
+// without waiting for them.
+func (g *Gossip) Push(ctx context.Context, objs []platform.Object) {
+	ctx = context.WithoutCancel(ctx)
+	for _, a := range g.Members.Pick(pushFanout) {
+		go func() {
+			limited, cancel := context.WithTimeout(ctx, heartbeatLimit)
+			defer cancel()
+			// Who misses a push gets the object by digest.
+			_ = g.Client.Push(limited, a, slices.Clone(objs))
+		}()
+	}
+}
--- /dev/null
+++ b/peer/membership.go
@@ -0,0 +1,282 @@
+package peer
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"quetzalhold/engine"
+	"quetzalhold/names"
+)
+
+//go:generate go tool -modfile=../tools/go.mod stringer -type=State -linecomment -output=state_string.go
+
+// Address is an entry VM's IP number and port.
+type Address string
+
+// State is what is believed of an entry VM.
+type State int
+
+// The states.
+const (
+	Alive   State = iota // alive
+	Suspect              // suspect
+	Dead                 // dead
+	Left                 // left
+)
+
+// Member is an entry VM as the others know it. Of two words about one, the
+// higher incarnation counts, and of equal ones the worse state; only the entry
+// VM itself raises its incarnation.
+type Member struct {
+	Address     Address            `json:"address"`
+	ID          engine.ServerID    `json:"id"`
+	Domain      names.ID           `json:"domain"`
+	Incarnation engine.Incarnation `json:"incarnation"`
+	State       State              `json:"state"`
+}
+
+// newerThan reports whether the word m goes before the word old.
+func (m Member) newerThan(old Member) bool {
+	if m.Incarnation != old.Incarnation {
+		return m.Incarnation > old.Incarnation
+	}
+	return m.State > old.State
+}
+
+// The limits of a Membership.
+const (
+	// suspectFor is how long a suspect may refute before it counts as dead.
+	suspectFor = 4 * time.Second
+	// forgetAfter is when a dead entry VM is forgotten.
+	forgetAfter = 2 * time.Minute
+	// maxUpdates bounds the words that one message carries.
+	maxUpdates = 6
+	// spreadFactor times the logarithm of the members is how often a word is
+	// passed on.
+	spreadFactor = 3
+)
+
+// known is a member with what only this entry VM keeps about it.
+type known struct {
+	Member
+	changedAt time.Time
+	spread    int // times still to be passed on
+}
+
+// Membership is what an entry VM knows of the entry VMs in its own failure
+// domain: who lives, by words that travel with the heartbeats. It does no I/O
+// and its methods may be called from any goroutine. Use [NewMembership].
+type Membership struct {
+	mu      sync.Mutex
+	self    Member
+	members map[Address]*known
+}
+
+// NewMembership returns a membership that knows only self.
+func NewMembership(self Member) *Membership {
+	return &Membership{self: self, members: make(map[Address]*known)}
+}
+
+// Self returns this entry VM's own word about itself.
+func (m *Membership) Self() Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.self
+}
+
+// Leave makes this entry VM's own word that it leaves.
+func (m *Membership) Leave() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.self.State = Left
+	m.self.Incarnation++
+}
+
+// Seed adds members that the platform's list names. What is already known of
+// them stays.
+func (m *Membership) Seed(now time.Time, list []Member) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, s := range list {
+		if s.Domain != m.self.Domain || s.Address == m.self.Address {
+			continue
+		}
+		if m.members[s.Address] == nil {
+			s.State = Alive
+			m.members[s.Address] = &known{Member: s, changedAt: now}
+		}
+	}
+}
+
+// Merge takes over words about members of this domain. A word that this entry
+// VM is not alive is refuted by a higher incarnation.
+func (m *Membership) Merge(now time.Time, words []Member) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, w := range words {
+		switch {
+		case w.Domain != m.self.Domain:
+		case w.Address == m.self.Address:
+			m.refute(w)
+		default:
+			m.take(now, w)
+		}
+	}
+}
+
+func (m *Membership) refute(w Member) {
+	if m.self.State != Left && w.State != Alive && w.Incarnation >= m.self.Incarnation {
+		m.self.Incarnation = w.Incarnation + 1
+	}
+}
+
+func (m *Membership) take(now time.Time, w Member) {
+	old := m.members[w.Address]
+	if old != nil && !w.newerThan(old.Member) {
+		return
+	}
+	if old == nil && (w.State == Dead || w.State == Left) {
+		return
+	}
+	m.members[w.Address] = &known{Member: w, changedAt: now, spread: m.spreads()}
+}
+
+// spreads returns how often a new word is passed on.
+func (m *Membership) spreads() int {
+	n := 1
+	for size := len(m.members) + 1; size > 1; size /= 2 {
+		n++
+	}
+	return spreadFactor * n
+}
+
+// Unanswered notes that a member did not answer a heartbeat.
+func (m *Membership) Unanswered(now time.Time, a Address) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	k := m.members[a]
+	if k == nil || k.State != Alive {
+		return
+	}
+	k.State = Suspect
+	k.changedAt = now
+	k.spread = m.spreads()
+}
+
+// Advance turns suspects whose time is over into dead ones and forgets those
+// long dead.
+func (m *Membership) Advance(now time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for a, k := range m.members {
+		age := now.Sub(k.changedAt)
+		switch {
+		case k.State == Suspect && age >= suspectFor:
+			k.State = Dead
+			k.changedAt = now
+			k.spread = m.spreads()
+		case k.State >= Dead && age >= forgetAfter:
+			delete(m.members, a)
+		}
+	}
+}
+
+// Updates returns the words to pass on with the next message, those passed on
+// least first.
+func (m *Membership) Updates() []Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var fresh []*known
+	for _, k := range m.members {
+		if k.spread > 0 {
+			fresh = append(fresh, k)
+		}
+	}
+	slices.SortFunc(fresh, func(a, b *known) int {
+		return cmp.Or(cmp.Compare(b.spread, a.spread), cmp.Compare(a.Address, b.Address))
+	})
+	var words []Member
+	for _, k := range fresh[:min(len(fresh), maxUpdates)] {
+		k.spread--
+		words = append(words, k.Member)
+	}
+	return words
+}
+
+// Alive returns the living members, this entry VM included, ordered by
+// address. A suspect counts as alive until its time is over.
+func (m *Membership) Alive() []Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	all := []Member{m.self}
+	for _, k := range m.members {
+		if k.State <= Suspect {
+			all = append(all, k.Member)
+		}
+	}
+	slices.SortFunc(all, func(a, b Member) int { return cmp.Compare(a.Address, b.Address) })
+	return all
+}
+
+// Members returns every known member with its state, ordered by address.
+func (m *Membership) Members() []Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	all := []Member{m.self}
+	for _, k := range m.members {
+		all = append(all, k.Member)
+	}
+	slices.SortFunc(all, func(a, b Member) int { return cmp.Compare(a.Address, b.Address) })
+	return all
+}
+
+// Pick returns up to n random living members other than this entry VM.
+func (m *Membership) Pick(n int) []Address {
+	var others []Address
+	self := m.Self().Address
+	for _, x := range m.Alive() {
+		if x.Address != self {
+			others = append(others, x.Address)
+		}
+	}
+	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	return others[:min(n, len(others))]
+}
+
+// Duty is a task that a few members of each failure domain have.
+type Duty string
+
+// The duties. Watchers watch the platform's configuration; delegates exchange
+// with other failure domains.
+const (
+	Watcher  Duty = "watcher"
+	Delegate Duty = "delegate"
+)
+
+// dutyHolders is the number of members that have a duty at once.
+const dutyHolders = 2
+
+// Has reports whether this entry VM has a duty: all members that know the same
+// living ones agree by rendezvous hashing, without talk. Where they differ, a
+// duty is done once too often or seldom for a while, which does no harm.
+func (m *Membership) Has(d Duty) bool {
+	self := m.Self()
+	if self.State == Left {
+		return false
+	}
+	better := 0
+	mine := weight(d, self.Address)
+	for _, x := range m.Alive() {
+		if weight(d, x.Address) > mine {
+			better++
+		}
+	}
+	return better < dutyHolders
+}
+
+func weight(d Duty, a Address) uint64 { return xxhash.Sum64String(string(d) + "/" + string(a)) }
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -1,6 +1,7 @@
-// Package peer speaks between entry VMs: an entry VM that starts while the
-// platform is down takes the configuration over from another one, and the
-// changes of one bucket of bookings go through one entry VM.
+// Package peer speaks between entry VMs: who lives in a failure domain, which
+// version of the configuration each has, and which backend servers leave. New
+// objects are pushed to a few, and digests in heartbeats find what was missed.
+// The changes of one bucket of bookings go through one entry VM.
 package peer
 
 import (
@@ -22,22 +23,23 @@
 
 	"quetzalhold/booking"
 	"quetzalhold/engine"
+	"quetzalhold/operator"
 	"quetzalhold/platform"
 	"quetzalhold/result"
 )
 
 // The paths that entry VMs call on each other.
 const (
-	pathObjects  = "/peer/objects"
-	pathBookings = "/peer/bookings"
+	pathHeartbeat = "/peer/heartbeat"
+	pathVersions  = "/peer/versions"
+	pathFetch     = "/peer/fetch"
+	pathPush      = "/peer/push"
+	pathBookings  = "/peer/bookings"
 )
 
 // callLimit bounds a call to another entry VM.
 const callLimit = time.Second
 
-// maxBody bounds the body of any call, in bytes.
-const maxBody = 1 << 20
-
 // maxObjects bounds the configuration taken from a peer, in bytes.
 const maxObjects = 256 << 20
 
@@ -46,6 +48,24 @@
 	Objects []platform.Object `json:"objects"`
 }
 
+// ObjectIDs is a list of names of configuration objects.
+type ObjectIDs struct {
+	IDs []operator.ObjectID `json:"ids"`
+}
+
+// Parts is the digests of the parts of a configuration.
+type Parts struct {
+	Digests operator.Digests `json:"digests"`
+}
+
+// Versions is a list of versions of configuration objects.
+type Versions struct {
+	Versions []operator.ObjectVersion `json:"versions"`
+}
+
+// Accepted answers a call that has nothing to say.
+type Accepted struct{}
+
 // Token is what entry VMs prove themselves by to each other.
 type Token string
 
@@ -62,100 +82,151 @@
 type Server struct {
 	// Token is what the others must send.
 	Token Token
-	// Objects returns the known configuration objects.
-	Objects func() []platform.Object
+	// Gossip answers heartbeats and shares the configuration.
+	Gossip *Gossip
 	// Book makes a change of a booking's record that this entry VM writes.
 	Book func(context.Context, booking.Op) (booking.Reply, error)
 }
 
 // Register adds the server's paths to mux.
 func (s *Server) Register(mux *http.ServeMux) {
-	mux.HandleFunc("GET "+pathObjects, s.guard(func(r *http.Request) (any, error) {
-		return Objects{Objects: s.Objects()}, nil
+	mux.HandleFunc("POST "+pathHeartbeat, handle(s, func(_ context.Context, m Message) (Message, error) {
+		return s.Gossip.Answer(m), nil
+	}))
+	mux.HandleFunc("POST "+pathVersions, handle(s, func(_ context.Context, p Parts) (Versions, error) {
+		return Versions{s.Gossip.Store.Versions(p.Digests)}, nil
+	}))
+	mux.HandleFunc("POST "+pathFetch, handle(s, func(_ context.Context, ids ObjectIDs) (Objects, error) {
+		return Objects{s.Gossip.Store.Select(ids.IDs)}, nil
+	}))
+	mux.HandleFunc("POST "+pathPush, handle(s, func(ctx context.Context, objs Objects) (Accepted, error) {
+		s.Gossip.Accept(ctx, objs.Objects)
+		return Accepted{}, nil
+	}))
+	mux.HandleFunc("POST "+pathBookings, handle(s, func(ctx context.Context, op booking.Op) (booking.Reply, error) {
+		if err := op.Check(); err != nil {
+			return booking.Reply{}, err
+		}
+		return s.Book(ctx, op)
 	}))
-	mux.HandleFunc("POST "+pathBookings, s.guard(s.book))
 }
 
-// guard answers calls of entry VMs only, with what f returns.
-func (s *Server) guard(f func(*http.Request) (any, error)) http.HandlerFunc {
+// handle answers calls of entry VMs only: it decodes the body, calls f and
+// encodes what f returns.
+func handle[In, Out any](s *Server, f func(context.Context, In) (Out, error)) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		key, _ := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
 		if subtle.ConstantTimeCompare([]byte(key), []byte(s.Token)) != 1 {
 			result.Write(w, result.New(result.NotAllowed, "entry VM token").AsNotRun())
 			return
 		}
+		var in In
+		if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxObjects)).Decode(&in); err != nil {
+			result.Write(w, result.Wrap(result.BadRequest, err, "decode call"))
+			return
+		}
 		ctx := propagation.TraceContext{}.Extract(r.Context(), propagation.HeaderCarrier(r.Header))
-		v, err := f(r.WithContext(ctx))
+		out, err := f(ctx, in)
 		if err != nil {
 			result.Write(w, err)
 			return
 		}
 		w.Header().Set("Content-Type", "application/json")
 		// The connection may be gone; there is nobody left to tell.
-		_ = json.NewEncoder(w).Encode(v)
-	}
-}
-
-func (s *Server) book(r *http.Request) (any, error) {
-	var op booking.Op
-	if err := json.NewDecoder(http.MaxBytesReader(nil, r.Body, maxBody)).Decode(&op); err != nil {
-		return nil, result.Wrap(result.BadRequest, err, "decode change")
-	}
-	if err := op.Check(); err != nil {
-		return nil, err
+		_ = json.NewEncoder(w).Encode(out)
 	}
-	return s.Book(r.Context(), op)
 }
 
 // Client calls other entry VMs. Use [NewClient].
 type Client struct {
 	http   *http.Client
+	pooled *http.Client // for heartbeats, whose failure shows a silent connection
 	token  Token
 	tracer trace.Tracer
 }
 
+// The connections kept for heartbeats.
+const (
+	idlePerPeer = 1
+	idleLimit   = 90 * time.Second
+)
+
 // NewClient returns a client that proves itself by t, dials with d and makes a
 // span for each call; a nil d dials as package net does.
 func NewClient(t Token, d engine.Dialer, tr trace.Tracer) *Client {
-	return &Client{token: t, tracer: tr, http: &http.Client{Transport: &http.Transport{DialContext: engine.LimitDial(d), DisableKeepAlives: true}}}
+	dial := engine.LimitDial(d)
+	return &Client{
+		token:  t,
+		tracer: tr,
+		http:   &http.Client{Transport: &http.Transport{DialContext: dial, DisableKeepAlives: true}},
+		pooled: &http.Client{Transport: &http.Transport{
+			DialContext:         dial,
+			MaxIdleConnsPerHost: idlePerPeer,
+			IdleConnTimeout:     idleLimit,
+		}},
+	}
+}
+
+// Heartbeat exchanges heartbeats with the entry VM at a.
+func (c *Client) Heartbeat(ctx context.Context, a Address, m Message) (Message, error) {
+	var reply Message
+	err := c.call(ctx, c.pooled, a, pathHeartbeat, m, &reply)
+	return reply, err
+}
+
+// Probe exchanges heartbeats over a new connection.
+func (c *Client) Probe(ctx context.Context, a Address, m Message) (Message, error) {
+	var reply Message
+	err := c.call(ctx, c.http, a, pathHeartbeat, m, &reply)
+	return reply, err
+}
+
+// Versions returns the versions of the objects at a in the parts that differ.
+func (c *Client) Versions(ctx context.Context, a Address, d operator.Digests) ([]operator.ObjectVersion, error) {
+	var v Versions
+	err := c.call(ctx, c.http, a, pathVersions, Parts{d}, &v)
+	return v.Versions, err
 }
 
-// Objects returns the configuration objects that the entry VM at address
-// knows.
-func (c *Client) Objects(ctx context.Context, address string) ([]platform.Object, error) {
+// Fetch returns objects that the entry VM at a knows.
+func (c *Client) Fetch(ctx context.Context, a Address, ids []operator.ObjectID) ([]platform.Object, error) {
 	var objs Objects
-	err := c.call(ctx, http.MethodGet, address, pathObjects, nil, &objs)
+	err := c.call(ctx, c.http, a, pathFetch, ObjectIDs{ids}, &objs)
 	return objs.Objects, err
 }
 
-// Book makes a change of a booking's record through the entry VM at address.
-func (c *Client) Book(ctx context.Context, address string, op booking.Op) (booking.Reply, error) {
+// Push sends objects to the entry VM at a.
+func (c *Client) Push(ctx context.Context, a Address, objs []platform.Object) error {
+	return c.call(ctx, c.http, a, pathPush, Objects{objs}, &Accepted{})
+}
+
+// Book makes a change of a booking's record through the entry VM at a.
+func (c *Client) Book(ctx context.Context, a Address, op booking.Op) (booking.Reply, error) {
 	var reply booking.Reply
-	err := c.call(ctx, http.MethodPost, address, pathBookings, op, &reply)
+	err := c.call(ctx, c.http, a, pathBookings, op, &reply)
 	return reply, err
 }
 
-// call does a call with JSON bodies; in may be nil.
-func (c *Client) call(ctx context.Context, method, address, path string, in, out any) error {
+// CloseIdle closes the connections that no call uses.
+func (c *Client) CloseIdle() { c.pooled.CloseIdleConnections() }
+
+// call does a call with JSON bodies.
+func (c *Client) call(ctx context.Context, hc *http.Client, a Address, path string, in, out any) error {
 	ctx, cancel := context.WithTimeout(ctx, callLimit)
 	defer cancel()
 	ctx, span := c.tracer.Start(ctx, "peer "+path, trace.WithSpanKind(trace.SpanKindClient))
 	defer span.End()
-	var body io.Reader
-	if in != nil {
-		b, err := json.Marshal(in)
-		if err != nil {
-			return fmt.Errorf("encode %s: %w", path, err)
-		}
-		body = bytes.NewReader(b)
+	b, err := json.Marshal(in)
+	if err != nil {
+		return fmt.Errorf("encode %s: %w", path, err)
 	}
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, body)
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+string(a)+path, bytes.NewReader(b))
 	if err != nil {
 		return fmt.Errorf("build request: %w", err)
 	}
 	req.Header.Set("Authorization", "Bearer "+string(c.token))
 	propagation.TraceContext{}.Inject(ctx, propagation.HeaderCarrier(req.Header))
-	resp, err := c.http.Do(req)
+	resp, err := hc.Do(req)
 	if err != nil {
 		return fmt.Errorf("call peer: %w", err)
 	}
