--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -385,3 +385,8 @@
 	}
 	return st
 }
+
+// Object returns a configuration object in force here.
+func (d *Daemon) Object(k platform.Kind, n platform.Name) (platform.Object, bool) {
+	return d.store.Get(k, n)
+}
--- a/memnet/conn.go
+++ b/memnet/conn.go
@@ -191,7 +191,9 @@
 	case c.link.isSilent():
 		return len(p), nil
 	}
-	return c.out.write(p)
+	n, err := c.out.write(p)
+	c.network.count(hostOf(c.local.String()), hostOf(c.remote.String()), n)
+	return n, err
 }
 
 // Close implements [net.Conn]. The other end of a silent connection does not
--- a/memnet/memnet.go
+++ b/memnet/memnet.go
@@ -29,9 +29,37 @@
 	links     map[*link]struct{}
 	cut       map[pair]bool
 	gone      map[Host]bool
+	traffic   map[Host]Traffic
 	ports     int
 }
 
+// Traffic is what a host has exchanged with others.
+type Traffic struct {
+	Sent     int64 // bytes
+	Received int64 // bytes
+}
+
+// Traffic returns what a host has exchanged so far.
+func (n *Network) Traffic(h Host) Traffic {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.traffic[h]
+}
+
+func (n *Network) count(from, to Host, bytes int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.traffic == nil {
+		n.traffic = make(map[Host]Traffic)
+	}
+	f := n.traffic[from]
+	f.Sent += int64(bytes)
+	n.traffic[from] = f
+	t := n.traffic[to]
+	t.Received += int64(bytes)
+	n.traffic[to] = t
+}
+
 type pair struct{ a, b Host }
 
 func pairOf(a, b Host) pair {
--- a/peer/gossip.go
+++ b/peer/gossip.go
@@ -49,6 +49,7 @@
 	Seeds []Address
 
 	mu     sync.Mutex
+	listed []Address              // of this domain
 	others map[names.ID][]Address // of other domains
 }
 
@@ -58,6 +59,9 @@
 	heartbeatLimit = 700 * time.Millisecond
 	// pushFanout is to how many members a new object is pushed at once.
 	pushFanout = 3
+	// reviveOneIn is how seldom a listed member that is not alive gets a
+	// heartbeat, so that the two sides of a healed cut find each other.
+	reviveOneIn = 4
 )
 
 // SetEntries takes over the platform's list of entry VMs.
@@ -65,13 +69,19 @@
 	g.Members.Seed(now, list)
 	self := g.Members.Self()
 	others := make(map[names.ID][]Address)
+	var listed []Address
 	for _, m := range list {
-		if m.Domain != self.Domain {
+		switch {
+		case m.Address == self.Address:
+		case m.Domain == self.Domain:
+			listed = append(listed, m.Address)
+		default:
 			others[m.Domain] = append(others[m.Domain], m.Address)
 		}
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.listed = listed
 	g.others = others
 }
 
@@ -97,12 +107,35 @@
 	if len(t) == 0 && len(g.Seeds) > 0 {
 		t = append(t, g.Seeds[rand.IntN(len(g.Seeds))])
 	}
+	if a, ok := g.lost(); ok && rand.IntN(reviveOneIn) == 0 {
+		t = append(t, a)
+	}
 	if a, ok := g.otherDomain(); ok && g.Members.Has(Delegate) {
 		t = append(t, a)
 	}
 	return t
 }
 
+// lost returns a random listed member of this domain that is not alive.
+func (g *Gossip) lost() (Address, bool) {
+	alive := make(map[Address]bool)
+	for _, m := range g.Members.Alive() {
+		alive[m.Address] = true
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var lost []Address
+	for _, a := range g.listed {
+		if !alive[a] {
+			lost = append(lost, a)
+		}
+	}
+	if len(lost) == 0 {
+		return "", false
+	}
+	return lost[rand.IntN(len(lost))], true
+}
+
 // otherDomain returns a random entry VM of a random other domain.
 func (g *Gossip) otherDomain() (Address, bool) {
 	g.mu.Lock()
@@ -122,13 +155,13 @@
 func (g *Gossip) beat(ctx context.Context, a Address) {
 	limited, cancel := context.WithTimeout(ctx, heartbeatLimit)
 	defer cancel()
-	reply, err := g.Client.Heartbeat(limited, a, g.message())
+	reply, err := g.Client.Heartbeat(limited, a, g.message(a))
 	if err != nil {
 		// The kept connection may have gone silent, not the member.
 		g.Client.CloseIdle()
 		again, stop := context.WithTimeout(ctx, heartbeatLimit)
 		defer stop()
-		reply, err = g.Client.Probe(again, a, g.message())
+		reply, err = g.Client.Probe(again, a, g.message(a))
 	}
 	if err != nil {
 		if ctx.Err() == nil {
@@ -142,10 +175,12 @@
 	}
 }
 
-func (g *Gossip) message() Message {
+// message returns a message to a member, with the word about that member
+// itself if it is not believed alive: it may want to refute it.
+func (g *Gossip) message(to Address) Message {
 	return Message{
 		From:    g.Members.Self(),
-		Words:   g.Members.Updates(),
+		Words:   append(g.Members.Updates(), g.Members.Doubts(to)...),
 		Digest:  g.Store.Digest(),
 		Leaving: g.Leaving(),
 	}
@@ -159,7 +194,7 @@
 // Answer answers another entry VM's heartbeat.
 func (g *Gossip) Answer(m Message) Message {
 	g.take(m)
-	return g.message()
+	return g.message(m.From.Address)
 }
 
 // reconcile makes the configurations of two entry VMs equal, each object at the
--- a/peer/membership.go
+++ b/peer/membership.go
@@ -208,6 +208,17 @@
 	return words
 }
 
+// Doubts returns the word about a member if it is not believed alive.
+func (m *Membership) Doubts(a Address) []Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	k := m.members[a]
+	if k == nil || k.State == Alive {
+		return nil
+	}
+	return []Member{k.Member}
+}
+
 // Alive returns the living members, this entry VM included, ordered by
 // address. A suspect counts as alive until its time is over.
 func (m *Membership) Alive() []Member {
--- /dev/null
+++ b/peer/membership_test.go
@@ -0,0 +1,96 @@
+package peer
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"quetzalhold/engine"
+)
+
+var begin = time.Unix(1_000_000, 0)
+
+func member(a Address, inc engine.Incarnation, s State) Member {
+	return Member{Address: a, Domain: "d", Incarnation: inc, State: s}
+}
+
+func stateOf(m *Membership, a Address) (State, bool) {
+	for _, x := range m.Members() {
+		if x.Address == a {
+			return x.State, true
+		}
+	}
+	return 0, false
+}
+
+func TestMembership(t *testing.T) {
+	Convey("A membership", t, func() {
+		m := NewMembership(member("self", 5, Alive))
+		m.Seed(begin, []Member{member("a", 0, Alive), member("self", 9, Alive), {Address: "x", Domain: "other"}})
+		So(m.Alive(), ShouldHaveLength, 2)
+		tests := []struct {
+			name  string
+			words []Member
+			want  State
+			known bool
+		}{
+			{"a higher incarnation counts", []Member{member("a", 2, Suspect), member("a", 3, Alive)}, Alive, true},
+			{"a lower one does not", []Member{member("a", 3, Alive), member("a", 2, Dead)}, Alive, true},
+			{"of equal ones the worse", []Member{member("a", 2, Suspect), member("a", 2, Alive)}, Suspect, true},
+			{"the dead are not learnt", []Member{member("new", 2, Dead)}, Dead, false},
+		}
+		for _, tt := range tests {
+			Convey(tt.name, func() {
+				m.Merge(begin, tt.words)
+				got, ok := stateOf(m, tt.words[0].Address)
+				So(ok, ShouldEqual, tt.known)
+				if ok {
+					So(got, ShouldEqual, tt.want)
+				}
+			})
+		}
+		Convey("refutes a word that it is dead", func() {
+			m.Merge(begin, []Member{member("self", 7, Dead)})
+			So(m.Self().Incarnation, ShouldEqual, engine.Incarnation(8))
+			So(m.Self().State, ShouldEqual, Alive)
+		})
+		Convey("does not refute that it left", func() {
+			m.Leave()
+			m.Merge(begin, []Member{member("self", 50, Dead)})
+			So(m.Self().State, ShouldEqual, Left)
+			So(m.Has(Watcher), ShouldBeFalse)
+		})
+		Convey("turns a suspect into a dead one, and forgets it", func() {
+			m.Unanswered(begin, "a")
+			So(m.Alive(), ShouldHaveLength, 2)
+			m.Advance(begin.Add(suspectFor))
+			So(m.Alive(), ShouldHaveLength, 1)
+			m.Advance(begin.Add(suspectFor + forgetAfter))
+			_, ok := stateOf(m, "a")
+			So(ok, ShouldBeFalse)
+		})
+		Convey("passes each word on a bounded number of times", func() {
+			m.Merge(begin, []Member{member("a", 2, Alive)})
+			n := 0
+			for len(m.Updates()) > 0 {
+				n++
+			}
+			So(n, ShouldBeBetween, 2, 20)
+		})
+	})
+	Convey("All members agree on who has a duty", t, func() {
+		all := []Member{member("a", 1, Alive), member("b", 1, Alive), member("c", 1, Alive), member("d", 1, Alive)}
+		for _, d := range []Duty{Watcher, Delegate} {
+			holders := 0
+			for _, self := range all {
+				m := NewMembership(self)
+				m.Seed(begin, all)
+				if m.Has(d) {
+					holders++
+				}
+			}
+			So(holders, ShouldEqual, dutyHolders)
+		}
+	})
+}
