limit, peer, caller: fair queue, fleet-wide limits by shares, fuzz targets

Cause: one entry VM could not bound what an organisation uses in the fleet, and a large organisation could delay a small one. Change: a fair queue by virtual time; a domain's equal part of a limit is used without asking, beyond it domains and then entry VMs split the limit by demand through keepers; debts instead of estimates. Also: the end marker was billed as a token, and cursors had several texts (found by fuzzing).

--- a/caller/cursor.go
+++ b/caller/cursor.go
@@ -67,7 +67,8 @@
 // NewSealer returns a sealer with the given key.
 func NewSealer(key string) *Sealer { return &Sealer{key: []byte(key)} }
 
-var encoding = base64.RawURLEncoding
+// encoding is strict, so that there is one text for each cursor.
+var encoding = base64.RawURLEncoding.Strict()
 
 // Seal returns the cursor with its code of authenticity.
 func (s *Sealer) Seal(c Cursor) (string, error) {
--- a/caller/delivery.go
+++ b/caller/delivery.go
@@ -17,6 +17,7 @@
 	form   Form
 	cursor Cursor // of the last token delivered
 
+	unbilled    engine.Tokens // delivered, not yet taken off the share
 	lastAt      time.Time
 	lastAttempt engine.Attempt
 }
@@ -54,6 +55,10 @@
 // is begun only while nothing was delivered, and only if the deployment has
 // moved to another version since.
 func (d *delivery) run(ctx context.Context) error {
+	if d.q.cursor == nil {
+		d.unbilled = engine.CountTokens(d.q.question.Text(d.q.style))
+	}
+	defer d.bill()
 	for {
 		err := d.generate(ctx)
 		if err == nil || !d.restart(err) {
@@ -106,6 +111,12 @@
 		return err
 	}
 	d.measure(piece)
+	if piece.Finish == "" {
+		d.unbilled++
+	}
+	if d.unbilled >= billEvery {
+		d.bill()
+	}
 	d.cursor.Server = piece.From.Server
 	d.cursor.Stream = piece.From.Stream
 	d.cursor.Attempt = piece.From.Attempt
@@ -122,6 +133,15 @@
 	return d.out.piece(id, d.form, piece)
 }
 
+// billEvery is how many tokens are taken off an organisation's share at once.
+const billEvery engine.Tokens = 16
+
+// bill takes what was delivered off the organisation's share.
+func (d *delivery) bill() {
+	d.server.Gate.Use(d.q.org.Names.Code, d.unbilled)
+	d.unbilled = 0
+}
+
 func (d *delivery) usage() Usage {
 	p := engine.CountTokens(d.q.question.Text(d.q.style))
 	n := d.answer.Next()
--- a/caller/server.go
+++ b/caller/server.go
@@ -7,7 +7,6 @@
 	"io"
 	"net/http"
 	"strings"
-	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -19,6 +18,7 @@
 	"go.uber.org/zap"
 
 	"quetzalhold/engine"
+	"quetzalhold/limit"
 	"quetzalhold/names"
 	"quetzalhold/operator"
 	"quetzalhold/result"
@@ -35,6 +35,10 @@
 	Run func(context.Context, engine.Job, engine.Sink) error
 	// Note is told of each step of a request.
 	Note func(engine.Step)
+	// Gate admits answers.
+	Gate *limit.Gate
+	// Domains returns the number of failure domains.
+	Domains func() int
 	// Stopping reports whether the entry VM takes no new requests.
 	Stopping func() bool
 	// Sealer seals the cursors.
@@ -45,8 +49,6 @@
 	Limits settings.Limits
 	// Scheme is the naming scheme that logs show first.
 	Scheme names.Scheme
-
-	admission admission
 }
 
 // Register adds the server's paths to mux.
@@ -217,14 +219,8 @@
 }
 
 func (s *Server) serve(ctx context.Context, w http.ResponseWriter, r *http.Request, q *request) error {
-	release, err := s.admission.enter(q.org, q.preset, q.cursor != nil, time.Now())
-	if err != nil {
-		result.Write(w, err)
-		return err
-	}
-	defer release()
-	s.Telemetry.Metrics.Opened()
-	defer s.Telemetry.Metrics.Closed()
+	// The heartbeats begin before the wait for admission: a caller that hears
+	// nothing would give this entry VM up.
 	var out output
 	if q.question.Stream {
 		out = newStreamOutput(w, r, s.Limits.WithDefaults())
@@ -232,16 +228,29 @@
 		out = newWholeOutput(w, r)
 	}
 	defer out.close()
-	d, err := s.newDelivery(q, out)
+	err := s.deliver(ctx, q, out)
 	if err != nil {
 		out.fail(result.Of(err))
+	}
+	return err
+}
+
+// deliver admits a request and delivers its answer.
+func (s *Server) deliver(ctx context.Context, q *request, out output) error {
+	d, err := s.newDelivery(q, out)
+	if err != nil {
 		return err
 	}
-	s.note(q, "accept", string(q.org.Names.Code), d.answer.Next())
-	err = d.run(ctx)
+	release, err := s.Gate.Enter(ctx, s.admission(q))
 	if err != nil {
+		return err
+	}
+	defer release()
+	s.Telemetry.Metrics.Opened()
+	defer s.Telemetry.Metrics.Closed()
+	s.note(q, "accept", string(q.org.Names.Code), d.answer.Next())
+	if err := d.run(ctx); err != nil {
 		s.note(q, "failed", err.Error(), d.answer.Next())
-		out.fail(result.Of(err))
 		return err
 	}
 	s.note(q, "delivered", string(d.answer.Finish()), d.answer.Next())
@@ -268,49 +277,17 @@
 	_ = json.NewEncoder(w).Encode(list)
 }
 
-// admission counts the answers under way. The zero value is ready to use.
-type admission struct {
-	mu    sync.Mutex
-	total int
-	byOrg map[names.ID]int
-}
-
-// retryAfter is when a refused caller is told to come back.
-const retryAfter = time.Second
-
-// enter admits an answer, or refuses it with Overloaded. An answer that goes
-// on is admitted whatever the limits: it held its place before.
-func (a *admission) enter(org *operator.Organisation, p *operator.Preset, resumed bool, now time.Time) (func(), error) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if a.byOrg == nil {
-		a.byOrg = make(map[names.ID]int)
-	}
-	id := org.Names.Code
-	refuse := func(format string, args ...any) error {
-		return result.New(result.Overloaded, format, args...).AsNotRun().At(now.Add(retryAfter))
-	}
-	switch {
-	case resumed:
-	case !p.NewAnswers:
-		return nil, refuse("preset %s takes no new answers", p.Name)
-	case a.total >= p.MaxAnswers:
-		return nil, refuse("%d answers are under way", a.total)
-	case org.MaxAnswers > 0 && a.byOrg[id] >= org.MaxAnswers:
-		return nil, refuse("%d answers of the organisation are under way", a.byOrg[id])
-	}
-	a.total++
-	a.byOrg[id]++
-	return func() { a.leave(id) }, nil
-}
-
-func (a *admission) leave(id names.ID) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.total--
-	a.byOrg[id]--
-	if a.byOrg[id] == 0 {
-		delete(a.byOrg, id)
+// admission describes a request to the gate.
+func (s *Server) admission(q *request) limit.Request {
+	return limit.Request{
+		Organisation: q.org.Names.Code,
+		Weight:       q.org.Weight(),
+		Cost:         engine.CountTokens(q.question.Text(q.style)) + q.question.Limit(q.preset.MaxTokens),
+		Deadline:     q.deadline,
+		Resumed:      q.cursor != nil,
+		MaxAnswers:   q.org.MaxAnswers,
+		Limits:       q.org.Limits(q.preset),
+		Domains:      s.Domains(),
 	}
 }
 
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -20,6 +20,7 @@
 	"quetzalhold/caller"
 	"quetzalhold/clock"
 	"quetzalhold/engine"
+	"quetzalhold/limit"
 	"quetzalhold/names"
 	"quetzalhold/operator"
 	"quetzalhold/peer"
@@ -52,6 +53,8 @@
 	peers     *peer.Client
 	members   *peer.Membership
 	gossip    *peer.Gossip
+	gate      limit.Gate
+	quota     *peer.Quota
 	owners    owners
 	ledger    booking.Ledger
 	desk      *booking.Desk
@@ -138,11 +141,22 @@
 		Leaving:     d.leaving,
 		NoteLeaving: d.noteLeaving,
 	}
+	d.quota = &peer.Quota{Gossip: d.gossip, Gate: &d.gate, Limits: d.limitsOf}
 	for _, p := range d.settings.Peers {
 		d.gossip.Seeds = append(d.gossip.Seeds, peer.Address(p))
 	}
 }
 
+// limitsOf returns an organisation's fleet-wide limits in force.
+func (d *Daemon) limitsOf(k limit.Key) limit.Limits {
+	cfg := d.store.Current()
+	org := cfg.OrganisationByLimit(k)
+	if org == nil {
+		return limit.Limits{}
+	}
+	return org.Limits(cfg.InForce())
+}
+
 // burstSeconds is how many seconds' calls to the platform may be made at once.
 const burstSeconds = 2
 
@@ -180,6 +194,8 @@
 		Configuration: d.store.Current,
 		Run:           d.runner.Run,
 		Note:          d.note,
+		Gate:          &d.gate,
+		Domains:       d.gossip.Domains,
 		Stopping:      d.stopping.Load,
 		Sealer:        caller.NewSealer(d.settings.CursorKey),
 		Telemetry:     d.telemetry,
@@ -207,7 +223,7 @@
 		History:  d.History,
 	}
 	api.Register(mux)
-	share := &peer.Server{Token: peer.NewToken(d.settings.CursorKey), Gossip: d.gossip, Book: d.ledger.Do}
+	share := &peer.Server{Token: peer.NewToken(d.settings.CursorKey), Gossip: d.gossip, Quota: d.quota, Book: d.ledger.Do}
 	share.Register(mux)
 	mux.Handle("GET /metrics", d.telemetry.Handler())
 	mux.HandleFunc("GET "+caller.PathAlive, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
@@ -254,7 +270,7 @@
 	run, stop := context.WithCancel(context.Background())
 	defer stop()
 	var wg sync.WaitGroup
-	for _, loop := range []func(context.Context){d.watchConfiguration, d.pollVMs, d.pollEngines, d.gossip.Run} {
+	for _, loop := range []func(context.Context){d.watchConfiguration, d.pollVMs, d.pollEngines, d.gossip.Run, d.quota.Run} {
 		wg.Go(func() { loop(run) })
 	}
 	failed := make(chan error, 1)
--- a/entry/sync.go
+++ b/entry/sync.go
@@ -37,6 +37,9 @@
 // apply takes over configuration objects.
 func (d *Daemon) apply(objs []platform.Object) {
 	faults := d.store.Apply(objs)
+	if p := d.store.Current().InForce(); p != nil {
+		d.gate.SetPolicy(p.Policy())
+	}
 	if len(faults) == 0 {
 		return
 	}
--- /dev/null
+++ b/limit/limit_test.go
@@ -0,0 +1,312 @@
+package limit
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+
+	"quetzalhold/clock"
+	"quetzalhold/engine"
+	"quetzalhold/names"
+	"quetzalhold/result"
+)
+
+var open = Policy{MaxAnswers: 10, MaxQueue: 1000, MaxWait: time.Hour}
+
+// client asks for answers one after the other, and holds each for a time.
+func client(ctx context.Context, g *Gate, r Request, hold time.Duration) (served int) {
+	for ctx.Err() == nil {
+		leave, err := g.Enter(ctx, r)
+		if err != nil {
+			_ = clock.Sleep(ctx, 10*time.Millisecond)
+			continue
+		}
+		if clock.Sleep(ctx, hold) == nil {
+			served++
+		}
+		g.Use(r.Organisation, r.Cost)
+		leave()
+	}
+	return served
+}
+
+func TestFairQueue(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("A large organisation cannot delay a small one", t, func() {
+			var g Gate
+			g.SetPolicy(open)
+			ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+			defer cancel()
+			big := make(chan int, 200)
+			for range 200 {
+				go func() { big <- client(ctx, &g, Request{Organisation: "big", Cost: 100}, time.Second) }()
+			}
+			time.Sleep(10300 * time.Millisecond)
+			worst := time.Duration(0)
+			for range 20 {
+				begin := time.Now()
+				leave, err := g.Enter(ctx, Request{Organisation: "small", Cost: 100})
+				So(err, ShouldBeNil)
+				worst = max(worst, time.Since(begin))
+				time.Sleep(time.Second)
+				leave()
+			}
+			t.Logf("the small organisation waited %s at most behind 190 requests", worst)
+			So(worst, ShouldBeLessThanOrEqualTo, time.Second)
+			cancel()
+			for range 200 {
+				<-big
+			}
+		})
+	})
+	synctest.Test(t, func(t *testing.T) {
+		Convey("Weights share out what there is", t, func() {
+			var g Gate
+			g.SetPolicy(Policy{MaxAnswers: 4, MaxQueue: 1000, MaxWait: time.Hour})
+			ctx, cancel := context.WithTimeout(context.Background(), 100*time.Second)
+			defer cancel()
+			served := map[names.ID]int{}
+			counts := make(chan struct {
+				id names.ID
+				n  int
+			})
+			for i := range 40 {
+				id, w := names.ID("one"), 1.0
+				if i%2 == 0 {
+					id, w = "two", 2
+				}
+				go func() {
+					n := client(ctx, &g, Request{Organisation: id, Weight: w, Cost: 100}, time.Second)
+					counts <- struct {
+						id names.ID
+						n  int
+					}{id, n}
+				}()
+			}
+			for range 40 {
+				c := <-counts
+				served[c.id] += c.n
+			}
+			So(float64(served["two"])/float64(served["one"]), ShouldBeBetween, 1.8, 2.2)
+		})
+	})
+}
+
+func TestShedding(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("What would wait too long is refused at once, truly not run, with a time to come back", t, func() {
+			var g Gate
+			g.SetPolicy(Policy{MaxAnswers: 1, MaxQueue: 3, MaxWait: time.Minute})
+			leave, err := g.Enter(context.Background(), Request{Organisation: "a", Cost: 1})
+			So(err, ShouldBeNil)
+			begin := time.Now()
+			_, err = g.Enter(context.Background(), Request{Organisation: "a", Cost: 1, Deadline: begin.Add(time.Second)})
+			So(result.CodeOf(err), ShouldEqual, result.Overloaded)
+			So(result.Of(err).NotRun, ShouldBeTrue)
+			So(result.Of(err).RetryAt, ShouldHappenAfter, begin)
+			So(time.Since(begin), ShouldEqual, 0)
+			admitted := make(chan func(), 3)
+			for range 3 {
+				go func() {
+					if l, err := g.Enter(context.Background(), Request{Organisation: "a", Cost: 1}); err == nil {
+						admitted <- l
+					}
+				}()
+			}
+			synctest.Wait()
+			_, err = g.Enter(context.Background(), Request{Organisation: "a", Cost: 1})
+			So(result.CodeOf(err), ShouldEqual, result.Overloaded)
+			resumed, err := g.Enter(context.Background(), Request{Organisation: "a", Resumed: true})
+			So(err, ShouldBeNil)
+			resumed()
+			leave()
+			for range 3 {
+				(<-admitted)()
+			}
+			So(g.Counts(), ShouldResemble, Counts{})
+		})
+		Convey("A preset counts for those that wait too", t, func() {
+			var g Gate
+			g.SetPolicy(Policy{MaxAnswers: 1, MaxQueue: 9, MaxWait: time.Minute})
+			_, err := g.Enter(context.Background(), Request{Organisation: "a", Cost: 1})
+			So(err, ShouldBeNil)
+			done := make(chan error, 1)
+			go func() {
+				_, err := g.Enter(context.Background(), Request{Organisation: "a", Cost: 1})
+				done <- err
+			}()
+			synctest.Wait()
+			g.SetPolicy(Policy{MaxAnswers: 2, MaxQueue: 9, MaxWait: time.Minute})
+			So(<-done, ShouldBeNil)
+		})
+	})
+}
+
+func TestSplit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limit := rapid.IntRange(1, 10_000).Draw(t, "limit")
+		demands := rapid.SliceOfN(rapid.Float64Range(0, 1e6), 1, 50).Draw(t, "demands")
+		sum := 0
+		for _, p := range splitCount(limit, demands) {
+			if p < 0 {
+				t.Fatalf("negative part %d", p)
+			}
+			sum += p
+		}
+		if sum != limit {
+			t.Fatalf("parts of %d sum to %d", limit, sum)
+		}
+		var all Rate
+		asRates := make([]Rate, len(demands))
+		for i, d := range demands {
+			asRates[i] = Rate(d)
+		}
+		for _, r := range splitRate(Rate(limit), asRates) {
+			all += r
+		}
+		if math.Abs(float64(all)-float64(limit)) > 1e-6*float64(limit) {
+			t.Fatalf("shares of %d sum to %v", limit, all)
+		}
+	})
+}
+
+// site is entry VMs in failure domains whose gates and keepers exchange by
+// calls, with the pace of the real ones; a domain may be cut off.
+type site struct {
+	gates   [][]*Gate // by domain
+	keepers []*Keeper
+	cut     map[int]bool
+	limits  Limits
+	used    []float64 // tokens by domain
+}
+
+func newSite(domains, each int, l Limits) *site {
+	s := &site{cut: make(map[int]bool), limits: l, used: make([]float64, domains)}
+	for range domains {
+		var gates []*Gate
+		for range each {
+			g := &Gate{}
+			g.SetPolicy(Policy{MaxAnswers: 1000, MaxQueue: 1000, MaxWait: time.Second})
+			gates = append(gates, g)
+		}
+		s.gates = append(s.gates, gates)
+		s.keepers = append(s.keepers, &Keeper{})
+	}
+	return s
+}
+
+func domainName(d int) Holder { return Holder(fmt.Sprint("domain-", d)) }
+
+// exchange does one round of demands and shares, and of what domains ask each
+// other.
+func (s *site) exchange() {
+	now := time.Now()
+	limits := func(Key) Limits { return s.limits }
+	n := len(s.keepers)
+	for d, k := range s.keepers {
+		k.Expire(now)
+		contended := k.Contended(n, limits)
+		for other, ok := range s.keepers {
+			if other == d || s.cut[d] != s.cut[other] || len(contended) == 0 {
+				continue
+			}
+			ok.TellDomain(now, domainName(d), contended)
+			k.TellDomain(now, domainName(other), ok.Sums(keysOf(contended)))
+		}
+	}
+	for d, gates := range s.gates {
+		for i, g := range gates {
+			h := Holder(fmt.Sprint("entry-", i))
+			demands := g.Demands()
+			s.keepers[d].TellEntry(now, h, demands)
+			g.SetShares(demands, s.keepers[d].Shares(domainName(d), h, n, demands, limits))
+		}
+	}
+}
+
+func keysOf(all []Demand) []Key {
+	keys := make([]Key, len(all))
+	for i, d := range all {
+		keys[i] = d.Key
+	}
+	return keys
+}
+
+// offer lets callers at each domain ask for so many answers a second at each
+// entry VM, of 100 tokens each.
+func (s *site) offer(ctx context.Context, rates []int) {
+	const cost engine.Tokens = 100
+	for d, gates := range s.gates {
+		for _, g := range gates {
+			go func() {
+				for ctx.Err() == nil {
+					_ = clock.Sleep(ctx, time.Second/time.Duration(rates[d]))
+					go func() {
+						leave, err := g.Enter(ctx, Request{Organisation: "o", Cost: cost, Limits: s.limits, Domains: len(s.gates)})
+						if err != nil {
+							return
+						}
+						g.Use("o", cost)
+						s.used[d] += float64(cost)
+						leave()
+					}()
+				}
+			}()
+		}
+	}
+}
+
+// usedPerSecond returns the tokens used a second over some time, in all.
+func (s *site) usedPerSecond(d time.Duration) float64 {
+	before := 0.0
+	for _, u := range s.used {
+		before += u
+	}
+	time.Sleep(d)
+	after := 0.0
+	for _, u := range s.used {
+		after += u
+	}
+	return (after - before) / d.Seconds()
+}
+
+func TestFleetWideLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("A fleet-wide limit holds within 10% in steady use, after a shift, and when a domain is cut off", t, func() {
+			const limited = 10_000
+			s := newSite(3, 2, Limits{Tokens: limited})
+			ctx, cancel := context.WithCancel(context.Background())
+			defer func() {
+				cancel()
+				time.Sleep(time.Minute)
+			}()
+			go func() {
+				for ctx.Err() == nil {
+					s.exchange()
+					_ = clock.Sleep(ctx, 8*time.Second)
+				}
+			}()
+			shifting, shift := context.WithCancel(ctx)
+			s.offer(shifting, []int{100, 10, 5})
+			time.Sleep(time.Minute)
+			steady := s.usedPerSecond(time.Minute)
+			shift()
+			s.offer(ctx, []int{5, 10, 100})
+			time.Sleep(time.Minute)
+			shifted := s.usedPerSecond(time.Minute)
+			s.cut[2] = true
+			time.Sleep(10 * time.Second)
+			cut := s.usedPerSecond(3 * time.Minute)
+			t.Logf("limit %d tokens/s: %.0f in steady use, %.0f after a shift, %.0f with a domain cut off", limited, steady, shifted, cut)
+			So(steady, ShouldBeBetween, 0.9*limited, 1.1*limited)
+			So(shifted, ShouldBeBetween, 0.9*limited, 1.1*limited)
+			So(cut, ShouldBeLessThan, 1.1*limited)
+		})
+	})
+}
--- a/operator/aggregates.go
+++ b/operator/aggregates.go
@@ -8,9 +8,12 @@
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
+	"math"
 	"net/http"
+	"time"
 
 	"quetzalhold/engine"
+	"quetzalhold/limit"
 	"quetzalhold/names"
 	"quetzalhold/platform"
 	"quetzalhold/result"
@@ -95,6 +98,14 @@
 	Name PresetID `json:"name"`
 	// MaxAnswers is the number of answers that one entry VM carries at once.
 	MaxAnswers int `json:"maxAnswers"`
+	// MaxQueue is the number of requests that wait for their turn there; as
+	// many as MaxAnswers if 0.
+	MaxQueue int `json:"maxQueue,omitempty"`
+	// MaxWaitMs is how long a request waits for its turn; 5 s if 0. One that
+	// would wait longer is refused at once.
+	MaxWaitMs settings.Millis `json:"maxWaitMs,omitempty"`
+	// LimitsFactor is applied to the organisations' fleet-wide limits; 1 if 0.
+	LimitsFactor float64 `json:"limitsFactor,omitempty"`
 	// MaxTokens bounds the length of one answer, in tokens.
 	MaxTokens engine.Tokens `json:"maxTokens"`
 	// NewAnswers says whether new answers are taken; if not, those under way
@@ -108,9 +119,31 @@
 		needed("name", p.Name),
 		positive("maxAnswers", p.MaxAnswers),
 		positive("maxTokens", p.MaxTokens),
+		notNegative("maxQueue", p.MaxQueue),
+		notNegative("maxWaitMs", p.MaxWaitMs),
+		notNegative("limitsFactor", p.LimitsFactor),
 	)
 }
 
+// defaultMaxWait is how long a request waits for its turn where the preset does
+// not say.
+const defaultMaxWait = 5 * time.Second
+
+// Policy returns the limits of an entry VM under the preset.
+func (p *Preset) Policy() limit.Policy {
+	l := limit.Policy{MaxAnswers: p.MaxAnswers, MaxQueue: p.MaxQueue, MaxWait: p.MaxWaitMs.Duration()}
+	if !p.NewAnswers {
+		l.MaxAnswers = 0
+	}
+	if l.MaxQueue == 0 {
+		l.MaxQueue = p.MaxAnswers
+	}
+	if l.MaxWait == 0 {
+		l.MaxWait = defaultMaxWait
+	}
+	return l
+}
+
 // InForce says which preset is in force.
 type InForce struct {
 	Preset PresetID `json:"preset"`
@@ -128,11 +161,35 @@
 	// MaxAnswers is the number of its answers that one entry VM carries at
 	// once; 0 for no limit but the preset's.
 	MaxAnswers int `json:"maxAnswers,omitempty"`
+	// TokensPerSecond and Answers are fleet-wide limits on prefilled and
+	// generated tokens and on answers at once; 0 for none.
+	TokensPerSecond limit.Rate `json:"tokensPerSecond,omitempty"`
+	Answers         int        `json:"answers,omitempty"`
+}
+
+// Limits returns the organisation's fleet-wide limits under a preset.
+func (o *Organisation) Limits(p *Preset) limit.Limits {
+	f := 1.0
+	if p != nil && p.LimitsFactor > 0 {
+		f = p.LimitsFactor
+	}
+	return limit.Limits{
+		Tokens:  o.TokensPerSecond * limit.Rate(f),
+		Answers: int(math.Ceil(float64(o.Answers) * f)),
+	}
 }
 
+// Weight returns the organisation's weight in the fair queue.
+func (o *Organisation) Weight() float64 { return 1 + float64(o.Priority)/float64(engine.PriorityHigh) }
+
 // Check returns every fault of the organisation.
 func (o *Organisation) Check() []*result.Error {
-	faults := o.Names.Check("names")
+	faults := join(
+		o.Names.Check("names"),
+		notNegative("maxAnswers", o.MaxAnswers),
+		notNegative("tokensPerSecond", o.TokensPerSecond),
+		notNegative("answers", o.Answers),
+	)
 	if o.Priority < engine.PriorityNormal || o.Priority > engine.PriorityHigh {
 		faults = append(faults, result.New(result.OutOfRange, "want %d to %d",
 			engine.PriorityNormal, engine.PriorityHigh).On("priority"))
@@ -268,3 +325,10 @@
 	_ json.Unmarshaler = (*Organisation)(nil)
 	_ json.Unmarshaler = (*Service)(nil)
 )
+
+func notNegative[T ~int | ~int64 | ~float64](field string, v T) []*result.Error {
+	if v < 0 {
+		return []*result.Error{result.New(result.OutOfRange, "want 0 or above").On(field)}
+	}
+	return nil
+}
--- a/operator/configuration.go
+++ b/operator/configuration.go
@@ -11,6 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"quetzalhold/engine"
+	"quetzalhold/limit"
 	"quetzalhold/names"
 	"quetzalhold/platform"
 	"quetzalhold/result"
@@ -23,7 +24,7 @@
 	routes      []*Route
 	presets     map[PresetID]*Preset
 	services    map[names.ID]*Service
-	orgs        map[names.ID]*Organisation
+	byLimit     map[limit.Key]*Organisation
 	byKey       map[KeyDigest]*Organisation
 	inForce     *Preset
 	registry    *names.Registry
@@ -37,7 +38,7 @@
 		deployments: make(map[DeploymentID]*Deployment),
 		presets:     make(map[PresetID]*Preset),
 		services:    make(map[names.ID]*Service),
-		orgs:        make(map[names.ID]*Organisation),
+		byLimit:     make(map[limit.Key]*Organisation),
 		byKey:       make(map[KeyDigest]*Organisation),
 		registry:    &names.Registry{},
 	}
@@ -119,7 +120,7 @@
 	if err := c.registry.Add(names.Organisation, o.Names); err != nil {
 		return "", err
 	}
-	c.orgs[o.Names.Code] = o
+	c.byLimit[limit.NewKey(o.Names.Code)] = o
 	for _, k := range o.Keys {
 		c.byKey[k] = o
 	}
@@ -170,6 +171,10 @@
 	return o, nil
 }
 
+// OrganisationByLimit returns the organisation that a key stands for in the
+// exchange about limits, or nil.
+func (c *Configuration) OrganisationByLimit(k limit.Key) *Organisation { return c.byLimit[k] }
+
 // Route returns the route and deployment for a model. One that names the
 // organisation goes before one for all. It fails with UnknownModel.
 func (c *Configuration) Route(m Model, org names.ID) (*Route, *Deployment, error) {
--- a/peer/gossip.go
+++ b/peer/gossip.go
@@ -151,6 +151,28 @@
 	return list[rand.IntN(len(list))], true
 }
 
+// ranked returns, for each other domain, the two entry VMs most likely to have
+// part i of a duty that is divided among all.
+func (g *Gossip) ranked(d Duty, i int) [][]Address {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var all [][]Address
+	for _, list := range g.others {
+		sorted := slices.Clone(list)
+		rank(d, sorted)
+		n := len(sorted)
+		all = append(all, []Address{sorted[i%n], sorted[(i+1)%n]})
+	}
+	return all
+}
+
+// Domains returns the number of failure domains that the platform lists.
+func (g *Gossip) Domains() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return 1 + len(g.others)
+}
+
 // beat exchanges a heartbeat and, where the configurations differ, objects.
 func (g *Gossip) beat(ctx context.Context, a Address) {
 	limited, cancel := context.WithTimeout(ctx, heartbeatLimit)
--- a/peer/gossip_test.go
+++ b/peer/gossip_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"testing"
@@ -12,7 +13,9 @@
 	. "github.com/smartystreets/goconvey/convey"
 	"go.opentelemetry.io/otel/trace/noop"
 
+	"quetzalhold/clock"
 	"quetzalhold/engine"
+	"quetzalhold/limit"
 	"quetzalhold/memnet"
 	"quetzalhold/names"
 	"quetzalhold/operator"
@@ -23,6 +26,7 @@
 type node struct {
 	host    memnet.Host
 	gossip  *Gossip
+	quota   *Quota
 	store   *operator.Store
 	stop    context.CancelFunc
 	server  *http.Server
@@ -74,8 +78,11 @@
 		NoteLeaving: func([]LeavingServer) {},
 	}
 	nd.gossip.SetEntries(time.Now(), list)
+	nd.quota = &Quota{Gossip: nd.gossip, Gate: &limit.Gate{}, Limits: func(limit.Key) limit.Limits {
+		return useLimits
+	}}
 	mux := http.NewServeMux()
-	(&Server{Token: "t", Gossip: nd.gossip}).Register(mux)
+	(&Server{Token: "t", Gossip: nd.gossip, Quota: nd.quota}).Register(mux)
 	nd.server = &http.Server{Handler: mux}
 	l, err := f.net.Listen(string(m.Address))
 	if err != nil {
@@ -85,9 +92,42 @@
 	ctx, nd.stop = context.WithCancel(context.Background())
 	f.wg.Go(func() { _ = nd.server.Serve(l) })
 	f.wg.Go(func() { nd.gossip.Run(ctx) })
+	f.wg.Go(func() { nd.quota.Run(ctx) })
+	f.wg.Go(func() { nd.use(ctx) })
 	f.nodes = append(f.nodes, nd)
 }
 
+// Organisations in use at the target: each of 370 entry VMs gets 13.5 of 5,000
+// requests a second, of 8,500 organisations.
+const (
+	organisations  = 8500
+	requestsSecond = 13
+)
+
+// useLimits is an organisation's limits, several times its usual use.
+var useLimits = limit.Limits{Tokens: 2000}
+
+// use lets random organisations have answers of 23 s, as long as 360 tokens
+// take.
+func (nd *node) use(ctx context.Context) {
+	const answerTime, cost = 23 * time.Second, 360
+	nd.quota.Gate.SetPolicy(limit.Policy{MaxAnswers: 1000, MaxQueue: 1000, MaxWait: time.Second})
+	r := rand.New(rand.NewPCG(uint64(limit.NewKey(names.ID(nd.host))), 7))
+	for ctx.Err() == nil {
+		for range requestsSecond {
+			id := names.ID(fmt.Sprintf("organisation-%d", r.IntN(organisations)))
+			leave, err := nd.quota.Gate.Enter(ctx, limit.Request{
+				Organisation: id, Cost: cost, Limits: useLimits, Domains: nd.gossip.Domains(),
+			})
+			if err == nil {
+				nd.quota.Gate.Use(id, cost)
+				time.AfterFunc(answerTime, leave)
+			}
+		}
+		_ = clock.Sleep(ctx, time.Second)
+	}
+}
+
 func (nd *node) apply(objs []platform.Object) {
 	nd.mu.Lock()
 	defer nd.mu.Unlock()
--- a/peer/membership.go
+++ b/peer/membership.go
@@ -267,6 +267,8 @@
 const (
 	Watcher  Duty = "watcher"
 	Delegate Duty = "delegate"
+	// quotaKeeper is the duty to split organisations' limits.
+	quotaKeeper Duty = "quota"
 )
 
 // dutyHolders is the number of members that have a duty at once.
@@ -290,4 +292,20 @@
 	return better < dutyHolders
 }
 
+// Holder returns the member that has part i of a duty which is divided evenly
+// among all.
+func (m *Membership) Holder(d Duty, i int) Address {
+	var all []Address
+	for _, x := range m.Alive() {
+		all = append(all, x.Address)
+	}
+	rank(d, all)
+	return all[i%len(all)]
+}
+
+// rank orders addresses by who has a duty first.
+func rank(d Duty, all []Address) {
+	slices.SortFunc(all, func(a, b Address) int { return cmp.Compare(weight(d, b), weight(d, a)) })
+}
+
 func weight(d Duty, a Address) uint64 { return xxhash.Sum64String(string(d) + "/" + string(a)) }
--- a/peer/membership_test.go
+++ b/peer/membership_test.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"encoding/json"
 	"testing"
 	"time"
 
@@ -94,3 +95,23 @@
 		}
 	})
 }
+
+func FuzzMessage(f *testing.F) {
+	f.Add([]byte(`{"from":{"address":"10.0.0.1:1","id":"a","domain":"d","incarnation":1,"state":0},"words":[{"address":"self","domain":"d","incarnation":9,"state":2}],"digest":1}`))
+	f.Add([]byte(`{"holder":"h","shard":1,"keys":[1,2],"tokens":[1,2],"answers":[1,2]}`))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		m := NewMembership(member("self", 5, Alive))
+		var msg Message
+		if json.Unmarshal(raw, &msg) == nil {
+			m.Merge(begin, append(msg.Words, msg.From))
+			m.Advance(begin.Add(suspectFor))
+			if m.Self().State != Alive || m.Self().Incarnation < 5 {
+				t.Fatalf("self became %+v", m.Self())
+			}
+		}
+		var d Demands
+		if json.Unmarshal(raw, &d) == nil && d.Check() == nil {
+			d.list()
+		}
+	})
+}
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -35,6 +35,8 @@
 	pathFetch     = "/peer/fetch"
 	pathPush      = "/peer/push"
 	pathBookings  = "/peer/bookings"
+	pathDemands   = "/peer/demands"
+	pathCompare   = "/peer/compare"
 )
 
 // callLimit bounds a call to another entry VM.
@@ -84,6 +86,8 @@
 	Token Token
 	// Gossip answers heartbeats and shares the configuration.
 	Gossip *Gossip
+	// Quota splits the organisations' limits.
+	Quota *Quota
 	// Book makes a change of a booking's record that this entry VM writes.
 	Book func(context.Context, booking.Op) (booking.Reply, error)
 }
@@ -103,6 +107,18 @@
 		s.Gossip.Accept(ctx, objs.Objects)
 		return Accepted{}, nil
 	}))
+	mux.HandleFunc("POST "+pathDemands, handle(s, func(_ context.Context, d Demands) (Shares, error) {
+		if err := d.Check(); err != nil {
+			return Shares{}, err
+		}
+		return s.Quota.Answer(d), nil
+	}))
+	mux.HandleFunc("POST "+pathCompare, handle(s, func(_ context.Context, d Demands) (Demands, error) {
+		if err := d.Check(); err != nil {
+			return Demands{}, err
+		}
+		return s.Quota.Compare(d), nil
+	}))
 	mux.HandleFunc("POST "+pathBookings, handle(s, func(ctx context.Context, op booking.Op) (booking.Reply, error) {
 		if err := op.Check(); err != nil {
 			return booking.Reply{}, err
@@ -207,6 +223,23 @@
 	return reply, err
 }
 
+// Demands tells a keeper what is wanted here and returns the shares.
+func (c *Client) Demands(ctx context.Context, a Address, d Demands) (Shares, error) {
+	var reply Shares
+	err := c.call(ctx, c.pooled, a, pathDemands, d, &reply)
+	return reply, err
+}
+
+// Compare tells another domain's keeper what is wanted in this domain, and
+// returns what is wanted there.
+func (c *Client) Compare(ctx context.Context, a Address, d Demands) (Demands, error) {
+	var reply Demands
+	if err := c.call(ctx, c.pooled, a, pathCompare, d, &reply); err != nil {
+		return reply, err
+	}
+	return reply, reply.Check()
+}
+
 // CloseIdle closes the connections that no call uses.
 func (c *Client) CloseIdle() { c.pooled.CloseIdleConnections() }
 
