measure: resume latency against baselines, load on an entry VM

Cause: the measures were only asserted, not reported. Change: measure resume runs real daemons and stand-ins with six kinds of losses in three ways; measure load reads what answers cost an entry VM's process.

--- a/caller/client.go
+++ b/caller/client.go
@@ -49,6 +49,9 @@
 // OnNote sets what is told of losses.
 func OnNote(f func(format string, args ...any)) ClientOption { return func(c *Client) { c.onNote = f } }
 
+// WithTries sets how many connections one answer may take.
+func WithTries(n int) ClientOption { return func(c *Client) { c.tries = n } }
+
 // The defaults of Client, and its pace.
 const (
 	// clientSilence is how long an entry VM may be silent; it sends
--- a/cmd/quetzalhold/commands.go
+++ b/cmd/quetzalhold/commands.go
@@ -24,6 +24,10 @@
 		{"explain", "tell what happened to a request", "Asks every entry VM and shows the steps in order.", &explainCommand{remoteOptions: remote}},
 		{"call", "ask for an answer", "Takes the answer up again at another entry VM when one is lost.", &callCommand{ctx: ctx}},
 		{"demo", "run the demonstration", "Runs entry VMs and stand-ins in this process and kills some of them.", &demoCommand{ctx: ctx}},
+		{"measure", "run a measurement", "Loopback only, bounded in count and time.", &measureCommand{
+			Resume: measureResume{ctx: ctx},
+			Load:   measureLoad{ctx: ctx},
+		}},
 		{"completion", "print a shell's completion script", "Prints a script for bash to source.", &completionCommand{}},
 		{"version", "print the version", "Prints the version of the module and of Go.", &versionCommand{}},
 	}
--- a/engine/feed.go
+++ b/engine/feed.go
@@ -221,6 +221,8 @@
 		u.dropStream(c.Stream, false)
 	case c.probed:
 		u.dropStream(c.Stream, true)
+	case u.attempts >= u.policy.MaxAttempts:
+		u.drop(c, true)
 	default:
 		// The connection broke; the stream may well go on.
 		u.drop(c, false)
--- a/telemetry/telemetry.go
+++ b/telemetry/telemetry.go
@@ -12,6 +12,7 @@
 	"net/http"
 
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/exporters/otlp/otlpmetric/otlpmetrichttp"
@@ -145,6 +146,7 @@
 
 func (t *Telemetry) setMetrics(s *settings.Entry, res *resource.Resource) error {
 	reg := prometheus.NewRegistry()
+	reg.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	scrape, err := otelprom.New(otelprom.WithRegisterer(reg))
 	if err != nil {
 		return fmt.Errorf("metrics scraping: %w", err)
