engine: count a prompt's tokens once for each answer

Cause: a processor profile of an entry VM with 200 answers shows 13% of its time in counting the prompt's words again at each token. Change: counted when the run begins.

--- a/engine/runner.go
+++ b/engine/runner.go
@@ -145,6 +145,7 @@
 	live   []*conn // in the order of their begin
 	events chan event
 
+	promptTokens  Tokens
 	startedAt     time.Time
 	progressAt    time.Time
 	gap           time.Duration
@@ -161,14 +162,16 @@
 func newRun(r *Runner, j Job, sink Sink) *run {
 	now := time.Now()
 	u := &run{
-		Runner:     r,
-		job:        j,
-		sink:       sink,
-		policy:     r.Policy.WithDefaults(),
-		events:     make(chan event),
-		startedAt:  now,
-		progressAt: now,
-		backoff:    firstBackoff,
+		Runner: r,
+		job:    j,
+		sink:   sink,
+		policy: r.Policy.WithDefaults(),
+		events: make(chan event),
+
+		promptTokens: CountTokens(j.Prompt),
+		startedAt:    now,
+		progressAt:   now,
+		backoff:      firstBackoff,
 	}
 	u.gen.Version = j.Version
 	u.gen.Adapter = j.Adapter
@@ -254,7 +257,7 @@
 }
 
 // prefill returns how much a new attempt has to read.
-func (u *run) prefill() Tokens { return CountTokens(u.job.Prompt) + u.gen.Next() }
+func (u *run) prefill() Tokens { return u.promptTokens + u.gen.Next() }
 
 // reattach reads the target's stream on a new connection.
 func (u *run) reattach(ctx context.Context, d Decision) {
