entry: cache events are read only when an engine has new ones

Change: load reports carry the last cache event's number, so events are read only when it rises; load is polled every 2 s, which still finds a leaving engine within 3 s.

--- a/engine/wire.go
+++ b/engine/wire.go
@@ -128,6 +128,7 @@
 	Waiting     int         `json:"waiting"`
 	Pending     Tokens      `json:"pending"` // tokens still to be prefilled or generated
 	Draining    bool        `json:"draining"`
+	CacheSeq    uint64      `json:"cacheSeq"` // the last cache event published
 	Versions    []Loaded    `json:"versions"`
 }
 
--- a/entry/sync.go
+++ b/entry/sync.go
@@ -19,7 +19,7 @@
 // The pace at which the daemon keeps itself informed.
 const (
 	vmPeriod      = time.Second
-	enginePeriod  = time.Second
+	enginePeriod  = 2 * time.Second
 	engineLimit   = 800 * time.Millisecond
 	watchPause    = 200 * time.Millisecond
 	watchMaxPause = 5 * time.Second
@@ -200,7 +200,11 @@
 		return
 	}
 	d.pool.Reported(r, time.Now())
-	evs, err := d.engines.CacheEvents(ctx, s.Address, d.pool.CacheSeq(s.ID))
+	known := d.pool.CacheSeq(s.ID)
+	if r.CacheSeq <= known && r.Incarnation == s.Incarnation {
+		return
+	}
+	evs, err := d.engines.CacheEvents(ctx, s.Address, known)
 	if err == nil {
 		d.pool.Cached(s.ID, evs)
 	}
--- a/standin/cache.go
+++ b/standin/cache.go
@@ -75,6 +75,15 @@
 	}
 }
 
+// published returns the sequence number of the last published event.
+func (c *prefixCache) published(now time.Time) uint64 {
+	evs := c.after(0, now)
+	if len(evs) == 0 {
+		return 0
+	}
+	return evs[len(evs)-1].Seq
+}
+
 // after returns the published events after seq.
 func (c *prefixCache) after(seq uint64, now time.Time) []engine.CacheEvent {
 	c.mu.Lock()
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -522,6 +522,7 @@
 		Waiting:     len(e.waiting),
 		Pending:     e.pending(),
 		Draining:    e.draining,
+		CacheSeq:    e.cache.published(now),
 		Versions:    slices.Clone(e.versions),
 	}
 	return e.report
