engine, operator: choice without copies, decoded objects kept

Cause: benchmarks at the target's sizes. Change: aggregates are decoded once for each version; candidates are unsorted and picked by index.

--- /dev/null
+++ b/caller/bench_test.go
@@ -0,0 +1,17 @@
+package caller
+
+import "testing"
+
+// BenchmarkSeal seals the cursor of one token.
+func BenchmarkSeal(b *testing.B) {
+	s := NewSealer(testKey)
+	c := testCursor()
+	b.ReportAllocs()
+	for b.Loop() {
+		c.Offset++
+		c.Received = c.Received.Chain(" token")
+		if _, err := s.Seal(c); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- /dev/null
+++ b/engine/bench_test.go
@@ -0,0 +1,47 @@
+package engine
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// BenchmarkChoose picks among the engines of today's users, of a failure domain
+// at the target, and of the whole fleet.
+func BenchmarkChoose(b *testing.B) {
+	for _, n := range []int{36, 323, 4200} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			var p Pool
+			now := time.Now()
+			v := Loaded{Version: "m@1"}
+			var list []Server
+			for i := range n {
+				list = append(list, Server{ID: ServerID(fmt.Sprintf("engine-%d", i)), Domain: "d", Incarnation: 1})
+			}
+			p.SetList(list)
+			for _, s := range list {
+				p.Reported(LoadReport{Server: s.ID, Incarnation: 1, Versions: []Loaded{v}}, now)
+			}
+			blocks := Blocks("a prompt of a few words")
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, ok := (Chooser{}).Choose(Need{Now: now, Domain: "d", Prefill: 400}, p.Candidates(v, blocks)); !ok {
+					b.Fatal("no choice")
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkDecide judges a stream whose tokens flow.
+func BenchmarkDecide(b *testing.B) {
+	p := Policy{}.WithDefaults()
+	now := time.Now()
+	c := ConnectionView{BegunAt: now, OpenedAt: now, HeardAt: now, ServerHeardAt: now}
+	v := View{Now: now, ProgressAt: now, Started: true, Newest: &c}
+	for b.Loop() {
+		if p.Decide(v).Action != Wait {
+			b.Fatal("not waiting")
+		}
+	}
+}
--- a/engine/choice.go
+++ b/engine/choice.go
@@ -91,15 +91,15 @@
 // ones never do. It reports false if there is none.
 func (c Chooser) Choose(n Need, all []Candidate) (Choice, bool) {
 	c = c.withDefaults()
-	good := make([]Candidate, 0, len(all))
-	var doubtful []Candidate
-	for _, cand := range all {
+	good := make([]int, 0, len(all))
+	var doubtful []int
+	for i := range all {
 		switch {
-		case excluded(n.Exclude, cand.ID):
-		case c.doubtful(n.Now, cand):
-			doubtful = append(doubtful, cand)
+		case excluded(n.Exclude, all[i].ID):
+		case c.doubtful(n.Now, all[i]):
+			doubtful = append(doubtful, i)
 		default:
-			good = append(good, cand)
+			good = append(good, i)
 		}
 	}
 	if len(good) == 0 {
@@ -108,7 +108,7 @@
 	if len(good) == 0 {
 		return Choice{}, false
 	}
-	return c.cheapest(n, c.nearest(n, good)), true
+	return c.cheapest(n, all, c.nearest(n, all, good)), true
 }
 
 func excluded(list []ServerID, id ServerID) bool {
@@ -127,38 +127,36 @@
 }
 
 // nearest samples half of the picks from this entry VM's region where it has
-// any, so that a fleet that is mostly elsewhere does not hide it.
-func (c Chooser) nearest(n Need, all []Candidate) []Candidate {
-	if len(all) <= c.Sample {
-		return all
-	}
-	var near []Candidate
-	for _, cand := range all {
-		if c.region(cand.Domain) == c.region(n.Domain) {
-			near = append(near, cand)
+// any, so that a fleet that is mostly elsewhere does not hide it. Picks are
+// indices of all.
+func (c Chooser) nearest(n Need, all []Candidate, from []int) []int {
+	if len(from) <= c.Sample {
+		return from
+	}
+	var near []int
+	for _, i := range from {
+		if c.region(all[i].Domain) == c.region(n.Domain) {
+			near = append(near, i)
 		}
 	}
-	picks := c.sample(nil, all, c.Sample)
-	return c.sample(picks, near, c.Sample)
+	picks := c.sample(nil, from)
+	return c.sample(picks, near)
 }
 
-// sample appends k distinct random members of from to picks.
-func (c Chooser) sample(picks, from []Candidate, k int) []Candidate {
-	idx := make([]int, len(from))
-	for i := range idx {
-		idx[i] = i
-	}
-	for i := 0; i < k && i < len(from); i++ {
+// sample appends distinct random members of from to picks. It reorders from.
+func (c Chooser) sample(picks, from []int) []int {
+	for i := 0; i < c.Sample && i < len(from); i++ {
 		j := i + c.Rand(len(from)-i)
-		idx[i], idx[j] = idx[j], idx[i]
-		picks = append(picks, from[idx[i]])
+		from[i], from[j] = from[j], from[i]
+		picks = append(picks, from[i])
 	}
 	return picks
 }
 
-func (c Chooser) cheapest(n Need, picks []Candidate) Choice {
+func (c Chooser) cheapest(n Need, all []Candidate, picks []int) Choice {
 	best := Choice{Cost: math.MaxInt64, Among: len(picks)}
-	for _, cand := range picks {
+	for _, i := range picks {
+		cand := all[i]
 		if cost := c.cost(n, cand); cost < best.Cost {
 			best.ID = cand.ID
 			best.Cost = cost
--- a/engine/pool.go
+++ b/engine/pool.go
@@ -285,13 +285,16 @@
 }
 
 // Candidates returns the listed engines, not leaving, that hold the version
-// and adapter, ordered by id. Engines that never reported are taken to hold
-// every version.
+// and adapter, in any order. Engines that never reported are taken to hold every
+// version.
 func (p *Pool) Candidates(want Loaded, prompt []BlockHash) []Candidate {
 	var all []Candidate
 	for i := range p.shards {
 		sh := &p.shards[i]
 		sh.mu.Lock()
+		if all == nil {
+			all = make([]Candidate, 0, poolShards*(len(sh.servers)+1))
+		}
 		for _, st := range sh.servers {
 			if st.Listed && !st.Left && st.holds(want) {
 				all = append(all, st.candidate(prompt))
@@ -299,7 +302,6 @@
 		}
 		sh.mu.Unlock()
 	}
-	slices.SortFunc(all, func(a, b Candidate) int { return cmp.Compare(a.ID, b.ID) })
 	return all
 }
 
--- a/operator/configuration.go
+++ b/operator/configuration.go
@@ -28,13 +28,31 @@
 	byKey       map[KeyDigest]*Organisation
 	inForce     *Preset
 	registry    *names.Registry
+	cache       decodeCache // while it is built
 	objects     []platform.Object
 }
 
 // Build returns the configuration made of objs, and every fault by which an
 // object cannot be part of it.
 func Build(objs []platform.Object) (*Configuration, []*result.Error) {
+	return build(objs, nil)
+}
+
+// decoded is an aggregate that was decoded before, or why it could not be.
+type decoded struct {
+	version platform.Version
+	value   any
+	err     error
+}
+
+// decodeCache keeps decoded aggregates, so that a change decodes only what
+// changed. Nil keeps nothing.
+type decodeCache map[objectKey]decoded
+
+// build is Build with a cache.
+func build(objs []platform.Object, cache decodeCache) (*Configuration, []*result.Error) {
 	c := &Configuration{
+		cache:       cache,
 		deployments: make(map[DeploymentID]*Deployment),
 		presets:     make(map[PresetID]*Preset),
 		services:    make(map[names.ID]*Service),
@@ -56,6 +74,7 @@
 			c.objects = append(c.objects, o)
 		}
 	}
+	c.cache = nil
 	return c, faults
 }
 
@@ -64,26 +83,26 @@
 func (c *Configuration) add(o platform.Object) error {
 	switch o.Kind {
 	case KindDeployment:
-		return addTo(o, func(d *Deployment) (string, error) {
+		return addTo(c.cache, o, func(d *Deployment) (string, error) {
 			c.deployments[d.Name] = d
 			return string(d.Name), nil
 		})
 	case KindOrganisation:
-		return addTo(o, c.addOrganisation)
+		return addTo(c.cache, o, c.addOrganisation)
 	case KindService:
-		return addTo(o, func(s *Service) (string, error) {
+		return addTo(c.cache, o, func(s *Service) (string, error) {
 			c.services[s.Names.Code] = s
 			return string(s.Names.Code), c.registry.Add(names.Service, s.Names)
 		})
 	case KindRoute:
-		return addTo(o, c.addRoute)
+		return addTo(c.cache, o, c.addRoute)
 	case KindPreset:
-		return addTo(o, func(p *Preset) (string, error) {
+		return addTo(c.cache, o, func(p *Preset) (string, error) {
 			c.presets[p.Name] = p
 			return string(p.Name), nil
 		})
 	case KindInForce:
-		return addTo(o, func(f *InForce) (string, error) {
+		return addTo(c.cache, o, func(f *InForce) (string, error) {
 			c.inForce = c.presets[f.Preset]
 			if c.inForce == nil {
 				return "", result.New(result.BadReference, "no preset %q", f.Preset).On("preset")
@@ -96,9 +115,9 @@
 
 // addTo decodes an aggregate and hands it to f, which returns the name that
 // the object must have.
-func addTo[T any](o platform.Object, f func(*T) (string, error)) error {
-	v := new(T)
-	if err := json.Unmarshal(o.Value, v); err != nil {
+func addTo[T any](cache decodeCache, o platform.Object, f func(*T) (string, error)) error {
+	v, err := decodeObject[T](cache, o)
+	if err != nil {
 		return err
 	}
 	name, err := f(v)
@@ -111,6 +130,21 @@
 	return nil
 }
 
+// decodeObject decodes an object's value unless the cache has it.
+func decodeObject[T any](cache decodeCache, o platform.Object) (*T, error) {
+	k := objectKey{o.Kind, o.Name}
+	if d, ok := cache[k]; ok && d.version == o.Version {
+		v, _ := d.value.(*T)
+		return v, d.err
+	}
+	v := new(T)
+	err := json.Unmarshal(o.Value, v)
+	if cache != nil {
+		cache[k] = decoded{version: o.Version, value: v, err: err}
+	}
+	return v, err
+}
+
 func (c *Configuration) addOrganisation(o *Organisation) (string, error) {
 	for _, k := range o.Keys {
 		if other := c.byKey[k]; other != nil {
@@ -131,13 +165,16 @@
 	if c.deployments[r.Deployment] == nil {
 		return "", result.New(result.BadReference, "no deployment %q", r.Deployment).On("deployment")
 	}
+	resolved := *r
+	resolved.Organisations = nil
 	for i, name := range r.Organisations {
 		id, err := c.registry.Resolve(names.Organisation, name)
 		if err != nil {
 			return "", result.Of(err).On(fmt.Sprintf("organisations[%d]", i))
 		}
-		r.Organisations[i] = string(id)
+		resolved.Organisations = append(resolved.Organisations, string(id))
 	}
+	r = &resolved
 	for _, other := range c.routes {
 		if other.Model == r.Model && overlap(other.Organisations, r.Organisations) {
 			return "", result.New(result.Duplicate, "route %q leads %q for the same organisations", other.Name, r.Model).On("model")
@@ -244,6 +281,7 @@
 	mu      sync.Mutex
 	objects map[objectKey]platform.Object
 	digests Digests
+	cache   decodeCache
 	current atomic.Pointer[Configuration]
 }
 
@@ -288,7 +326,10 @@
 	if !changed {
 		return nil
 	}
-	c, faults := Build(s.sorted())
+	if s.cache == nil {
+		s.cache = make(decodeCache)
+	}
+	c, faults := build(s.sorted(), s.cache)
 	s.current.Store(c)
 	return faults
 }
