--- a/booking/desk.go
+++ b/booking/desk.go
@@ -1,6 +1,7 @@
 package booking
 
 import (
+	"cmp"
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
@@ -53,14 +54,9 @@
 )
 
 func (l Limits) withDefaults() Limits {
-	set := func(d *time.Duration, v time.Duration) {
-		if *d == 0 {
-			*d = v
-		}
-	}
-	set(&l.Keep, defaultKeep)
-	set(&l.Call, defaultCall)
-	set(&l.Claim, defaultClaim)
+	l.Keep = cmp.Or(l.Keep, defaultKeep)
+	l.Call = cmp.Or(l.Call, defaultCall)
+	l.Claim = cmp.Or(l.Claim, defaultClaim)
 	return l
 }
 
--- a/booking/ledger.go
+++ b/booking/ledger.go
@@ -1,6 +1,7 @@
 package booking
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"sync"
@@ -101,12 +102,7 @@
 	}
 }
 
-func (l *Ledger) pause() time.Duration {
-	if l.Pause == 0 {
-		return defaultPause
-	}
-	return l.Pause
-}
+func (l *Ledger) pause() time.Duration { return cmp.Or(l.Pause, defaultPause) }
 
 func (sh *ledgerShard) nextWrite(pause time.Duration) time.Time {
 	sh.mu.Lock()
--- a/caller/server.go
+++ b/caller/server.go
@@ -6,7 +6,6 @@
 	"errors"
 	"io"
 	"net/http"
-	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -62,15 +61,6 @@
 	mux.HandleFunc("GET /v1/models", s.models)
 }
 
-// BearerKey returns the bearer token of a request.
-func BearerKey(r *http.Request) string {
-	key, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
-	if !ok {
-		return ""
-	}
-	return strings.TrimSpace(key)
-}
-
 // Deadline returns the instant in a request's deadline header; zero if there
 // is none. It fails with BadDeadline, or DeadlinePassed.
 func Deadline(r *http.Request, now time.Time) (time.Time, error) {
@@ -172,7 +162,7 @@
 	}
 	q := &request{style: style, receivedAt: now}
 	var err error
-	if q.org, err = cfg.Organisation(BearerKey(r)); err != nil {
+	if q.org, err = cfg.Organisation(operator.BearerKey(r)); err != nil {
 		return nil, err
 	}
 	if q.deadline, err = Deadline(r, now); err != nil {
@@ -263,7 +253,7 @@
 
 func (s *Server) models(w http.ResponseWriter, r *http.Request) {
 	cfg := s.Configuration()
-	org, err := cfg.Organisation(BearerKey(r))
+	org, err := cfg.Organisation(operator.BearerKey(r))
 	if err != nil {
 		result.Write(w, err)
 		return
--- a/caller/services.go
+++ b/caller/services.go
@@ -116,7 +116,7 @@
 		return nil, result.New(result.Stopping, "no new requests").AsNotRun().At(now)
 	}
 	cfg := s.Configuration()
-	org, err := cfg.Organisation(BearerKey(r))
+	org, err := cfg.Organisation(operator.BearerKey(r))
 	if err != nil {
 		return nil, err
 	}
--- a/engine/choice.go
+++ b/engine/choice.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"cmp"
 	"math"
 	"math/rand/v2"
 	"time"
@@ -42,27 +43,13 @@
 )
 
 func (c Chooser) withDefaults() Chooser {
-	if c.Sample == 0 {
-		c.Sample = defaultSample
-	}
-	if c.ReportHalfLife == 0 {
-		c.ReportHalfLife = defaultReportHalfLife
-	}
-	if c.RefusalPause == 0 {
-		c.RefusalPause = defaultRefusalPause
-	}
-	if c.TokenTime == 0 {
-		c.TokenTime = defaultTokenTime
-	}
-	if c.PrefillRate == 0 {
-		c.PrefillRate = defaultPrefillRate
-	}
-	if c.CrossDomain == 0 {
-		c.CrossDomain = defaultCrossDomain
-	}
-	if c.CrossRegion == 0 {
-		c.CrossRegion = defaultCrossRegion
-	}
+	c.Sample = cmp.Or(c.Sample, defaultSample)
+	c.ReportHalfLife = cmp.Or(c.ReportHalfLife, defaultReportHalfLife)
+	c.RefusalPause = cmp.Or(c.RefusalPause, defaultRefusalPause)
+	c.TokenTime = cmp.Or(c.TokenTime, defaultTokenTime)
+	c.PrefillRate = cmp.Or(c.PrefillRate, defaultPrefillRate)
+	c.CrossDomain = cmp.Or(c.CrossDomain, defaultCrossDomain)
+	c.CrossRegion = cmp.Or(c.CrossRegion, defaultCrossRegion)
 	if c.Rand == nil {
 		c.Rand = rand.IntN
 	}
--- a/engine/policy.go
+++ b/engine/policy.go
@@ -1,6 +1,9 @@
 package engine
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // Policy holds the limits by which a silent or failed stream is judged. Its
 // zero value uses the defaults.
@@ -49,25 +52,14 @@
 
 // WithDefaults returns p with its zero fields set to the defaults.
 func (p Policy) WithDefaults() Policy {
-	set := func(d *time.Duration, v time.Duration) {
-		if *d == 0 {
-			*d = v
-		}
-	}
-	set(&p.SuspectAfter, defaultSuspectAfter)
-	set(&p.OpenAfter, defaultOpenAfter)
-	set(&p.ProbeAfter, defaultProbeAfter)
-	set(&p.Resume, defaultResume)
-	set(&p.FirstTokenSlack, defaultFirstTokenSlack)
-	if p.PrefillRate == 0 {
-		p.PrefillRate = defaultPrefillRate
-	}
-	if p.MaxLive == 0 {
-		p.MaxLive = defaultMaxLive
-	}
-	if p.MaxAttempts == 0 {
-		p.MaxAttempts = defaultMaxAttempts
-	}
+	p.SuspectAfter = cmp.Or(p.SuspectAfter, defaultSuspectAfter)
+	p.OpenAfter = cmp.Or(p.OpenAfter, defaultOpenAfter)
+	p.ProbeAfter = cmp.Or(p.ProbeAfter, defaultProbeAfter)
+	p.Resume = cmp.Or(p.Resume, defaultResume)
+	p.FirstTokenSlack = cmp.Or(p.FirstTokenSlack, defaultFirstTokenSlack)
+	p.PrefillRate = cmp.Or(p.PrefillRate, defaultPrefillRate)
+	p.MaxLive = cmp.Or(p.MaxLive, defaultMaxLive)
+	p.MaxAttempts = cmp.Or(p.MaxAttempts, defaultMaxAttempts)
 	return p
 }
 
--- a/engine/runner.go
+++ b/engine/runner.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -106,19 +107,9 @@
 	return err
 }
 
-func (r *Runner) serverWait() time.Duration {
-	if r.ServerWait == 0 {
-		return defaultServerWait
-	}
-	return r.ServerWait
-}
+func (r *Runner) serverWait() time.Duration { return cmp.Or(r.ServerWait, defaultServerWait) }
 
-func (r *Runner) resumeGrace() time.Duration {
-	if r.ResumeGrace == 0 {
-		return defaultResumeGrace
-	}
-	return r.ResumeGrace
-}
+func (r *Runner) resumeGrace() time.Duration { return cmp.Or(r.ResumeGrace, defaultResumeGrace) }
 
 // conn is a live attempt of a run.
 type conn struct {
--- a/measure/resume.go
+++ b/measure/resume.go
@@ -4,6 +4,7 @@
 package measure
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -88,18 +89,10 @@
 
 // WithDefaults returns c with its zero fields set to the defaults.
 func (c ResumeConfig) WithDefaults() ResumeConfig {
-	if c.Answers == 0 {
-		c.Answers = defaultAnswers
-	}
-	if c.Tokens == 0 {
-		c.Tokens = defaultTokens
-	}
-	if c.Gap == 0 {
-		c.Gap = defaultGap
-	}
-	if c.Engines == 0 {
-		c.Engines = defaultEngines
-	}
+	c.Answers = cmp.Or(c.Answers, defaultAnswers)
+	c.Tokens = cmp.Or(c.Tokens, defaultTokens)
+	c.Gap = cmp.Or(c.Gap, defaultGap)
+	c.Engines = cmp.Or(c.Engines, defaultEngines)
 	return c
 }
 
--- a/operator/api.go
+++ b/operator/api.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"crypto/subtle"
 	"encoding/json"
 	"net/http"
-	"strings"
 	"time"
 
 	"go.opentelemetry.io/otel/propagation"
@@ -124,8 +122,7 @@
 
 // serve checks the operator's key and answers with what f returns.
 func (a *API) serve(w http.ResponseWriter, r *http.Request, f func(*http.Request) (any, error)) {
-	key, _ := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
-	if subtle.ConstantTimeCompare([]byte(key), []byte(a.Key)) != 1 {
+	if !Authorized(r, a.Key) {
 		result.Write(w, result.New(result.NotAllowed, "operator key").AsNotRun())
 		return
 	}
--- /dev/null
+++ b/operator/auth.go
@@ -0,0 +1,22 @@
+package operator
+
+import (
+	"crypto/subtle"
+	"net/http"
+	"strings"
+)
+
+// BearerKey returns the bearer token of a request; empty if there is none.
+func BearerKey(r *http.Request) string {
+	key, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if !ok {
+		return ""
+	}
+	return strings.TrimSpace(key)
+}
+
+// Authorized reports whether a request bears the key, in a time that does not
+// tell how much of it is right.
+func Authorized(r *http.Request, key string) bool {
+	return subtle.ConstantTimeCompare([]byte(BearerKey(r)), []byte(key)) == 1
+}
--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -130,3 +130,31 @@
 		So(err.Error(), ShouldContainSubstring, "5003")
 	})
 }
+
+func FuzzParseFile(f *testing.F) {
+	files, err := filepath.Glob("../examples/*/configuration.json")
+	if err != nil {
+		f.Fatal(err)
+	}
+	for _, name := range files {
+		b, err := os.ReadFile(name)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(b)
+	}
+	f.Add([]byte(`{"objects":[{"kind":"preset","name":"day","value":{"name":"day","maxAnswers":1,"maxTokens":1,"newAnswers":true}}]}`))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		file, err := ParseFile(raw)
+		if err != nil {
+			return
+		}
+		var objs []platform.Object
+		for _, o := range file.Objects {
+			objs = append(objs, platform.Object{Kind: o.Kind, Name: o.Name, Version: 1, Value: o.Value})
+		}
+		if _, faults := Build(objs); len(faults) > 0 {
+			t.Fatalf("a good file has faults: %v", faults)
+		}
+	})
+}
--- a/peer/gossip_test.go
+++ b/peer/gossip_test.go
@@ -24,15 +24,14 @@
 
 // node is the part of an entry VM that speaks with the others.
 type node struct {
-	host    memnet.Host
-	gossip  *Gossip
-	quota   *Quota
-	store   *operator.Store
-	stop    context.CancelFunc
-	server  *http.Server
-	mu      sync.Mutex
-	seen    []platform.Version // of each applied object, in order
-	leaving []LeavingServer
+	host   memnet.Host
+	gossip *Gossip
+	quota  *Quota
+	store  *operator.Store
+	stop   context.CancelFunc
+	server *http.Server
+	mu     sync.Mutex
+	seen   []platform.Version // of each applied object, in order
 }
 
 // fleet is entry VMs of several failure domains on a network in memory.
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -9,13 +9,11 @@
 	"context"
 	"crypto/hmac"
 	"crypto/sha256"
-	"crypto/subtle"
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
-	"strings"
 	"time"
 
 	"go.opentelemetry.io/otel/propagation"
@@ -131,8 +129,7 @@
 // encodes what f returns.
 func handle[In, Out any](s *Server, f func(context.Context, In) (Out, error)) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		key, _ := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
-		if subtle.ConstantTimeCompare([]byte(key), []byte(s.Token)) != 1 {
+		if !operator.Authorized(r, string(s.Token)) {
 			result.Write(w, result.New(result.NotAllowed, "entry VM token").AsNotRun())
 			return
 		}
--- a/service/service.go
+++ b/service/service.go
@@ -5,6 +5,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -156,10 +157,7 @@
 
 // repeat tries servers in turn, and starts over while time and tries are left.
 func (c *Client) repeat(ctx context.Context, servers []Server, call Call) (Reply, error) {
-	limit := c.TryLimit
-	if limit == 0 {
-		limit = defaultTryLimit
-	}
+	limit := cmp.Or(c.TryLimit, defaultTryLimit)
 	var errs []error
 	for i := 0; i < maxTries && ctx.Err() == nil; i++ {
 		reply, err := c.try(ctx, servers[i%len(servers)], call, limit)
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -3,6 +3,7 @@
 package settings
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"io/fs"
@@ -87,24 +88,18 @@
 
 // WithDefaults returns l with its zero fields set to the defaults.
 func (l Limits) WithDefaults() Limits {
-	orDefault(&l.MaxBodyBytes, defaultMaxBodyBytes)
-	orDefault(&l.MaxHeaderBytes, defaultMaxHeaderBytes)
-	orDefault(&l.CallerStallMs, defaultCallerStallMs)
-	orDefault(&l.ServerWaitMs, defaultServerWaitMs)
-	orDefault(&l.ResumeGraceMs, defaultResumeGraceMs)
-	orDefault(&l.DrainMs, defaultDrainMs)
-	orDefault(&l.HistoryRequests, defaultHistoryRequests)
-	orDefault(&l.PlatformCalls, defaultPlatformCalls)
-	orDefault(&l.BookingKeepMs, defaultBookingKeepMs)
+	l.MaxBodyBytes = cmp.Or(l.MaxBodyBytes, defaultMaxBodyBytes)
+	l.MaxHeaderBytes = cmp.Or(l.MaxHeaderBytes, defaultMaxHeaderBytes)
+	l.CallerStallMs = cmp.Or(l.CallerStallMs, defaultCallerStallMs)
+	l.ServerWaitMs = cmp.Or(l.ServerWaitMs, defaultServerWaitMs)
+	l.ResumeGraceMs = cmp.Or(l.ResumeGraceMs, defaultResumeGraceMs)
+	l.DrainMs = cmp.Or(l.DrainMs, defaultDrainMs)
+	l.HistoryRequests = cmp.Or(l.HistoryRequests, defaultHistoryRequests)
+	l.PlatformCalls = cmp.Or(l.PlatformCalls, defaultPlatformCalls)
+	l.BookingKeepMs = cmp.Or(l.BookingKeepMs, defaultBookingKeepMs)
 	return l
 }
 
-func orDefault[T ~int | ~int64](v *T, d T) {
-	if *v == 0 {
-		*v = d
-	}
-}
-
 // Telemetry says where logs, traces and metrics go.
 type Telemetry struct {
 	// LogLevel is debug, info, warn or error; info if empty.
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"net/http"
@@ -52,24 +53,17 @@
 	defaultRetention   = 30 * time.Second
 )
 
-func orDefault[T comparable](v *T, d T) {
-	var zero T
-	if *v == zero {
-		*v = d
-	}
-}
-
 func (c EngineConfig) withDefaults() EngineConfig {
-	orDefault(&c.TokenGap, defaultTokenGap)
-	orDefault(&c.Slowdown, defaultSlowdown)
-	orDefault(&c.PrefillRate, defaultPrefillRate)
-	orDefault(&c.Slots, defaultSlots)
-	orDefault(&c.MaxWaiting, defaultMaxWaiting)
-	orDefault(&c.CacheBlocks, defaultCacheBlocks)
-	orDefault(&c.CacheLag, defaultCacheLag)
-	orDefault(&c.LoadLag, defaultLoadLag)
-	orDefault(&c.LoadTime, defaultLoadTime)
-	orDefault(&c.Retention, defaultRetention)
+	c.TokenGap = cmp.Or(c.TokenGap, defaultTokenGap)
+	c.Slowdown = cmp.Or(c.Slowdown, defaultSlowdown)
+	c.PrefillRate = cmp.Or(c.PrefillRate, defaultPrefillRate)
+	c.Slots = cmp.Or(c.Slots, defaultSlots)
+	c.MaxWaiting = cmp.Or(c.MaxWaiting, defaultMaxWaiting)
+	c.CacheBlocks = cmp.Or(c.CacheBlocks, defaultCacheBlocks)
+	c.CacheLag = cmp.Or(c.CacheLag, defaultCacheLag)
+	c.LoadLag = cmp.Or(c.LoadLag, defaultLoadLag)
+	c.LoadTime = cmp.Or(c.LoadTime, defaultLoadTime)
+	c.Retention = cmp.Or(c.Retention, defaultRetention)
 	return c
 }
 
--- /dev/null
+++ b/telemetry/telemetry_test.go
@@ -0,0 +1,71 @@
+package telemetry
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"quetzalhold/engine"
+	"quetzalhold/names"
+	"quetzalhold/settings"
+)
+
+func testSettings(collector string) *settings.Entry {
+	return &settings.Entry{
+		ID: "entry-1", Domain: "d",
+		Places:    []settings.Place{{Names: names.Set{Code: "d", Title: "D", Legacy: "1"}, Region: names.Set{Code: "r", Title: "R", Legacy: "2"}}},
+		Telemetry: settings.Telemetry{OTLP: collector, TraceShare: 1},
+	}
+}
+
+func TestPush(t *testing.T) {
+	Convey("Traces and metrics are pushed by OTLP over HTTP when an address is set", t, func() {
+		var mu sync.Mutex
+		got := make(map[string]int)
+		s := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+			b, _ := io.ReadAll(r.Body)
+			mu.Lock()
+			defer mu.Unlock()
+			got[r.URL.Path] += len(b)
+		}))
+		defer s.Close()
+		tel, err := New(testSettings(strings.TrimPrefix(s.URL, "http://")), io.Discard)
+		So(err, ShouldBeNil)
+		_, span := tel.Tracer.Start(context.Background(), "hop")
+		span.End()
+		tel.Metrics.Step("start")
+		So(tel.Close(context.Background()), ShouldBeNil)
+		mu.Lock()
+		defer mu.Unlock()
+		So(got["/v1/traces"], ShouldBeGreaterThan, 0)
+		So(got["/v1/metrics"], ShouldBeGreaterThan, 0)
+	})
+	Convey("Without one, they are only scraped", t, func() {
+		tel, err := New(testSettings(""), io.Discard)
+		So(err, ShouldBeNil)
+		tel.Metrics.Platform("urgent", true)
+		w := httptest.NewRecorder()
+		tel.Handler().ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+		So(w.Body.String(), ShouldContainSubstring, `quetzalhold_platform_calls`)
+		So(w.Body.String(), ShouldContainSubstring, `process_resident_memory_bytes`)
+	})
+}
+
+func TestHistory(t *testing.T) {
+	Convey("A history keeps the last requests, and a bounded number of steps of each", t, func() {
+		h := NewHistory(2)
+		for _, r := range []engine.RequestID{"a", "b", "c"} {
+			for range maxSteps + 5 {
+				h.Note(engine.Step{Request: r, What: "x"})
+			}
+		}
+		So(h.Steps("a"), ShouldBeEmpty)
+		So(h.Steps("c"), ShouldHaveLength, maxSteps)
+	})
+}
