move: decisions about version moves, measured against two baselines

Cause: versions could not be moved. Change: the plan, its shares by hash of the request, and a test that compares both versions at the same time on the same route (Page's test on failures and slowness, without the worst server). Not joined to the daemon yet.

--- a/cmd/quetzalhold/measure.go
+++ b/cmd/quetzalhold/measure.go
@@ -15,6 +15,7 @@
 // measureCommand groups the measurements.
 type measureCommand struct {
 	Resume measureResume `command:"resume" description:"resume latency by kind of loss, against baselines"`
+	Moves  measureMoves  `command:"moves" description:"decisions about version moves over a fixed set of cases, against baselines"`
 	Load   measureLoad   `command:"load" description:"cost of answers at an entry VM that runs on this machine"`
 }
 
@@ -91,3 +92,18 @@
 	}
 	return nil
 }
+
+// measureMoves measures the decisions about version moves.
+type measureMoves struct {
+	Seeds int  `long:"seeds" value-name:"N" default:"20" description:"runs of each case"`
+	JSON  bool `long:"json" description:"print as JSON"`
+}
+
+// Execute implements flags.Commander.
+func (c *measureMoves) Execute([]string) error {
+	all := measure.Moves(c.Seeds)
+	if c.JSON {
+		return printJSON(all)
+	}
+	return measure.PrintMoves(os.Stdout, all)
+}
--- /dev/null
+++ b/move/move_test.go
@@ -0,0 +1,183 @@
+package move
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"quetzalhold/engine"
+	"quetzalhold/result"
+)
+
+var begin = time.Unix(1_000_000, 0).UTC()
+
+func testPlan() Plan {
+	return Plan{Deployment: "d", From: "v@1", To: "v@2", Start: begin, FinishBy: begin.Add(10 * time.Minute), State: Started}
+}
+
+func TestPlan(t *testing.T) {
+	Convey("Shares", t, func() {
+		p := testPlan()
+		So(p.Share(begin.Add(-time.Second), false), ShouldEqual, 0)
+		So(p.Share(begin, false), ShouldEqual, 0.05)
+		So(p.Share(begin, true), ShouldEqual, 0)
+		So(p.Share(p.FinishBy, false), ShouldEqual, 0)
+		p.Step = lastStep
+		So(p.Share(begin, false), ShouldEqual, lastShare)
+		p.State = Finished
+		So(p.Share(p.FinishBy.Add(time.Hour), false), ShouldEqual, 1)
+		p.State = TakenBack
+		So(p.Share(begin, false), ShouldEqual, 0)
+	})
+	Convey("A request's version is alike everywhere, and stays new as the share rises", t, func() {
+		p := testPlan()
+		news := make([]int, lastStep+1)
+		for i := range 4000 {
+			r := engine.RequestID(fmt.Sprint(i))
+			was := false
+			for p.Step = 0; p.Step <= lastStep; p.Step++ {
+				is := p.Version(r, begin, false) == p.To
+				So(was && !is, ShouldBeFalse)
+				was = is
+				if is {
+					news[p.Step]++
+				}
+			}
+		}
+		So(float64(news[0])/4000, ShouldBeBetween, 0.03, 0.07)
+		So(float64(news[lastStep])/4000, ShouldBeBetween, 0.93, 0.97)
+	})
+	Convey("A plan checks itself when it is decoded", t, func() {
+		good, err := json.Marshal(testPlan())
+		So(err, ShouldBeNil)
+		var p Plan
+		So(json.Unmarshal(good, &p), ShouldBeNil)
+		So(p, ShouldResemble, testPlan())
+		for _, change := range []func(*Plan){
+			func(p *Plan) { p.To = p.From },
+			func(p *Plan) { p.FinishBy = p.Start },
+			func(p *Plan) { p.EarlyShare = 0.5 },
+			func(p *Plan) { p.State = "paused" },
+			func(p *Plan) { p.Step = 9 },
+		} {
+			bad := testPlan()
+			change(&bad)
+			So(result.CodeOf(bad.Check()), ShouldEqual, result.OutOfRange)
+		}
+	})
+}
+
+// show shows requests of both versions, spread over servers.
+func show(e *Evidence, r Route, n int, server func(i int) int, failed, slow func(i int) bool) {
+	for i := range n {
+		old := Count{Route: r, N: 1, Server: "old"}
+		if i%10 == 0 {
+			old.Slow = 1
+		}
+		c := Count{Route: r, N: 1, New: true, Server: engine.ServerID(fmt.Sprint("new-", server(i)))}
+		if failed(i) {
+			c.Failed = 1
+		}
+		if slow(i) {
+			c.Slow = 1
+		}
+		e.Add([]Count{old, c})
+	}
+}
+
+func TestEvidence(t *testing.T) {
+	spread := func(i int) int { return i % 4 }
+	never := func(int) bool { return false }
+	everyNth := func(n int) func(int) bool { return func(i int) bool { return i%n == 0 } }
+	tests := []struct {
+		name         string
+		server       func(int) int
+		failed, slow func(int) bool
+		bad          bool
+	}{
+		{"as good as the old one", spread, everyNth(300), everyNth(10), false},
+		{"fails on all servers", spread, func(i int) bool { return i%8 < 4 }, never, true},
+		{"fails on one server", spread, everyNth(4), never, false},
+		{"slow on all servers", spread, never, func(i int) bool { return i%8 < 5 }, true},
+		{"slow on one server", spread, never, everyNth(4), false},
+		{"fails on its only server", func(int) int { return 0 }, everyNth(2), never, true},
+	}
+	Convey("Evidence", t, func() {
+		for _, tt := range tests {
+			Convey(tt.name, func() {
+				var e Evidence
+				show(&e, "r", 400, tt.server, tt.failed, tt.slow)
+				So(e.Verdict().Bad, ShouldEqual, tt.bad)
+			})
+		}
+		Convey("bad on one route with little traffic is bad", func() {
+			var e Evidence
+			show(&e, "busy", 400, spread, never, never)
+			show(&e, "quiet", 16, spread, everyNth(2), never)
+			So(e.Verdict().Bad, ShouldBeTrue)
+			So(e.Verdict().Route, ShouldEqual, Route("quiet"))
+		})
+		Convey("both slow at the same time says nothing", func() {
+			var e Evidence
+			for i := range 400 {
+				slow := 0
+				if i > 100 {
+					slow = 1
+				}
+				e.Add([]Count{
+					{Route: "r", N: 1, Slow: slow, Server: "old"},
+					{Route: "r", N: 1, Slow: slow, New: true, Server: engine.ServerID(fmt.Sprint(i % 4))},
+				})
+			}
+			So(e.Verdict().Bad, ShouldBeFalse)
+		})
+		Convey("malformed counts are left out", func() {
+			var e Evidence
+			e.Add([]Count{{Route: "r", N: 1, Failed: 2, New: true}, {Route: "r", N: -1}})
+			So(e.Summary(), ShouldBeEmpty)
+		})
+	})
+}
+
+func TestDecide(t *testing.T) {
+	good := &Evidence{}
+	show(good, "r", 100, func(i int) int { return i % 4 }, func(int) bool { return false }, func(int) bool { return false })
+	bad := &Evidence{}
+	show(bad, "r", 100, func(i int) int { return i % 4 }, func(i int) bool { return i%8 < 4 }, func(int) bool { return false })
+	at := func(d time.Duration) time.Time { return begin.Add(d) }
+	tests := []struct {
+		name string
+		step int
+		now  time.Time
+		e    *Evidence
+		want Action
+		why  Reason
+	}{
+		{"young", 0, at(10 * time.Second), good, Keep, TooSoon},
+		{"without evidence", 0, at(time.Minute), &Evidence{}, Keep, MoreEvidence},
+		{"good", 0, at(time.Minute), good, Raise, GoodSoFar},
+		{"bad", 0, at(10 * time.Second), bad, TakeBack, ShownBad},
+		{"bad at its full share", lastStep, at(5 * time.Minute), bad, TakeBack, ShownBad},
+		{"good at its full share is watched on", lastStep, at(5 * time.Minute), good, Keep, GoodSoFar},
+		{"good at its full share to the end", lastStep, at(9*time.Minute + 55*time.Second), good, Finish, GoodThroughout},
+		{"not there by the end", 1, at(9*time.Minute + 55*time.Second), good, TakeBack, NotInTime},
+		{"the end has passed unrecorded", lastStep, at(11 * time.Minute), good, TakeBack, NotInTime},
+	}
+	Convey("Decide", t, func() {
+		for _, tt := range tests {
+			Convey(tt.name, func() {
+				p := testPlan()
+				p.Step = tt.step
+				d := p.Decide(tt.now, tt.e)
+				So(d.Action, ShouldEqual, tt.want)
+				So(d.Why, ShouldEqual, tt.why)
+				next := p.Apply(tt.now, d)
+				So(next.Check(), ShouldBeNil)
+				So(next.State != Started, ShouldEqual, !next.EndedAt.IsZero())
+			})
+		}
+	})
+}
