entry, move, cmd: version moves run by the daemons

Cause: the decisions about moves were not joined to anything. Change: requests get their version by the plan in force; entry VMs tell each other what they saw every second; the holder of the lease orders engines to load the new version, decides, writes each step by conditional update and gives the deployment its new version; move start, show and take-back. A request whose new version fails at two engines before any token goes back to the old one, so callers do not notice. Not built: unloading the old version, and an exchange of evidence that does not grow with the fleet.

--- a/caller/delivery.go
+++ b/caller/delivery.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"quetzalhold/engine"
+	"quetzalhold/operator"
 	"quetzalhold/result"
 )
 
@@ -20,6 +21,35 @@
 	unbilled    engine.Tokens // delivered, not yet taken off the share
 	lastAt      time.Time
 	lastAttempt engine.Attempt
+	firstAfter  time.Duration // of a request that began here
+	gaps        time.Duration
+	gapCount    int
+}
+
+// Ended is how a request ended on an engine.
+type Ended struct {
+	Deployment string
+	Route      operator.Model
+	Version    engine.Version
+	Server     engine.ServerID
+	Failed     bool
+	First      time.Duration // to the first token; 0 if it began elsewhere
+	Gap        time.Duration // mean time between tokens
+}
+
+func (d *delivery) ended(server engine.ServerID, failed bool) Ended {
+	e := Ended{
+		Deployment: d.cursor.Deployment,
+		Route:      d.q.question.Model,
+		Version:    d.cursor.Version,
+		Server:     server,
+		Failed:     failed,
+		First:      d.firstAfter,
+	}
+	if d.gapCount > 0 {
+		e.Gap = d.gaps / time.Duration(d.gapCount)
+	}
+	return e
 }
 
 // newDelivery returns the delivery of q's answer, from its cursor if it has
@@ -37,7 +67,7 @@
 			Request:      q.id,
 			Organisation: q.org.Names.Code,
 			Deployment:   string(q.deployment.Name),
-			Version:      q.deployment.Version,
+			Version:      s.Version(q.deployment, q.id),
 			Adapter:      q.deployment.Adapter,
 			Seed:         seedOf(&q.question, q.id, 0),
 			Question:     q.digest,
@@ -85,6 +115,12 @@
 		MaxTokens: c.MaxTokens,
 		Priority:  d.q.org.Priority,
 		Deadline:  d.q.deadline,
+		OnFailure: func(server engine.ServerID, _ result.Code) {
+			d.server.Observe(d.ended(server, true))
+		},
+	}
+	if c.Version != d.q.deployment.Version {
+		j.MaxFailures = newVersionFailures
 	}
 	if d.q.cursor != nil {
 		j.Resume = d.resumePoint()
@@ -128,6 +164,7 @@
 		return err
 	}
 	if piece.Finish != "" {
+		d.server.Observe(d.ended(piece.From.Server, false))
 		return d.out.finish(id, d.form, piece, d.answer.Text(), d.usage())
 	}
 	return d.out.piece(id, d.form, piece)
@@ -157,9 +194,12 @@
 	case piece.Finish != "":
 		return
 	case d.lastAt.IsZero():
-		m.First(now.Sub(d.q.receivedAt))
+		d.firstAfter = now.Sub(d.q.receivedAt)
+		m.First(d.firstAfter)
 	default:
 		m.Gap(now.Sub(d.lastAt))
+		d.gaps += now.Sub(d.lastAt)
+		d.gapCount++
 		if piece.From.Attempt != d.lastAttempt {
 			m.Resumed(now.Sub(d.lastAt))
 		}
@@ -168,13 +208,26 @@
 	d.lastAttempt = piece.From.Attempt
 }
 
+// newVersionFailures is how many engines may fail at a version that is being
+// moved to before the request goes back to the old one.
+const newVersionFailures = 2
+
 // restart prepares another generation after err, if that is permitted.
 func (d *delivery) restart(err error) bool {
-	if d.answer.Next() > 0 || result.CodeOf(err) != result.NoServer {
+	code := result.CodeOf(err)
+	if d.answer.Next() > 0 || code != result.NoServer && code != result.EngineRefused {
 		return false
 	}
 	_, dep, rerr := d.server.Configuration().Route(d.q.question.Model, d.q.org.Names.Code)
-	if rerr != nil || dep.Version == d.cursor.Version && dep.Adapter == d.cursor.Adapter {
+	if rerr != nil {
+		return false
+	}
+	version := d.server.Version(dep, d.q.id)
+	if version == d.cursor.Version {
+		// A request whose new version failed goes back to the old one.
+		version = dep.Version
+	}
+	if version == d.cursor.Version && dep.Adapter == d.cursor.Adapter {
 		return false
 	}
 	if d.answer.Restart() != nil {
@@ -182,7 +235,7 @@
 	}
 	d.server.note(d.q, "restart", "the deployment has moved on", 0)
 	d.q.cursor = nil
-	d.cursor.Version = dep.Version
+	d.cursor.Version = version
 	d.cursor.Adapter = dep.Adapter
 	d.cursor.Seed = seedOf(&d.q.question, d.q.id, d.answer.Generation())
 	return true
--- a/caller/server.go
+++ b/caller/server.go
@@ -32,6 +32,10 @@
 	Configuration func() *operator.Configuration
 	// Run runs a generation; usually [engine.Runner.Run].
 	Run func(context.Context, engine.Job, engine.Sink) error
+	// Version returns the version of a deployment that a request goes to.
+	Version func(*operator.Deployment, engine.RequestID) engine.Version
+	// Observe is told how requests ended on engines.
+	Observe func(Ended)
 	// Note is told of each step of a request.
 	Note func(engine.Step)
 	// Gate admits answers.
--- a/cmd/quetzalhold/commands.go
+++ b/cmd/quetzalhold/commands.go
@@ -24,6 +24,11 @@
 		{"explain", "tell what happened to a request", "Asks every entry VM and shows the steps in order.", &explainCommand{remoteOptions: remote}},
 		{"call", "ask for an answer", "Takes the answer up again at another entry VM when one is lost.", &callCommand{ctx: ctx}},
 		{"demo", "run the demonstration", "Runs entry VMs and stand-ins in this process and kills some of them.", &demoCommand{ctx: ctx}},
+		{"move", "move a deployment between versions", "The system ends each move as finished or taken back, and says why.", &moveCommand{
+			Start:    moveStart{remoteOptions: remote},
+			Show:     moveShow{remoteOptions: remote},
+			TakeBack: moveTakeBack{remoteOptions: remote},
+		}},
 		{"measure", "run a measurement", "Loopback only, bounded in count and time.", &measureCommand{
 			Resume: measureResume{ctx: ctx},
 			Load:   measureLoad{ctx: ctx},
--- a/engine/feed.go
+++ b/engine/feed.go
@@ -204,7 +204,15 @@
 	e := result.Of(err)
 	u.note("lost", e.Error(), c.Connection)
 	c.span.SetStatus(codes.Error, e.Error())
+	if answeredFailure(e.Code) {
+		u.failures++
+		if u.job.OnFailure != nil {
+			u.job.OnFailure(c.Server, e.Code)
+		}
+	}
 	switch {
+	case u.job.MaxFailures > 0 && u.failures >= u.job.MaxFailures && u.gen.Next() == 0:
+		return result.Wrap(result.EngineRefused, e, "%d engines failed", u.failures)
 	case e.Code == result.StaleAttempt && c.attach:
 		u.dropStream(c.Stream, false)
 		return e
@@ -234,7 +242,17 @@
 // refusedWork reports whether the code says that an engine took no work.
 func refusedWork(c result.Code) bool {
 	switch c {
-	case result.Overloaded, result.Draining, result.VersionMissing, result.EngineRefused, result.BadRequest:
+	case result.Overloaded, result.Draining, result.VersionMissing, result.EngineRefused, result.BadRequest, result.Internal:
+		return true
+	}
+	return false
+}
+
+// answeredFailure reports whether the code is an engine's own failure at its
+// work, not a lost connection or a refusal for want of room.
+func answeredFailure(c result.Code) bool {
+	switch c {
+	case result.EngineRefused, result.EngineMalformed, result.BadRequest, result.Internal:
 		return true
 	}
 	return false
--- a/engine/runner.go
+++ b/engine/runner.go
@@ -22,6 +22,12 @@
 	Priority  Priority
 	Deadline  time.Time // of the caller; zero for none
 	Resume    *ResumePoint
+	// OnFailure is told of each attempt that an engine answered with a failure,
+	// as opposed to one that was lost; nil for nobody.
+	OnFailure func(ServerID, result.Code)
+	// MaxFailures is how many such attempts end a generation of which nothing
+	// was delivered; 0 for no limit.
+	MaxFailures int
 }
 
 // ResumePoint is where an answer that another entry VM began goes on.
@@ -142,6 +148,7 @@
 	gap           time.Duration
 	attempts      int
 	refusals      int // attempts that are proved not to have run
+	failures      int // attempts that an engine answered with a failure
 	takeovers     int
 	tried         []ServerID
 	retryAt       time.Time
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -58,6 +58,8 @@
 	owners    owners
 	ledger    booking.Ledger
 	desk      *booking.Desk
+	mover     mover
+	lease     *platform.Lease
 	http      *http.Server
 
 	draining atomic.Bool  // not ready, but requests are still taken
@@ -118,6 +120,9 @@
 	d.ledger.Get = d.platform.Get
 	d.ledger.Put = d.platform.Put
 	d.newGossip()
+	d.lease = &platform.Lease{
+		Name: moveLease, Holder: s.ID, Term: leaseTerm, Get: d.platform.Get, Put: d.platform.Put,
+	}
 	d.owners.self = d.members.Self().Address
 	d.desk = &booking.Desk{Do: d.changeBooking, Limits: booking.Limits{Keep: limits.BookingKeepMs.Duration()}}
 	d.http = d.newServer(limits)
@@ -193,6 +198,8 @@
 	answers := &caller.Server{
 		Configuration: d.store.Current,
 		Run:           d.runner.Run,
+		Version:       d.versionOf,
+		Observe:       d.observe,
 		Note:          d.note,
 		Gate:          &d.gate,
 		Domains:       d.gossip.Domains,
@@ -223,7 +230,7 @@
 		History:  d.History,
 	}
 	api.Register(mux)
-	share := &peer.Server{Token: peer.NewToken(d.settings.CursorKey), Gossip: d.gossip, Quota: d.quota, Book: d.ledger.Do}
+	share := &peer.Server{Token: peer.NewToken(d.settings.CursorKey), Gossip: d.gossip, Quota: d.quota, Evidence: d.takeEvidence, Book: d.ledger.Do}
 	share.Register(mux)
 	mux.Handle("GET /metrics", d.telemetry.Handler())
 	mux.HandleFunc("GET "+caller.PathAlive, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
@@ -270,7 +277,7 @@
 	run, stop := context.WithCancel(context.Background())
 	defer stop()
 	var wg sync.WaitGroup
-	for _, loop := range []func(context.Context){d.watchConfiguration, d.pollVMs, d.pollEngines, d.gossip.Run, d.quota.Run} {
+	for _, loop := range []func(context.Context){d.watchConfiguration, d.pollVMs, d.pollEngines, d.gossip.Run, d.quota.Run, d.runMoves} {
 		wg.Go(func() { loop(run) })
 	}
 	failed := make(chan error, 1)
--- a/operator/aggregates.go
+++ b/operator/aggregates.go
@@ -14,6 +14,7 @@
 
 	"quetzalhold/engine"
 	"quetzalhold/limit"
+	"quetzalhold/move"
 	"quetzalhold/names"
 	"quetzalhold/platform"
 	"quetzalhold/result"
@@ -33,7 +34,7 @@
 // Kinds lists the kinds of configuration objects, those that others refer to
 // first.
 func Kinds() []platform.Kind {
-	return []platform.Kind{KindDeployment, KindOrganisation, KindService, KindRoute, KindPreset, KindInForce}
+	return []platform.Kind{KindDeployment, KindOrganisation, KindService, KindRoute, KindPreset, KindInForce, move.Kind}
 }
 
 // InForceName is the name of the one object that says which preset is in
--- a/operator/configuration.go
+++ b/operator/configuration.go
@@ -12,6 +12,7 @@
 
 	"quetzalhold/engine"
 	"quetzalhold/limit"
+	"quetzalhold/move"
 	"quetzalhold/names"
 	"quetzalhold/platform"
 	"quetzalhold/result"
@@ -27,6 +28,7 @@
 	byLimit     map[limit.Key]*Organisation
 	byKey       map[KeyDigest]*Organisation
 	inForce     *Preset
+	moves       map[DeploymentID]*move.Plan
 	registry    *names.Registry
 	cache       decodeCache // while it is built
 	objects     []platform.Object
@@ -58,6 +60,7 @@
 		services:    make(map[names.ID]*Service),
 		byLimit:     make(map[limit.Key]*Organisation),
 		byKey:       make(map[KeyDigest]*Organisation),
+		moves:       make(map[DeploymentID]*move.Plan),
 		registry:    &names.Registry{},
 	}
 	var faults []*result.Error
@@ -109,6 +112,14 @@
 			}
 			return string(InForceName), nil
 		})
+	case move.Kind:
+		return addTo(c.cache, o, func(p *move.Plan) (string, error) {
+			if c.deployments[DeploymentID(p.Deployment)] == nil {
+				return "", result.New(result.BadReference, "no deployment %q", p.Deployment).On("deployment")
+			}
+			c.moves[DeploymentID(p.Deployment)] = p
+			return p.Deployment, nil
+		})
 	}
 	return result.New(result.BadRequest, "unknown kind %q", o.Kind)
 }
@@ -244,6 +255,39 @@
 	return all
 }
 
+// Move returns the move of a deployment away from its present version, or nil.
+// An earlier move, whose outcome the deployment has taken over, is none.
+func (c *Configuration) Move(d *Deployment) *move.Plan {
+	p := c.moves[d.Name]
+	if p == nil || p.From != d.Version {
+		return nil
+	}
+	return p
+}
+
+// Moves returns the moves that have started and not ended.
+func (c *Configuration) Moves() []*move.Plan {
+	var all []*move.Plan
+	for id, p := range c.moves {
+		if p.State == move.Started && p.From == c.deployments[id].Version {
+			all = append(all, p)
+		}
+	}
+	return all
+}
+
+// Unsettled returns the finished moves whose version their deployments do not
+// have yet.
+func (c *Configuration) Unsettled() []*move.Plan {
+	var all []*move.Plan
+	for id, p := range c.moves {
+		if p.State == move.Finished && p.From == c.deployments[id].Version {
+			all = append(all, p)
+		}
+	}
+	return all
+}
+
 // Deployment returns a deployment, or nil.
 func (c *Configuration) Deployment(id DeploymentID) *Deployment { return c.deployments[id] }
 
--- a/peer/gossip.go
+++ b/peer/gossip.go
@@ -166,6 +166,18 @@
 	return all
 }
 
+// Everyone returns the addresses of all other entry VMs that the platform
+// lists.
+func (g *Gossip) Everyone() []Address {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	all := slices.Clone(g.listed)
+	for _, list := range g.others {
+		all = append(all, list...)
+	}
+	return all
+}
+
 // Domains returns the number of failure domains that the platform lists.
 func (g *Gossip) Domains() int {
 	g.mu.Lock()
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -21,6 +21,7 @@
 
 	"quetzalhold/booking"
 	"quetzalhold/engine"
+	"quetzalhold/move"
 	"quetzalhold/operator"
 	"quetzalhold/platform"
 	"quetzalhold/result"
@@ -35,6 +36,7 @@
 	pathBookings  = "/peer/bookings"
 	pathDemands   = "/peer/demands"
 	pathCompare   = "/peer/compare"
+	pathEvidence  = "/peer/evidence"
 )
 
 // callLimit bounds a call to another entry VM.
@@ -63,6 +65,13 @@
 	Versions []operator.ObjectVersion `json:"versions"`
 }
 
+// Evidence is what an entry VM saw of a move since it last told.
+type Evidence struct {
+	Deployment string         `json:"deployment"`
+	To         engine.Version `json:"to"`
+	Counts     []move.Count   `json:"counts"`
+}
+
 // Accepted answers a call that has nothing to say.
 type Accepted struct{}
 
@@ -86,6 +95,8 @@
 	Gossip *Gossip
 	// Quota splits the organisations' limits.
 	Quota *Quota
+	// Evidence takes over what another entry VM saw of a move.
+	Evidence func(Evidence)
 	// Book makes a change of a booking's record that this entry VM writes.
 	Book func(context.Context, booking.Op) (booking.Reply, error)
 }
@@ -117,6 +128,10 @@
 		}
 		return s.Quota.Compare(d), nil
 	}))
+	mux.HandleFunc("POST "+pathEvidence, handle(s, func(_ context.Context, e Evidence) (Accepted, error) {
+		s.Evidence(e)
+		return Accepted{}, nil
+	}))
 	mux.HandleFunc("POST "+pathBookings, handle(s, func(ctx context.Context, op booking.Op) (booking.Reply, error) {
 		if err := op.Check(); err != nil {
 			return booking.Reply{}, err
@@ -237,6 +252,11 @@
 	return reply, reply.Check()
 }
 
+// Evidence tells the entry VM at a what was seen of a move.
+func (c *Client) Evidence(ctx context.Context, a Address, e Evidence) error {
+	return c.call(ctx, c.pooled, a, pathEvidence, e, &Accepted{})
+}
+
 // CloseIdle closes the connections that no call uses.
 func (c *Client) CloseIdle() { c.pooled.CloseIdleConnections() }
 
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -215,6 +215,8 @@
 		return nil, result.New(result.Draining, "engine %s drains", e.cfg.ID).AsNotRun()
 	case e.faults.refuses():
 		return nil, result.New(result.EngineRefused, "engine %s refuses", e.cfg.ID).AsNotRun()
+	case e.faults.fails(s.Version):
+		return nil, result.New(result.Internal, "version %s fails", s.Version)
 	case !slices.Contains(e.versions, loaded):
 		return nil, result.New(result.VersionMissing, "%s is not loaded", s.Version).AsNotRun()
 	case len(e.waiting) >= e.cfg.MaxWaiting:
--- a/standin/faults.go
+++ b/standin/faults.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"sync"
 
+	"quetzalhold/engine"
 	"quetzalhold/result"
 )
 
@@ -18,6 +19,8 @@
 	Slow     float64 `json:"slow,omitempty"`     // factor on the time between tokens
 	Refuse   *bool   `json:"refuse,omitempty"`   // refuse new streams
 	Drain    *bool   `json:"drain,omitempty"`    // take no new streams and say so
+	// Bad is a version whose new streams fail; empty changes nothing.
+	Bad engine.Version `json:"bad,omitempty"`
 }
 
 // engineFaults is the state of an engine's faults.
@@ -28,6 +31,7 @@
 	cross  int
 	slow   float64
 	refuse bool
+	bad    engine.Version
 }
 
 // link is one reader's connection.
@@ -97,6 +101,12 @@
 	return f.slow
 }
 
+func (f *engineFaults) fails(v engine.Version) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.bad == v
+}
+
 func (f *engineFaults) refuses() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -124,6 +134,9 @@
 	if o.Slow > 0 {
 		f.slow = o.Slow
 	}
+	if o.Bad != "" {
+		f.bad = o.Bad
+	}
 	if o.Refuse != nil {
 		f.refuse = *o.Refuse
 	}
