--- a/measure/moves.go
+++ b/measure/moves.go
@@ -148,10 +148,13 @@
 // evidenceJudge is this system's judge, or its pooled baseline.
 type evidenceJudge struct{ e *move.Evidence }
 
+// Add implements judge.
 func (j evidenceJudge) Add(c []move.Count) { j.e.Add(c) }
 
+// Decide implements judge.
 func (j evidenceJudge) Decide(p *move.Plan, now time.Time) move.Decision { return p.Decide(now, j.e) }
 
+// Bad implements judge.
 func (j evidenceJudge) Bad() bool { return j.e.Verdict().Bad }
 
 // canaryJudge is the baseline of fixed thresholds over all requests.
@@ -167,6 +170,7 @@
 	canarySlow   = 0.30
 )
 
+// Add implements judge.
 func (j *canaryJudge) Add(counts []move.Count) {
 	for _, c := range counts {
 		if c.New {
@@ -179,11 +183,13 @@
 	}
 }
 
+// Bad implements judge.
 func (j *canaryJudge) Bad() bool {
 	n := float64(j.n)
 	return j.n >= canaryLeast && (float64(j.failed) > canaryFailed*n || float64(j.slow) > canarySlow*n)
 }
 
+// Decide implements judge.
 func (j *canaryJudge) Decide(p *move.Plan, now time.Time) move.Decision {
 	if j.Bad() {
 		return move.Decision{Action: move.TakeBack, Why: move.ShownBad}
