--- a/cmd/quetzalhold/remote.go
+++ b/cmd/quetzalhold/remote.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"quetzalhold/caller"
-	"quetzalhold/demo"
 	"quetzalhold/engine"
 	"quetzalhold/operator"
 	"quetzalhold/platform"
@@ -205,7 +204,7 @@
 	if c.JSON {
 		return printJSON(all)
 	}
-	demo.Print(os.Stdout, all)
+	operator.WriteHistory(os.Stdout, all)
 	return nil
 }
 
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -190,7 +190,7 @@
 	}
 	fmt.Fprintf(w, "\n\nThe answer is whole: %d tokens, each once, as an engine without failures gives it.\n", len(a.Tokens))
 	fmt.Fprintf(w, "\nexplain %s:\n", a.Request)
-	Print(w, s.Explain(a.Request))
+	operator.WriteHistory(w, s.Explain(a.Request))
 	return nil
 }
 
@@ -207,29 +207,6 @@
 	return "nothing"
 }
 
-// Print writes the history of a request, one step a line.
-func Print(w io.Writer, all []operator.History) {
-	type line struct {
-		entry engine.ServerID
-		step  engine.Step
-	}
-	var lines []line
-	for _, h := range all {
-		for _, st := range h.Steps {
-			lines = append(lines, line{h.Entry, st})
-		}
-	}
-	slices.SortStableFunc(lines, func(a, b line) int { return a.step.At.Compare(b.step.At) })
-	var begin time.Time
-	for _, l := range lines {
-		if begin.IsZero() {
-			begin = l.step.At
-		}
-		fmt.Fprintf(w, "  %8s  %-8s %-10s %-10s token %-5d %s\n",
-			l.step.At.Sub(begin).Round(time.Millisecond), l.entry, l.step.What, l.step.Server, l.step.Offset, l.step.Why)
-	}
-}
-
 // showBooking books once although the first answer is lost, and shows what the
 // caller is told.
 func showBooking(ctx context.Context, w io.Writer, s *Site) error {
--- a/operator/api.go
+++ b/operator/api.go
@@ -62,12 +62,6 @@
 	Version platform.Version `json:"version"`
 }
 
-// History is what an entry VM knows of a request.
-type History struct {
-	Entry engine.ServerID `json:"entry"`
-	Steps []engine.Step   `json:"steps"`
-}
-
 // Change is the body of an operator's write.
 type Change struct {
 	Expect platform.Version `json:"expect"`
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -3,15 +3,11 @@
 import (
 	"cmp"
 	"context"
-	"encoding/json"
 	"net/http"
 	"slices"
-	"strconv"
 	"sync"
 	"time"
 
-	"github.com/tmaxmax/go-sse"
-
 	"quetzalhold/clock"
 	"quetzalhold/engine"
 	"quetzalhold/result"
@@ -100,22 +96,6 @@
 	report   engine.LoadReport
 }
 
-// stream is one generation on the engine, as seen by its readers.
-type stream struct {
-	start    engine.Start
-	admitted chan struct{}
-	ctx      context.Context // ends when the stream is cancelled
-	cancel   context.CancelFunc
-
-	mu       sync.Mutex
-	tokens   []string // from start.Offset on
-	done     engine.FinishReason
-	reader   engine.Attempt
-	readers  int
-	unreadAt time.Time
-	changed  chan struct{}
-}
-
 // NewEngine returns an engine stand-in that runs until Close.
 func NewEngine(cfg EngineConfig) *Engine {
 	cfg = cfg.withDefaults()
@@ -185,26 +165,6 @@
 	return c
 }
 
-func (e *Engine) handleStart(w http.ResponseWriter, r *http.Request) {
-	var s engine.Start
-	if err := json.NewDecoder(r.Body).Decode(&s); err != nil {
-		result.Write(w, result.Wrap(result.BadRequest, err, "decode start"))
-		return
-	}
-	if err := s.Check(); err != nil {
-		result.Write(w, err)
-		return
-	}
-	st, err := e.admit(s)
-	if err != nil {
-		result.Write(w, err)
-		return
-	}
-	e.wg.Add(1)
-	go e.generate(st)
-	e.serve(w, r, st, s.Attempt, s.Offset)
-}
-
 // admit queues a new stream.
 func (e *Engine) admit(s engine.Start) (*stream, error) {
 	e.mu.Lock()
@@ -366,142 +326,6 @@
 	delete(e.streams, st.start.Stream)
 }
 
-func (st *stream) append(word string) {
-	st.update(func() { st.tokens = append(st.tokens, word) })
-}
-
-func (st *stream) finish(why engine.FinishReason) {
-	st.update(func() { st.done = why })
-}
-
-// update changes the stream and wakes its readers.
-func (st *stream) update(f func()) {
-	st.mu.Lock()
-	defer st.mu.Unlock()
-	f()
-	close(st.changed)
-	st.changed = make(chan struct{})
-}
-
-func (st *stream) unreadFor(d time.Duration) bool {
-	st.mu.Lock()
-	defer st.mu.Unlock()
-	return st.readers == 0 && time.Since(st.unreadAt) > d
-}
-
-func (st *stream) enter() {
-	st.mu.Lock()
-	defer st.mu.Unlock()
-	st.readers++
-}
-
-func (st *stream) leave() {
-	st.mu.Lock()
-	defer st.mu.Unlock()
-	st.readers--
-	st.unreadAt = time.Now()
-}
-
-func (e *Engine) lookup(r *http.Request) (*stream, error) {
-	id := engine.StreamID(r.PathValue("id"))
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	st := e.streams[id]
-	if st == nil {
-		return nil, result.New(result.StreamUnknown, "stream %s", id)
-	}
-	return st, nil
-}
-
-func queryUint(r *http.Request, name string) (uint64, error) {
-	n, err := strconv.ParseUint(r.URL.Query().Get(name), 10, 64)
-	if err != nil {
-		return 0, result.Wrap(result.BadRequest, err, "parameter %s", name)
-	}
-	return n, nil
-}
-
-func (e *Engine) handleAttach(w http.ResponseWriter, r *http.Request) {
-	st, err := e.lookup(r)
-	if err != nil {
-		result.Write(w, err)
-		return
-	}
-	a, err := queryUint(r, "attempt")
-	if err != nil {
-		result.Write(w, err)
-		return
-	}
-	from, err := queryUint(r, "from")
-	if err != nil {
-		result.Write(w, err)
-		return
-	}
-	if err := st.takeOver(engine.Attempt(a), engine.Tokens(from)); err != nil {
-		result.Write(w, err)
-		return
-	}
-	e.serve(w, r, st, engine.Attempt(a), engine.Tokens(from))
-}
-
-// takeOver makes attempt a the stream's reader.
-func (st *stream) takeOver(a engine.Attempt, from engine.Tokens) error {
-	st.mu.Lock()
-	defer st.mu.Unlock()
-	if a <= st.reader {
-		return result.New(result.StaleAttempt, "attempt %d reads the stream", st.reader)
-	}
-	if from < st.start.Offset {
-		return result.New(result.StreamUnknown, "the stream begins at %d", st.start.Offset)
-	}
-	st.reader = a
-	close(st.changed)
-	st.changed = make(chan struct{})
-	return nil
-}
-
-func (e *Engine) handleCancel(w http.ResponseWriter, r *http.Request) {
-	st, err := e.lookup(r)
-	if err != nil {
-		result.Write(w, err)
-		return
-	}
-	a, err := queryUint(r, "attempt")
-	if err != nil {
-		result.Write(w, err)
-		return
-	}
-	st.mu.Lock()
-	stale := engine.Attempt(a) < st.reader
-	st.mu.Unlock()
-	if stale {
-		result.Write(w, result.New(result.StaleAttempt, "a later attempt reads the stream"))
-		return
-	}
-	st.cancel()
-	e.count(func(c *EngineCounts) { c.Cancelled++ })
-	w.WriteHeader(http.StatusNoContent)
-}
-
-// serve writes the stream's events to one reader.
-func (e *Engine) serve(w http.ResponseWriter, r *http.Request, st *stream, a engine.Attempt, from engine.Tokens) {
-	st.enter()
-	defer st.leave()
-	sess, err := sse.Upgrade(w, r)
-	if err != nil {
-		result.Write(w, err)
-		return
-	}
-	rd := &reader{engine: e, stream: st, attempt: a, next: from, session: sess}
-	rd.link = e.faults.register()
-	defer e.faults.unregister(rd.link)
-	rd.run(r.Context())
-}
-
-func (e *Engine) handleLoad(w http.ResponseWriter, _ *http.Request) {
-	writeJSON(w, e.loadReport())
-}
-
 // loadReport returns a report that may be as old as the configured lag.
 func (e *Engine) loadReport() engine.LoadReport {
 	e.mu.Lock()
@@ -536,31 +360,6 @@
 	return n
 }
 
-func (e *Engine) handleCacheEvents(w http.ResponseWriter, r *http.Request) {
-	after, err := queryUint(r, "after")
-	if err != nil {
-		result.Write(w, err)
-		return
-	}
-	writeJSON(w, engine.CacheEvents{
-		Incarnation: e.cfg.Incarnation,
-		Events:      e.cache.after(after, time.Now()),
-	})
-}
-
-func (e *Engine) handleOrder(w http.ResponseWriter, r *http.Request) {
-	var o engine.Order
-	if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
-		result.Write(w, result.Wrap(result.BadRequest, err, "decode order"))
-		return
-	}
-	if err := e.obey(o); err != nil {
-		result.Write(w, err)
-		return
-	}
-	w.WriteHeader(http.StatusNoContent)
-}
-
 // obey brings the engine into the state that o names.
 func (e *Engine) obey(o engine.Order) error {
 	e.mu.Lock()
@@ -597,11 +396,3 @@
 		e.versions = append(e.versions, l)
 	}
 }
-
-func (e *Engine) handleCounts(w http.ResponseWriter, _ *http.Request) { writeJSON(w, e.Counts()) }
-
-func writeJSON(w http.ResponseWriter, v any) {
-	w.Header().Set("Content-Type", "application/json")
-	// The connection may be gone; there is nobody left to tell.
-	_ = json.NewEncoder(w).Encode(v)
-}
