--- a/cmd/quetzalhold/measure.go
+++ b/cmd/quetzalhold/measure.go
@@ -95,13 +95,14 @@
 
 // measureMoves measures the decisions about version moves.
 type measureMoves struct {
-	Seeds int  `long:"seeds" value-name:"N" default:"20" description:"runs of each case"`
-	JSON  bool `long:"json" description:"print as JSON"`
+	Seeds int    `long:"seeds" value-name:"N" default:"20" description:"runs of each case"`
+	First uint64 `long:"first-seed" value-name:"N" default:"0" description:"seed of the first run"`
+	JSON  bool   `long:"json" description:"print as JSON"`
 }
 
 // Execute implements flags.Commander.
 func (c *measureMoves) Execute([]string) error {
-	all := measure.Moves(c.Seeds)
+	all := measure.Moves(c.First, c.Seeds)
 	if c.JSON {
 		return printJSON(all)
 	}
--- a/entry/moves.go
+++ b/entry/moves.go
@@ -71,7 +71,7 @@
 		t.speed.Old(route, e.First, e.Gap)
 	}
 	t.pending = append(t.pending, c)
-	t.evidence.Add([]move.Count{c})
+	t.evidence.Add(time.Now(), []move.Count{c})
 }
 
 // take returns what the others were not told yet, added up.
@@ -105,7 +105,7 @@
 func (m *mover) add(p *move.Plan, counts []move.Count) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.track(p).evidence.Add(counts)
+	m.track(p).evidence.Add(time.Now(), counts)
 }
 
 // decide returns what to do with a move.
--- a/measure/moves.go
+++ b/measure/moves.go
@@ -27,9 +27,9 @@
 	dead map[int]time.Duration
 	// peak multiplies everybody's times.
 	peak func(at time.Duration) float64
-	// slowServer is a server of the new version that is overloaded; -1 for
-	// none.
-	slowServer int
+	// slowServer is a server of the new version that is overloaded, and
+	// badServer one that fails most of its requests; -1 for none.
+	slowServer, badServer int
 	// cut is when entry VM 2 is cut off, outage when the platform is down, and
 	// paused when the holder is paused.
 	cut, outage, paused span
@@ -63,8 +63,10 @@
 	tick        = time.Second
 	// baseFails is the chance that a request of a good version fails.
 	baseFails = 0.002
-	baseFirst = 300 * time.Millisecond
-	baseGap   = 30 * time.Millisecond
+	// serverFails is the chance that a request fails at a bad server.
+	serverFails = 0.8
+	baseFirst   = 300 * time.Millisecond
+	baseGap     = 30 * time.Millisecond
 	// spread of times, as the deviation of their logarithm.
 	timeSpread = 0.35
 )
@@ -91,7 +93,8 @@
 	cases := []moveCase{
 		{name: "good", good: true},
 		{name: "good, engines die", good: true, dead: map[int]time.Duration{0: time.Minute, 1: 4 * time.Minute, 2: 8 * time.Minute}},
-		{name: "good, a server overloaded", good: true, slowServer: 0},
+		{name: "good, a server overloaded", good: true, slowServer: 0, badServer: -1},
+		{name: "good, a server fails", good: true, slowServer: -1, badServer: 0},
 		{name: "good, a domain cut off", good: true, cut: span{2 * time.Minute, 5 * time.Minute}},
 		{name: "good, under a peak", good: true, peak: peak},
 		{name: "good, holder paused over its lease", good: true, paused: span{2 * time.Minute, 4 * time.Minute}},
@@ -124,8 +127,8 @@
 		if c.rate == 0 {
 			c.rate = moveRate
 		}
-		if c.name != "good, a server overloaded" {
-			c.slowServer = -1
+		if c.slowServer == 0 && c.badServer == 0 {
+			c.slowServer, c.badServer = -1, -1
 		}
 	}
 	return cases
@@ -140,7 +143,7 @@
 
 // judge takes counts and decides.
 type judge interface {
-	Add([]move.Count)
+	Add(time.Time, []move.Count)
 	Decide(p *move.Plan, now time.Time) move.Decision
 	Bad() bool
 }
@@ -149,7 +152,7 @@
 type evidenceJudge struct{ e *move.Evidence }
 
 // Add implements judge.
-func (j evidenceJudge) Add(c []move.Count) { j.e.Add(c) }
+func (j evidenceJudge) Add(now time.Time, c []move.Count) { j.e.Add(now, c) }
 
 // Decide implements judge.
 func (j evidenceJudge) Decide(p *move.Plan, now time.Time) move.Decision { return p.Decide(now, j.e) }
@@ -171,7 +174,7 @@
 )
 
 // Add implements judge.
-func (j *canaryJudge) Add(counts []move.Count) {
+func (j *canaryJudge) Add(now time.Time, counts []move.Count) {
 	for _, c := range counts {
 		if c.New {
 			j.n += c.N
@@ -179,7 +182,7 @@
 			j.slow += c.Slow
 		}
 		c.Failed, c.Slow = 0, 0
-		j.evidence.Add([]move.Count{c})
+		j.evidence.Add(now, []move.Count{c})
 	}
 }
 
@@ -219,22 +222,22 @@
 	AfterBad int           `json:"afterBad"` // requests that met the version later than 3 s after the verdict
 }
 
-// Moves runs every case with so many seeds under each tester.
-func Moves(seeds int) []MoveResult {
+// Moves runs every case with so many seeds, from first on, under each tester.
+func Moves(first uint64, seeds int) []MoveResult {
 	var all []MoveResult
 	for _, t := range Testers() {
 		for _, c := range moveCases() {
-			all = append(all, runCase(t, c, seeds))
+			all = append(all, runCase(t, c, first, seeds))
 		}
 	}
 	return all
 }
 
-func runCase(t Tester, c moveCase, seeds int) MoveResult {
+func runCase(t Tester, c moveCase, first uint64, seeds int) MoveResult {
 	r := MoveResult{Tester: t.Name, Case: c.name, Seeds: seeds}
 	found := 0
 	for seed := range seeds {
-		s := newMoveRun(t, c, uint64(seed))
+		s := newMoveRun(t, c, first+uint64(seed))
 		s.run()
 		if s.right() {
 			r.Right++
@@ -271,7 +274,8 @@
 	views  [moveEntries]move.Plan // what each entry VM has heard of
 	bad    [moveEntries]bool      // and whether it knows the version is bad
 	speeds [moveEntries]move.Speed
-	counts [moveEntries][]move.Count
+	fresh  [moveEntries][]move.Count // of this tick
+	counts [moveEntries][]move.Count // not told to the holder yet
 	local  [moveEntries]judge
 
 	n          int
@@ -355,6 +359,9 @@
 		if e.slows > 0 {
 			first, gap = scale(first, e.slows), scale(gap, e.slows)
 		}
+		if s.c.badServer == server {
+			fails += serverFails
+		}
 		if s.c.slowServer == server {
 			first, gap = scale(first, 4), scale(gap, 4)
 		}
@@ -373,7 +380,7 @@
 	if !isNew {
 		s.speeds[vm].Old(route, first, gap)
 	}
-	s.counts[vm] = append(s.counts[vm], c)
+	s.fresh[vm] = append(s.fresh[vm], c)
 }
 
 // meet notes that a request meets the new version, and returns how a bad one
@@ -407,7 +414,9 @@
 func (s *moveRun) exchange(at time.Duration) {
 	known := s.judge.Bad()
 	for i := range s.counts {
-		s.local[i].Add(s.counts[i])
+		s.local[i].Add(s.begin.Add(at), s.fresh[i])
+		s.counts[i] = append(s.counts[i], s.fresh[i]...)
+		s.fresh[i] = nil
 		known = known || s.local[i].Bad() && !s.cutOff(i, at)
 	}
 	for i := range s.counts {
@@ -415,7 +424,7 @@
 		if s.cutOff(i, at) {
 			continue
 		}
-		s.judge.Add(s.counts[i])
+		s.judge.Add(s.begin.Add(at), s.counts[i])
 		s.counts[i] = nil
 		s.bad[i] = s.bad[i] || known
 		if !s.c.outage.has(at) {
--- a/move/evidence.go
+++ b/move/evidence.go
@@ -56,6 +56,7 @@
 // block is requests of both versions at about the same time. Slowness is judged
 // block by block, since a peak or a slow network makes both versions slow.
 type block struct {
+	begin         time.Time
 	oldN, oldSlow int
 	news          map[engine.ServerID]tally
 }
@@ -90,6 +91,8 @@
 	badSlower, leastSlow, mostSlow = 0.35, 0.12, 0.5
 	// blockOld is the number of the old version's requests in a block.
 	blockOld = 8
+	// blockLimit is the longest time of a block.
+	blockLimit = 45 * time.Second
 	// newForOld is for how many of the new version's requests one of the old
 	// version's weighs in a block.
 	newForOld = 3
@@ -99,8 +102,8 @@
 
 var threshold = -math.Log(falseAlarm)
 
-// Add takes over counts.
-func (e *Evidence) Add(counts []Count) {
+// Add takes over counts at now.
+func (e *Evidence) Add(now time.Time, counts []Count) {
 	if e.routes == nil {
 		e.routes = make(map[Route]*routeEvidence)
 	}
@@ -108,11 +111,11 @@
 		if c.N <= 0 || c.Failed < 0 || c.Slow < 0 || c.Failed > c.N || c.Slow > c.N {
 			continue
 		}
-		e.add(c)
+		e.add(now, c)
 	}
 }
 
-func (e *Evidence) add(c Count) {
+func (e *Evidence) add(now time.Time, c Count) {
 	route := c.Route
 	if e.Pooled {
 		route = ""
@@ -122,12 +125,16 @@
 		r = &routeEvidence{}
 		e.routes[route] = r
 	}
+	if now.Sub(r.block.begin) > blockLimit {
+		// Too long for both versions to have met the same conditions.
+		r.block = block{begin: now}
+	}
 	if !c.New {
 		r.old.add(c)
 		r.block.oldN += c.N
 		r.block.oldSlow += c.Slow
 		if r.block.oldN >= blockOld {
-			e.endBlock(route, r)
+			e.endBlock(now, route, r)
 		}
 		return
 	}
@@ -152,9 +159,9 @@
 
 // endBlock compares the slowness of both versions in a block. Where the old one
 // was mostly slow itself, the block says nothing.
-func (e *Evidence) endBlock(route Route, r *routeEvidence) {
+func (e *Evidence) endBlock(now time.Time, route Route, r *routeEvidence) {
 	b := r.block
-	r.block = block{}
+	r.block = block{begin: now}
 	// A few of the old version's requests are a rough measure: their rate is
 	// taken high, and they weigh for a few times as many of the new version's.
 	here := (float64(b.oldSlow) + 1.5) / (float64(b.oldN) + 2)
--- a/move/move_test.go
+++ b/move/move_test.go
@@ -84,7 +84,7 @@
 		if slow(i) {
 			c.Slow = 1
 		}
-		e.Add([]Count{old, c})
+		e.Add(begin, []Count{old, c})
 	}
 }
 
@@ -127,16 +127,27 @@
 				if i > 100 {
 					slow = 1
 				}
-				e.Add([]Count{
+				e.Add(begin, []Count{
 					{Route: "r", N: 1, Slow: slow, Server: "old"},
 					{Route: "r", N: 1, Slow: slow, New: true, Server: engine.ServerID(fmt.Sprint(i % 4))},
 				})
 			}
 			So(e.Verdict().Bad, ShouldBeFalse)
 		})
+		Convey("a block that takes long says nothing: a peak may have begun in it", func() {
+			var e Evidence
+			for i := range 40 {
+				now := begin.Add(time.Duration(i) * 10 * time.Second)
+				e.Add(now, []Count{{Route: "r", N: 1, Server: "old"}})
+				for s := range 4 {
+					e.Add(now, []Count{{Route: "r", N: 2, Slow: 2, New: true, Server: engine.ServerID(fmt.Sprint(s))}})
+				}
+			}
+			So(e.Verdict().Bad, ShouldBeFalse)
+		})
 		Convey("malformed counts are left out", func() {
 			var e Evidence
-			e.Add([]Count{{Route: "r", N: 1, Failed: 2, New: true}, {Route: "r", N: -1}})
+			e.Add(begin, []Count{{Route: "r", N: 1, Failed: 2, New: true}, {Route: "r", N: -1}})
 			So(e.Summary(), ShouldBeEmpty)
 		})
 	})
