entry, limit: headers over the limit get a numbered error; answers at once tested

Cause: net/http refuses long headers without a code, and only the splitting of limits on answers was tested. Change: code 1015 up to four times the limit; a test of a domain's part and a split share.

--- a/entry/caller_test.go
+++ b/entry/caller_test.go
@@ -248,6 +248,7 @@
 		{name: "unknown model", body: caller.Question{Model: "m", Prompt: "p"}, want: result.UnknownModel},
 		{name: "two answers", body: caller.Question{Model: demo.DemoModel, Prompt: "p", N: 2}, want: result.OutOfRange},
 		{name: "too long a body", body: caller.Question{Model: demo.DemoModel, Prompt: strings.Repeat("x", 2<<20)}, want: result.BodyTooLarge},
+		{name: "too long a header", body: good, header: http.Header{"X-Long": {strings.Repeat("x", 100<<10)}}, want: result.HeaderTooLarge},
 		{name: "deadline is no instant", body: good, header: http.Header{caller.HeaderDeadline: {"5s"}}, want: result.BadDeadline},
 		{name: "deadline is past", body: good, header: http.Header{caller.HeaderDeadline: {"1999-01-01T00:00:00Z"}}, want: result.DeadlinePassed},
 		{name: "unknown path", path: "/v1/embeddings", body: good, want: result.UnknownPath},
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -239,12 +239,33 @@
 		result.Write(w, result.New(result.UnknownPath, "%s %s", r.Method, r.URL.Path).AsNotRun())
 	})
 	return &http.Server{
-		Handler:           d.count(mux),
+		Handler:           d.count(limitHeader(l.MaxHeaderBytes, mux)),
 		ReadHeaderTimeout: headerLimit,
-		MaxHeaderBytes:    int(l.MaxHeaderBytes),
+		// Far above the limit, the connection is refused without a code.
+		MaxHeaderBytes: headerSlack * int(l.MaxHeaderBytes),
 	}
 }
 
+// headerSlack times the limit on headers is what is read of them.
+const headerSlack = 4
+
+// limitHeader refuses requests whose headers are over a limit.
+func limitHeader(limit settings.Bytes, h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		size := len(r.RequestURI)
+		for k, all := range r.Header {
+			for _, v := range all {
+				size += len(k) + len(v)
+			}
+		}
+		if settings.Bytes(size) > limit {
+			result.Write(w, result.New(result.HeaderTooLarge, "%d bytes, over %d", size, limit).AsNotRun())
+			return
+		}
+		h.ServeHTTP(w, r)
+	})
+}
+
 // callersPrefix is the path below which callers' requests are.
 const callersPrefix = "/v1/"
 
--- a/limit/limit_test.go
+++ b/limit/limit_test.go
@@ -149,6 +149,40 @@
 	})
 }
 
+func TestAnswersLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("Answers at once stay within a domain's part, and within the share once it is split", t, func() {
+			var g Gate
+			g.SetPolicy(open)
+			r := Request{Organisation: "o", Cost: 1, Limits: Limits{Answers: 8}, Domains: 2}
+			enter := func() (func(), error) {
+				ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+				defer cancel()
+				return g.Enter(ctx, r)
+			}
+			var leave []func()
+			for range 4 {
+				l, err := enter()
+				So(err, ShouldBeNil)
+				leave = append(leave, l)
+			}
+			_, err := enter()
+			So(result.CodeOf(err), ShouldEqual, result.Overloaded)
+			So(result.Of(err).NotRun, ShouldBeTrue)
+			demands := g.Demands()
+			So(demands, ShouldHaveLength, 1)
+			g.SetShares(demands, []Share{{Key: demands[0].Key, Tokens: -1, Answers: 5}})
+			l, err := enter()
+			So(err, ShouldBeNil)
+			_, err = enter()
+			So(result.CodeOf(err), ShouldEqual, result.Overloaded)
+			for _, f := range append(leave, l) {
+				f()
+			}
+		})
+	})
+}
+
 func TestSplit(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		limit := rapid.IntRange(1, 10_000).Draw(t, "limit")
--- a/result/code_string.go
+++ b/result/code_string.go
@@ -24,6 +24,7 @@
 	_ = x[BadDeadline-1012]
 	_ = x[UnknownRequest-1013]
 	_ = x[NotAllowed-1014]
+	_ = x[HeaderTooLarge-1015]
 	_ = x[NoServer-2000]
 	_ = x[EngineRefused-2001]
 	_ = x[EngineLost-2002]
@@ -71,7 +72,7 @@
 
 const (
 	_Code_name_0 = "OK"
-	_Code_name_1 = "BadRequestBodyTooLargeUnknownKeyUnknownModelDeadlinePassedBadCursorCursorMismatchReceivedTextNeededReceivedTextMismatchCallerGoneSupersededUnknownPathBadDeadlineUnknownRequestNotAllowed"
+	_Code_name_1 = "BadRequestBodyTooLargeUnknownKeyUnknownModelDeadlinePassedBadCursorCursorMismatchReceivedTextNeededReceivedTextMismatchCallerGoneSupersededUnknownPathBadDeadlineUnknownRequestNotAllowedHeaderTooLarge"
 	_Code_name_2 = "NoServerEngineRefusedEngineLostAttemptsSpentOverloadedDrainingStreamUnknownStaleAttemptStaleFenceVersionMissingCrossedAnswerEngineSilentEngineMalformedVersionWithdrawn"
 	_Code_name_3 = "UnknownServiceServiceNotReachedOutcomeUnknownServiceRefusedServiceFailedUnknownCallBookingUnderWayKeyReused"
 	_Code_name_4 = "PlatformDownVersionConflictObjectMissingObjectTooLargeRateExceeded"
@@ -80,7 +81,7 @@
 )
 
 var (
-	_Code_index_1 = [...]uint8{0, 10, 22, 32, 44, 58, 67, 81, 99, 119, 129, 139, 150, 161, 175, 185}
+	_Code_index_1 = [...]uint8{0, 10, 22, 32, 44, 58, 67, 81, 99, 119, 129, 139, 150, 161, 175, 185, 199}
 	_Code_index_2 = [...]uint8{0, 8, 21, 31, 44, 54, 62, 75, 87, 97, 111, 124, 136, 151, 167}
 	_Code_index_3 = [...]uint8{0, 14, 31, 45, 59, 72, 83, 98, 107}
 	_Code_index_4 = [...]uint8{0, 12, 27, 40, 54, 66}
@@ -92,7 +93,7 @@
 	switch {
 	case i == 0:
 		return _Code_name_0
-	case 1000 <= i && i <= 1014:
+	case 1000 <= i && i <= 1015:
 		i -= 1000
 		return _Code_name_1[_Code_index_1[i]:_Code_index_1[i+1]]
 	case 2000 <= i && i <= 2013:
--- a/result/info.go
+++ b/result/info.go
@@ -39,6 +39,7 @@
 	{BadDeadline, http.StatusBadRequest, "The deadline header is no instant in the future.", "send an RFC 3339 instant"},
 	{UnknownRequest, http.StatusNotFound, "This entry VM holds no record of the request.", "ask the other entry VMs"},
 	{NotAllowed, http.StatusForbidden, "The operator key is missing or wrong.", "check the operator key"},
+	{HeaderTooLarge, http.StatusRequestHeaderFieldsTooLarge, "The request's headers are over the limit.", "send shorter headers"},
 
 	{NoServer, http.StatusServiceUnavailable, "No backend server of the version could take the work in time.", askLater},
 	{EngineRefused, http.StatusBadGateway, "The engine refused the work.", askLater},
--- a/result/result.go
+++ b/result/result.go
@@ -39,6 +39,7 @@
 	BadDeadline                                 // 1012
 	UnknownRequest                              // 1013
 	NotAllowed                                  // 1014
+	HeaderTooLarge                              // 1015
 )
 
 // Codes about engines and the choice of one.
