platform, operator, entry: only configuration is watched, kept and passed on

Cause: found in reading: the watch brought every kind of object, so each write of a booking bucket or lease, up to 1 MB, was kept by every entry VM and pushed to the others. Test: after a booking its bucket was known to the entry VMs (red). Change: a watch names its kinds, and the store and what comes from other entry VMs leave all others out. After: green.

--- a/engine/wire.go
+++ b/engine/wire.go
@@ -155,11 +155,10 @@
 // Order tells an engine which state to be in. It names the wanted end state,
 // so that an order that arrives twice does no harm.
 type Order struct {
-	Fence   Fence    `json:"fence"`
-	Load    []Loaded `json:"load,omitempty"`
-	Unload  []Loaded `json:"unload,omitempty"`
-	Role    Role     `json:"role,omitempty"`
-	Weights string   `json:"weights,omitempty"` // where the weight store has them
+	Fence  Fence    `json:"fence"`
+	Load   []Loaded `json:"load,omitempty"`
+	Unload []Loaded `json:"unload,omitempty"`
+	Role   Role     `json:"role,omitempty"`
 }
 
 // Role is what an engine does.
--- a/entry/booking_test.go
+++ b/entry/booking_test.go
@@ -15,6 +15,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 	"pgregory.net/rapid"
 
+	"quetzalhold/booking"
 	"quetzalhold/caller"
 	"quetzalhold/demo"
 	"quetzalhold/engine"
@@ -194,6 +195,25 @@
 	So(last.code, ShouldBeIn, result.OK, result.OutcomeUnknown)
 }
 
+func TestBookingsAreNoConfiguration(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("Records of bookings stay in the platform", t, func() {
+			w, err := bookingWorld()
+			So(err, ShouldBeNil)
+			defer w.end()
+			So(w.tryBook(0, "k", bookingLimit).code, ShouldEqual, result.OK)
+			time.Sleep(2 * time.Minute)
+			So(w.Platform.Counts().Writes, ShouldBeGreaterThan, 0)
+			for _, e := range w.Entries() {
+				for b := range booking.BucketID(booking.Buckets) {
+					_, ok := e.Object(booking.Kind, b.Name())
+					So(ok, ShouldBeFalse)
+				}
+			}
+		})
+	})
+}
+
 // historyOp is one booking of a history for the check of linearizability.
 type historyOp struct {
 	key string
--- a/entry/sync.go
+++ b/entry/sync.go
@@ -120,7 +120,7 @@
 func (d *Daemon) watchFrom(ctx context.Context, rev platform.Revision) {
 	ctx, cancel := context.WithTimeout(ctx, relist)
 	defer cancel()
-	err := d.platform.Watch(ctx, rev, func(_ platform.Revision, o platform.Object) error {
+	err := d.platform.Watch(ctx, rev, operator.Kinds(), func(_ platform.Revision, o platform.Object) error {
 		d.reached(nil)
 		d.learn(ctx, []platform.Object{o})
 		return nil
--- a/operator/aggregates.go
+++ b/operator/aggregates.go
@@ -32,7 +32,8 @@
 )
 
 // Kinds lists the kinds of configuration objects, those that others refer to
-// first.
+// first. Objects of other kinds, such as bookings and leases, are nobody's
+// configuration: they are neither watched nor kept nor passed on.
 func Kinds() []platform.Kind {
 	return []platform.Kind{KindDeployment, KindOrganisation, KindService, KindRoute, KindPreset, KindInForce, move.Kind}
 }
--- a/operator/digest.go
+++ b/operator/digest.go
@@ -1,6 +1,8 @@
 package operator
 
 import (
+	"slices"
+
 	"github.com/cespare/xxhash/v2"
 
 	"quetzalhold/platform"
@@ -109,7 +111,8 @@
 	defer s.mu.Unlock()
 	var fresh []platform.Object
 	for _, o := range objs {
-		if s.objects[objectKey{o.Kind, o.Name}].Version < o.Version {
+		known := s.objects[objectKey{o.Kind, o.Name}].Version
+		if known < o.Version && slices.Contains(Kinds(), o.Kind) {
 			fresh = append(fresh, o)
 		}
 	}
--- a/operator/store.go
+++ b/operator/store.go
@@ -47,6 +47,9 @@
 	}
 	changed := false
 	for _, o := range objs {
+		if !slices.Contains(Kinds(), o.Kind) {
+			continue
+		}
 		k := objectKey{o.Kind, o.Name}
 		if old, ok := s.objects[k]; ok && old.Version >= o.Version {
 			continue
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -309,7 +309,7 @@
 		result.Write(w, err)
 		return
 	}
-	p.sendChanges(r.Context(), sess, platform.Revision(from))
+	p.sendChanges(r.Context(), sess, platform.Revision(from), r.URL.Query()["kind"])
 }
 
 func (p *Platform) addWatching(n int) {
@@ -318,9 +318,9 @@
 	p.counts.Watching += n
 }
 
-// sendChanges sends each change after revision from, and a comment when there
-// was none for a while.
-func (p *Platform) sendChanges(ctx context.Context, sess *sse.Session, from platform.Revision) {
+// sendChanges sends each change of the given kinds after revision from, and a
+// comment when there was none for a while.
+func (p *Platform) sendChanges(ctx context.Context, sess *sse.Session, from platform.Revision, kinds []string) {
 	if sess.Flush() != nil {
 		return
 	}
@@ -328,6 +328,10 @@
 		beat, stop := context.WithTimeout(ctx, watchHeartbeat)
 		changed, news := p.changesAfter(from)
 		for _, c := range news {
+			if !slices.Contains(kinds, string(c.object.Kind)) {
+				from = c.revision
+				continue
+			}
 			if !p.up(ctx) || sendChange(sess, c) != nil {
 				stop()
 				return
