engine: work in flight stays right over an engine's restart

Cause: found in reading: a new incarnation in the list replaced the engine's state, so the streams of the old one were released from the new one's count. Test: -100 tokens in flight after a restart (red). Change: a restart keeps what is reserved.

--- a/engine/choice_test.go
+++ b/engine/choice_test.go
@@ -127,6 +127,14 @@
 			p.Release("a", 99)
 			So(inFlight(&p, v), ShouldEqual, 0)
 		})
+		Convey("counts it right also over a restart of the engine", func() {
+			p.Reserve("a", 100)
+			p.SetList([]Server{{ID: "a", Address: "10.0.0.1:2", Incarnation: 2}})
+			p.Release("a", 100)
+			So(inFlight(&p, v), ShouldEqual, 0)
+			s, _ := p.Lookup("a")
+			So(s.Address, ShouldEqual, "10.0.0.1:2")
+		})
 		Convey("drops its belief about a cache at a gap", func() {
 			blocks := []BlockHash{1, 2}
 			p.Cached("a", CacheEvents{Incarnation: 1, Events: []CacheEvent{{Seq: 1, Added: blocks}}})
--- a/engine/pool.go
+++ b/engine/pool.go
@@ -82,21 +82,35 @@
 	if sh.servers == nil {
 		sh.servers = make(map[ServerID]*State)
 	}
+	now := time.Now()
 	st := sh.servers[s.ID]
-	if st == nil || st.Incarnation < s.Incarnation {
-		st = &State{Server: s, Listed: true}
-		st.leave(s.Leaving, time.Now())
+	switch {
+	case st == nil:
+		st = &State{Server: s}
 		sh.servers[s.ID] = st
-		return
+	case st.Incarnation < s.Incarnation:
+		st.restart(s.Incarnation)
+		st.Server = s
 	}
 	st.Listed = true
 	if st.Incarnation == s.Incarnation {
 		// A lagging list must not bring back a server that already said it
 		// leaves.
-		st.leave(s.Leaving, time.Now())
+		st.leave(s.Leaving, now)
 	}
 }
 
+// restart makes the state that of a new incarnation. Streams of the one before
+// stay reserved until they are released.
+func (st *State) restart(inc Incarnation) {
+	st.Incarnation = inc
+	st.Left = false
+	st.RefusedAt = time.Time{}
+	st.Report = LoadReport{}
+	st.ReportedAt = time.Time{}
+	st.blocks = nil
+}
+
 func (sh *poolShard) unlist(listed map[ServerID]Server) {
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
@@ -170,10 +184,7 @@
 		case r.Incarnation < st.Incarnation:
 			return
 		case r.Incarnation > st.Incarnation:
-			st.Incarnation = r.Incarnation
-			st.Left = false
-			st.RefusedAt = time.Time{}
-			st.blocks = nil
+			st.restart(r.Incarnation)
 		}
 		st.Report = r
 		st.ReportedAt = now
