--- a/entry/caller_test.go
+++ b/entry/caller_test.go
@@ -272,6 +272,24 @@
 	})
 }
 
+func TestInvariant(t *testing.T) {
+	inWorld(t, "An engine that skips a position ends the answer with a code, never a wrong answer", 1, 1, standin.EngineConfig{}, func(w *world) {
+		go func() {
+			eventually(time.Minute, func() bool { return w.generated() >= 10 })
+			w.Engine("engine-1").Fail(standin.Fault{Skip: 1})
+		}()
+		q := question("p", 60, 3)
+		q.Stream = true
+		r := plain{w: w}.do(http.MethodPost, "/v1/completions", q, nil, nil)
+		So(r.err.Code, ShouldEqual, result.InvariantBroken)
+		So(strings.HasPrefix(wholeText(q), r.text()), ShouldBeTrue)
+		So(len(tokensOf(r)), ShouldBeBetween, 5, 20)
+		m := plain{w: w}.do(http.MethodGet, "/metrics", "", nil, nil)
+		So(m.body, ShouldContainSubstring, "quetzalhold_invariant_violations")
+		So(eventually(time.Minute, func() bool { return w.busy() == "" }), ShouldBeTrue)
+	})
+}
+
 func TestDeadline(t *testing.T) {
 	inWorld(t, "An answer that cannot end in time ends at its deadline with a code", 1, 1, standin.EngineConfig{}, func(w *world) {
 		q := question("p", 500, 1)
--- a/standin/faults.go
+++ b/standin/faults.go
@@ -16,6 +16,7 @@
 	Continue bool    `json:"continue,omitempty"` // end a pause
 	Mute     bool    `json:"mute,omitempty"`     // open streams go silent for good, new ones work
 	Cross    int     `json:"cross,omitempty"`    // so many events carry another stream's data
+	Skip     int     `json:"skip,omitempty"`     // so many events claim the position after theirs
 	Slow     float64 `json:"slow,omitempty"`     // factor on the time between tokens
 	Refuse   *bool   `json:"refuse,omitempty"`   // refuse new streams
 	Drain    *bool   `json:"drain,omitempty"`    // take no new streams and say so
@@ -29,6 +30,7 @@
 	resume chan struct{} // closed when the pause ends; nil if there is none
 	links  map[*link]struct{}
 	cross  int
+	skip   int
 	slow   float64
 	refuse bool
 	bad    engine.Version
@@ -82,13 +84,14 @@
 	delete(f.links, l)
 }
 
-func (f *engineFaults) takeCross() bool {
+// take takes one of a fault's events; false if none is left.
+func (f *engineFaults) take(left *int) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.cross == 0 {
+	if *left == 0 {
 		return false
 	}
-	f.cross--
+	*left--
 	return true
 }
 
@@ -131,6 +134,7 @@
 		}
 	}
 	f.cross += o.Cross
+	f.skip += o.Skip
 	if o.Slow > 0 {
 		f.slow = o.Slow
 	}
--- a/standin/reader.go
+++ b/standin/reader.go
@@ -83,7 +83,10 @@
 		return ctx.Err()
 	}
 	ev.Stream = r.stream.start.Stream
-	if f.takeCross() {
+	if f.take(&f.skip) {
+		ev.Offset++
+	}
+	if f.take(&f.cross) {
 		ev.Stream += "-other"
 		ev.Text = " crossed"
 	}
