operator, standin: one check of an object's kind, one reading of an attempt

Cause: a second reading. The test whether a kind is configuration stood in three places, and the engine stand-in read stream and attempt twice alike. Change: isKind and lookupAttempt serve both. No behaviour changed; tests of standin, operator, peer, platform and part of entry green.

--- a/operator/aggregates.go
+++ b/operator/aggregates.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"math"
 	"net/http"
+	"slices"
 	"time"
 
 	"quetzalhold/engine"
@@ -38,6 +39,9 @@
 	return []platform.Kind{KindDeployment, KindOrganisation, KindService, KindRoute, KindPreset, KindInForce, move.Kind}
 }
 
+// isKind reports whether k is a kind of configuration objects.
+func isKind(k platform.Kind) bool { return slices.Contains(Kinds(), k) }
+
 // InForceName is the name of the one object that says which preset is in
 // force.
 const InForceName platform.Name = "preset"
--- a/operator/api.go
+++ b/operator/api.go
@@ -196,10 +196,8 @@
 }
 
 func knownKind(s string) (platform.Kind, error) {
-	for _, k := range Kinds() {
-		if string(k) == s {
-			return k, nil
-		}
+	if k := platform.Kind(s); isKind(k) {
+		return k, nil
 	}
 	return "", result.New(result.UnknownName, "%q is no kind of object", s).AsNotRun()
 }
--- a/operator/digest.go
+++ b/operator/digest.go
@@ -1,8 +1,6 @@
 package operator
 
 import (
-	"slices"
-
 	"github.com/cespare/xxhash/v2"
 
 	"quetzalhold/platform"
@@ -112,7 +110,7 @@
 	var fresh []platform.Object
 	for _, o := range objs {
 		known := s.objects[objectKey{o.Kind, o.Name}].Version
-		if known < o.Version && slices.Contains(Kinds(), o.Kind) {
+		if known < o.Version && isKind(o.Kind) {
 			fresh = append(fresh, o)
 		}
 	}
--- a/operator/store.go
+++ b/operator/store.go
@@ -47,7 +47,7 @@
 	}
 	changed := false
 	for _, o := range objs {
-		if !slices.Contains(Kinds(), o.Kind) {
+		if !isKind(o.Kind) {
 			continue
 		}
 		k := objectKey{o.Kind, o.Name}
--- a/standin/engine_http.go
+++ b/standin/engine_http.go
@@ -51,13 +51,18 @@
 	return n, nil
 }
 
-func (e *Engine) handleAttach(w http.ResponseWriter, r *http.Request) {
+// lookupAttempt returns the stream that a call is about, and its attempt.
+func (e *Engine) lookupAttempt(r *http.Request) (*stream, engine.Attempt, error) {
 	st, err := e.lookup(r)
 	if err != nil {
-		result.Write(w, err)
-		return
+		return nil, 0, err
 	}
 	a, err := queryUint(r, "attempt")
+	return st, engine.Attempt(a), err
+}
+
+func (e *Engine) handleAttach(w http.ResponseWriter, r *http.Request) {
+	st, a, err := e.lookupAttempt(r)
 	if err != nil {
 		result.Write(w, err)
 		return
@@ -67,26 +72,21 @@
 		result.Write(w, err)
 		return
 	}
-	if err := st.takeOver(engine.Attempt(a), engine.Tokens(from)); err != nil {
+	if err := st.takeOver(a, engine.Tokens(from)); err != nil {
 		result.Write(w, err)
 		return
 	}
-	e.serve(w, r, st, engine.Attempt(a), engine.Tokens(from))
+	e.serve(w, r, st, a, engine.Tokens(from))
 }
 
 func (e *Engine) handleCancel(w http.ResponseWriter, r *http.Request) {
-	st, err := e.lookup(r)
-	if err != nil {
-		result.Write(w, err)
-		return
-	}
-	a, err := queryUint(r, "attempt")
+	st, a, err := e.lookupAttempt(r)
 	if err != nil {
 		result.Write(w, err)
 		return
 	}
 	st.mu.Lock()
-	stale := engine.Attempt(a) < st.reader
+	stale := a < st.reader
 	st.mu.Unlock()
 	if stale {
 		result.Write(w, result.New(result.StaleAttempt, "a later attempt reads the stream"))
