relay: a prompt stays in the region unless its engines are loaded

Cause: the engines that were asked for reports lay in all regions, so that every first event and every stream that came back waited 140 ms for the farthest, and reports were that much older. Ruled out: fewer reports (herding). Also, an entry VM did not count its own prompts that reports were too old to show.

Change: six engines of the region are asked first; where none has at most one generation, six others. The engine that keeps a prompt is looked for in the same order. Own prompts that have brought nothing yet count beside reports. TestNear (1.18 s to the first event against 1.08 s) and the burst in TestPlace (five prompts at one engine) fail without it.

--- a/backend/backend.go
+++ b/backend/backend.go
@@ -78,11 +78,13 @@
 // Work is requests under way at a server, with the memory that they take there.
 type Work struct {
 	Requests int
+	Prompts  int // of the requests, those that nothing has come of yet
 	Tokens   engine.Tokens
 }
 
 func (w *Work) add(o Work) {
 	w.Requests += o.Requests
+	w.Prompts += o.Prompts
 	w.Tokens += o.Tokens
 }
 
@@ -274,7 +276,7 @@
 
 // End counts work that ended at a server.
 func (p *Pool) End(id engine.ServerID, w Work) {
-	p.with(id, func(st *state) { st.work.add(Work{-w.Requests, -w.Tokens}) })
+	p.with(id, func(st *state) { st.work.add(Work{-w.Requests, -w.Prompts, -w.Tokens}) })
 }
 
 // Heard notes that something came from a server.
--- a/backend/backend_test.go
+++ b/backend/backend_test.go
@@ -198,6 +198,30 @@
 			}
 		})
 	}
+	// After a failure domain died its engines come back idle, and a burst of prompts
+	// arrives before any report shows what the first ones do there.
+	Convey("A burst within the age of reports is spread over the engines that came back", t, func() {
+		engines := []backend.Choice{c("a", "cn-a"), c("b", "cn-a"), c("c", "cn-a"), c("d", "wv-a"), c("e", "wv-a"), c("f", "ks-a")}
+		reports := []*backend.Report{rep(0, 0, 0, 0), rep(0, 0, 0, 0), rep(0, 0, 0, 0), rep(0, 0, 1, 8000), rep(0, 0, 1, 8000), rep(0, 0, 2, 16000)}
+		prompts := make(map[engine.ServerID]int)
+		for range 5 {
+			list := make([]backend.Reported, len(engines))
+			for i := range engines {
+				list[i] = backend.Reported{Choice: engines[i], Rank: i, Report: reports[i]}
+			}
+			p, ok := backend.Place(need(), list)
+			So(ok, ShouldBeTrue)
+			prompts[p.Run.ID]++
+			for i := range engines {
+				if engines[i].ID == p.Run.ID {
+					engines[i].Load.Prompts++
+				}
+			}
+		}
+		for _, n := range prompts {
+			So(n, ShouldEqual, 1)
+		}
+	})
 	Convey("Nothing to choose from", t, func() {
 		_, ok := backend.Place(need(), nil)
 		So(ok, ShouldBeFalse)
--- a/backend/choice.go
+++ b/backend/choice.go
@@ -24,6 +24,8 @@
 	// Avoid is a failure domain that counts only where there is no other; empty
 	// for none.
 	Avoid names.ID
+	// Near leaves out what is in another region or to be avoided.
+	Near bool
 	// Allowed reports whether a version may take the request; nil allows all.
 	Allowed func(engine.Version) bool
 	// Subject is what an engine may have in its prefix cache.
@@ -80,6 +82,9 @@
 		if n.Subject != "" {
 			c.weight = xxhash.Sum64String(n.Subject + "/" + string(st.ID))
 		}
+		if n.Near && (c.avoided || c.far >= priceRegion) {
+			continue
+		}
 		if c.Suspect {
 			suspect = append(suspect, c)
 		} else {
--- a/backend/place.go
+++ b/backend/place.go
@@ -92,6 +92,12 @@
 	weightRank = 50 * time.Millisecond
 )
 
+// unreported returns how many of this entry VM's own prompts the engine's report is too
+// old to count.
+func (r *Reported) unreported() int {
+	return max(0, r.Load.Prompts-r.Report.Waiting-r.Report.Prefilling)
+}
+
 // cost is the believed delay of a request at an engine.
 func (r *Reported) cost(n *Need) time.Duration {
 	c := time.Duration(r.Rank) * weightRank
@@ -99,15 +105,26 @@
 		return c + weightUnheard + time.Duration(r.Load.Requests)*weightGenerating
 	}
 	c += time.Duration(r.Report.Waiting)*weightWaiting +
-		time.Duration(r.Report.Prefilling)*weightPrefilling +
+		time.Duration(r.Report.Prefilling+r.unreported())*weightPrefilling +
 		time.Duration(r.Report.Generating)*weightGenerating
-	running := r.Report.Prefilling + r.Report.Generating
+	running := r.Report.Prefilling + r.Report.Generating + r.unreported()
 	if r.Report.Used+n.Tokens > r.Report.Total || n.Model != nil && running >= n.Model.Slots {
 		c += weightFull
 	}
 	return c
 }
 
+// nearEnough is the cost up to which a near engine is taken without asking those in
+// other regions: at most one generation runs there. Their reports take longer to come
+// than they save.
+const nearEnough = weightGenerating + 300*time.Millisecond
+
+// Suffices reports whether the engine that was picked for the run is so little loaded
+// that others need not be asked.
+func (p *Placement) Suffices(n Need) bool {
+	return p.Run.Report != nil && p.Run.cost(&n) <= nearEnough
+}
+
 // Place picks the engine for a generation and the one for its running copy,
 // outside of the first one's failure domain where that is possible. It reports
 // false if there is no engine.
@@ -116,7 +133,7 @@
 		return Placement{}, false
 	}
 	order := slices.Clone(list)
-	slices.SortStableFunc(order, func(a, b Reported) int { return cmp.Compare(a.cost(&n), b.cost(&n)) })
+	slices.SortStableFunc(order, func(a, b Reported) int { return cmp.Or(cmp.Compare(a.cost(&n), b.cost(&n)), cmp.Compare(a.ID, b.ID)) })
 	p := Placement{Run: order[0], Asked: len(list)}
 	for i := range order {
 		if order[i].Report != nil {
--- a/relay/place.go
+++ b/relay/place.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -23,14 +24,41 @@
 	reportLimit = 150 * time.Millisecond
 )
 
-// place picks the engine for a generation and the one for its copy by their
-// reports.
+// place picks the engine for a generation and the one for its copy by their reports:
+// near ones, unless they are loaded or lost.
 func (r *Relay) place(ctx context.Context, j *job, now time.Time, exclude []engine.ServerID, avoid engine.ServerID) (backend.Placement, bool) {
 	n := r.need(j, now, exclude, avoid)
-	choices := r.Pool.Shortlist(n, shortlist)
+	near := n
+	near.Near = true
+	list := r.reports(ctx, r.Pool.Shortlist(near, shortlist), now)
+	if p, ok := backend.Place(n, list); ok && p.Suffices(n) {
+		if p.Copy == nil || p.Copy.Domain == p.Run.Domain {
+			p.Copy = r.copyPlace(j, now, exclude, p.Run.ID)
+		}
+		return p, true
+	}
+	for i := range list {
+		n.Exclude = append(slices.Clip(n.Exclude), list[i].ID)
+	}
+	list = append(list, r.reports(ctx, r.Pool.Shortlist(n, shortlist), now)...)
+	return backend.Place(n, list)
+}
+
+// copyPlace picks an engine for the copy of a run without asking for reports; nil if
+// there is none.
+func (r *Relay) copyPlace(j *job, now time.Time, exclude []engine.ServerID, run engine.ServerID) *backend.Reported {
+	to, ok := r.Pool.Choose(r.need(j, now, append(slices.Clone(exclude), run), run))
+	if !ok {
+		return nil
+	}
+	return &backend.Reported{Choice: to}
+}
+
+// reports asks engines for their reports. Engines at whose address nothing listens, or
+// another start answers, are left out.
+func (r *Relay) reports(ctx context.Context, choices []backend.Choice, now time.Time) []backend.Reported {
 	ctx, cancel := context.WithTimeout(ctx, reportLimit)
 	defer cancel()
-	list := make([]backend.Reported, len(choices))
 	type answer struct {
 		rank   int
 		report backend.Report
@@ -38,29 +66,31 @@
 	}
 	answers := make(chan answer, len(choices))
 	for i, c := range choices {
-		list[i] = backend.Reported{Choice: c, Rank: i}
 		go func() {
 			rep, err := r.Report(ctx, c)
 			answers <- answer{i, rep, err}
 		}()
 	}
+	list := make([]backend.Reported, 0, len(choices))
 	for range choices {
 		a := <-answers
 		c := choices[a.rank]
+		heard := backend.Reported{Choice: c, Rank: a.rank}
 		var u unreached
 		switch {
 		case errors.As(a.err, &u) && !errors.Is(a.err, context.DeadlineExceeded):
 			r.Pool.Lost(c.ID, now) // nothing listens there
-			continue
 		case a.err != nil || !a.report.Ready:
-			continue // one that does not answer or says that it leaves is chosen last
+			// One that does not answer or says that it leaves is chosen last.
 		case a.report.Start > c.Start && c.Start > 0:
 			r.replaced(c)
 			continue
+		default:
+			heard.Report = &a.report
 		}
-		list[a.rank].Report = &a.report
+		list = append(list, heard)
 	}
-	return backend.Place(n, list)
+	return list
 }
 
 // The limits of looking for the engine that keeps a prompt.
@@ -74,12 +104,27 @@
 )
 
 // keeper finds the engine that read the prompt of a stream whose caller came back
-// for the rest: another one would have to read all of it again. Entry VMs hash a
-// prompt to the same few engines, which are asked what they keep.
+// for the rest: another one would have to read all of it again. Entry VMs of a region
+// hash a prompt to the same few engines, which are asked what they keep, and then those
+// that it hashes to among all.
 func (r *Relay) keeper(ctx context.Context, j *job, now time.Time) (backend.Choice, bool) {
-	choices := r.Pool.Shortlist(r.need(j, now, nil, ""), shortlist)
 	ctx, cancel := context.WithTimeout(ctx, keeperLimit)
 	defer cancel()
+	n := r.need(j, now, nil, "")
+	near := n
+	near.Near = true
+	choices := r.Pool.Shortlist(near, shortlist)
+	if c, ok := r.keeperOf(ctx, j, choices); ok {
+		return c, true
+	}
+	for _, c := range choices {
+		n.Exclude = append(n.Exclude, c.ID)
+	}
+	return r.keeperOf(ctx, j, r.Pool.Shortlist(n, shortlist))
+}
+
+// keeperOf asks engines whether they keep the prompt, and returns the first that does.
+func (r *Relay) keeperOf(ctx context.Context, j *job, choices []backend.Choice) (backend.Choice, bool) {
 	type answer struct {
 		from backend.Choice
 		kept engine.Tokens
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -234,11 +234,7 @@
 // placeAt returns a placement at an engine that is known. The caller waits: the next
 // copy's place is chosen without reports.
 func (s *streamRun) placeAt(c backend.Choice, now time.Time) backend.Placement {
-	p := backend.Placement{Run: backend.Reported{Choice: c}}
-	if to, ok := s.relay.Pool.Choose(s.relay.need(s.job, now, append(slices.Clone(s.asked), c.ID), c.ID)); ok {
-		p.Copy = &backend.Reported{Choice: to}
-	}
-	return p
+	return backend.Placement{Run: backend.Reported{Choice: c}, Copy: s.relay.copyPlace(s.job, now, s.asked, c.ID)}
 }
 
 // open opens a run.
@@ -246,7 +242,7 @@
 	now := time.Now()
 	ctx, cancel := context.WithCancel(s.ctx)
 	to := p.Run.Choice
-	s.cur = &run{to: to, ctx: ctx, cancel: cancel, sentAt: now, pieces: make(chan piece, piecesAhead), orders: make(chan ordered, 1), work: backend.Work{Requests: 1, Tokens: s.tokens}}
+	s.cur = &run{to: to, ctx: ctx, cancel: cancel, sentAt: now, pieces: make(chan piece, piecesAhead), orders: make(chan ordered, 1), work: backend.Work{Requests: 1, Prompts: 1, Tokens: s.tokens}}
 	s.silence = Silence{SentAt: now, Continued: memory != nil, FirstBy: now.Add(s.firstLimit(p.Run.Report))}
 	s.probes = nil // answers to probes of the run before say nothing of this one
 	send := &platform.Send{Server: to.ID, Organisation: s.organisation, TimeLeft: time.Until(s.deadline), Urgency: s.urgency(), Continue: memory}
@@ -365,7 +361,11 @@
 		return s.broken(p)
 	}
 	now := time.Now()
-	s.cur.heard = true
+	if !s.cur.heard {
+		s.cur.heard = true
+		s.relay.Pool.End(s.cur.to.ID, backend.Work{Prompts: s.cur.work.Prompts})
+		s.cur.work.Prompts = 0
+	}
 	s.silence.HeardAt, s.silence.ProbedAt, s.silence.ProbeOK = now, time.Time{}, false
 	if p.event.id != 0 && p.event.id <= s.last {
 		s.note("event repeated", s.cur.to.ID, zap.Int64("event", p.event.id), zap.Int64("lastEvent", s.last))
--- a/relay/stream_test.go
+++ b/relay/stream_test.go
@@ -239,6 +239,37 @@
 	})
 }
 
+// TestNear checks that a prompt stays in the region, where reports come at once, and
+// leaves it for engines that are less loaded.
+func TestNear(t *testing.T) {
+	for _, x := range []struct {
+		name   string
+		others int // generations at each engine of the region
+		near   bool
+	}{{"idle", 0, true}, {"a generation each", 1, true}, {"three generations each", 3, false}} {
+		inWorld(t, "Engines of the region: "+x.name, func(w *world) {
+			w.fill()
+			for id, s := range w.servers {
+				for i := range x.others {
+					if s.Domain == domains[0] {
+						go w.askAt(s, fmt.Sprintf("other-%s-%d", id, i))
+					}
+				}
+			}
+			time.Sleep(3 * time.Second)
+			a := w.brief(context.Background())
+			So(a.body, ShouldEqual, events(1, numEvent))
+			run := w.book.Runs("r1")[0]
+			So(w.servers[run.Server].Domain == domains[0], ShouldEqual, x.near)
+			if x.near {
+				// Its prompt, its first event, and some round trips.
+				So(a.first, ShouldBeLessThan, 1025*time.Millisecond+30*time.Millisecond+20*time.Millisecond)
+				So(run.Header.Get("X-Kv-Backup"), ShouldNotStartWith, "10.1.")
+			}
+		})
+	}
+}
+
 func TestStreamCallerLeaves(t *testing.T) {
 	for _, after := range []time.Duration{500 * time.Millisecond, 2 * time.Second} {
 		inWorld(t, "The engine stops when the caller leaves after "+after.String(), func(w *world) {
