gateway: orders to move a service to a version are carried out

Cause: orders in rollouts were not watched; new versions got traffic like old ones, so that a bad one would have got its full share.

Change: package move has moves with a bound on what a bad version may get; the relay tells of each answer by version; the feeder of each failure domain pools its domain's counts, tells the other domains through the store, decides, and writes the status conditionally. Entry VMs learn steps and ends by the feed.

Shown by TestVersionMoves (good; bad at once, slow at once, late, at the largest share; the store away): a version that is bad gets 12, 68, 90 and 151 of 1,800 requests, bound 210.

--- a/backend/backend.go
+++ b/backend/backend.go
@@ -269,6 +269,19 @@
 	}
 }
 
+// Has reports whether some server of a service stands whose version is allowed.
+func (p *Pool) Has(service routing.ServiceName, now time.Time, allowed func(engine.Version) bool) bool {
+	g := p.group(service)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, st := range g.servers {
+		if st.standing(now) && !st.Draining && allowed(st.Version) {
+			return true
+		}
+	}
+	return false
+}
+
 // Begin counts work that starts at a server.
 func (p *Pool) Begin(id engine.ServerID, w Work) {
 	p.with(id, func(st *state) { st.work.add(w) })
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -13,6 +13,7 @@
 
 	"quetzalhold/backend"
 	"quetzalhold/engine"
+	"quetzalhold/move"
 	"quetzalhold/result"
 	"quetzalhold/routing"
 )
@@ -59,6 +60,28 @@
 	// the asker included.
 	Usage   []backend.Usage `json:"usage,omitempty"`
 	Members []Member        `json:"members,omitempty"`
+	// Moves are all moves of services' versions, if the asker does not have MovesSeq.
+	Moves    []Move `json:"moves,omitempty"`
+	MovesSeq int64  `json:"movesSeq,omitempty"`
+}
+
+// Move is how the move of a service to a version stands.
+type Move struct {
+	Service routing.ServiceName `json:"service"`
+	To      engine.Version      `json:"to"`
+	// AgeMs is how many milliseconds ago the order was seen first; LengthMs is the time
+	// in which it is to be ended.
+	AgeMs    int64      `json:"ageMs"`
+	LengthMs int64      `json:"lengthMs"`
+	Step     int        `json:"step"`
+	State    move.State `json:"state"`
+	Reason   string     `json:"reason,omitempty"`
+}
+
+// Counted is what an entry VM has seen of a service in a move.
+type Counted struct {
+	Service routing.ServiceName `json:"service"`
+	Counts  []move.Count        `json:"counts"`
 }
 
 // Check returns the first fault of the answer.
@@ -93,6 +116,8 @@
 	Begun  bool            // the asker has just begun
 	Usage  []backend.Usage // of the asker
 	Hung   []Hung          // that the asker found since it last asked
+	Moves  int64           // the number of the moves that the asker has
+	Ran    []Counted       // that the asker has seen since it last asked
 }
 
 // Hung is a server's start that accepts requests and does not work on them.
@@ -122,6 +147,8 @@
 	// freshAt is when the news were last sure to be the store's newest.
 	freshAt time.Time
 	away    bool
+	moves   func(now time.Time) []Move
+	moveSeq int64         // counts changes of the moves
 	news    chan struct{} // closed when something changes
 }
 
@@ -166,6 +193,16 @@
 	l.wake()
 }
 
+// SetMoves takes over that the moves have changed; moves returns them from now on.
+func (l *Log) SetMoves(moves func(now time.Time) []Move) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.init()
+	l.moves = moves
+	l.moveSeq++
+	l.wake()
+}
+
 // Fresh notes that the news were the store's newest at an instant.
 func (l *Log) Fresh(at time.Time) {
 	l.mu.Lock()
@@ -199,7 +236,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.init()
-	if l.away || q.Epoch != l.epoch || q.Seq != l.seq || l.config != nil && l.config.Version > q.Config {
+	if l.away || q.Epoch != l.epoch || q.Seq != l.seq || q.Moves != l.moveSeq || l.config != nil && l.config.Version > q.Config {
 		return nil
 	}
 	return l.news
@@ -221,6 +258,9 @@
 	if l.config != nil && l.config.Version > q.Config {
 		a.Config = l.config
 	}
+	if l.moves != nil && (q.Epoch != l.epoch || q.Moves != l.moveSeq) {
+		a.Moves, a.MovesSeq = l.moves(now), l.moveSeq
+	}
 	missed := l.seq - q.Seq
 	if q.Epoch == l.epoch && missed >= 0 && missed <= int64(len(l.words)) {
 		a.Words = append(a.Words, l.words[int64(len(l.words))-missed:]...)
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -12,6 +12,7 @@
 	"quetzalhold/backend"
 	"quetzalhold/engine"
 	"quetzalhold/feed"
+	"quetzalhold/move"
 	"quetzalhold/routing"
 )
 
@@ -65,6 +66,28 @@
 			So(a.Config.Version, ShouldEqual, routing.Version(5))
 			So(l.Answer(start, q.Changed(&a), standing).Config, ShouldBeNil)
 		})
+		Convey("tells the moves to askers that do not have them", func() {
+			moves := []feed.Move{{Service: "app", To: "v2", LengthMs: 40000, Step: 1, State: move.Started}}
+			l.SetMoves(func(time.Time) []feed.Move { return moves })
+			So(l.News(q), ShouldBeNil)
+			a := l.Answer(start, q, standing)
+			So(a.Moves, ShouldResemble, moves)
+			q = q.Changed(&a)
+			So(l.News(q), ShouldNotBeNil)
+			a = l.Answer(start, q, standing)
+			So(a.Moves, ShouldBeEmpty)
+			So(q.Changed(&a).Moves, ShouldEqual, q.Moves)
+			q.Ran = []feed.Counted{{Service: "app", Counts: []move.Count{{Route: "r", Server: "i", New: true, N: 3, Failed: 1}}}}
+			again, err := feed.ReadQuestion(q.Query())
+			So(err, ShouldBeNil)
+			So(again, ShouldResemble, q)
+			for name, bad := range map[string]string{"moves": "x", "ran": "{"} {
+				v := q.Query()
+				v.Set(name, bad)
+				_, err := feed.ReadQuestion(v)
+				So(err, ShouldNotBeNil)
+			}
+		})
 		Convey("says at once that the store is lost", func() {
 			l.SetAway(true)
 			So(l.News(q), ShouldBeNil)
--- a/feed/http.go
+++ b/feed/http.go
@@ -33,6 +33,14 @@
 		"begun":   {strconv.FormatBool(q.Begun)},
 		"waitMs":  {strconv.FormatInt(q.Wait.Milliseconds(), 10)},
 	}
+	if q.Moves > 0 {
+		v.Set("moves", strconv.FormatInt(q.Moves, 10))
+	}
+	if len(q.Ran) > 0 {
+		// Numbers and texts always encode.
+		b, _ := json.Marshal(q.Ran)
+		v.Set("ran", string(b))
+	}
 	for _, u := range q.Usage {
 		v.Add("usage", fmt.Sprintf("%s %d %d", u.Service, u.Requests, u.Repeats))
 	}
@@ -76,6 +84,18 @@
 		*f.into = n
 	}
 	q.Asker.LinkMbps = int(link)
+	if s := v.Get("moves"); s != "" {
+		n, err := strconv.ParseInt(s, 10, 64)
+		if err != nil {
+			return q, result.Wrap(result.BadRequest, err, "moves").On("moves")
+		}
+		q.Moves = n
+	}
+	if s := v.Get("ran"); s != "" {
+		if err := json.Unmarshal([]byte(s), &q.Ran); err != nil {
+			return q, result.Wrap(result.BadRequest, err, "ran").On("ran")
+		}
+	}
 	for _, s := range v["usage"] {
 		u, err := readUsage(s)
 		if err != nil {
@@ -100,6 +120,8 @@
 	Log     *Log
 	// Hung is told of the servers that an asker found to hang.
 	Hung func([]Hung)
+	// Ran is told what an asker has seen of services in moves.
+	Ran func([]Counted)
 	// Answer returns the news for a question.
 	Answer func(Question) Answer
 }
@@ -120,6 +142,9 @@
 	if len(q.Hung) > 0 {
 		s.Hung(q.Hung)
 	}
+	if len(q.Ran) > 0 {
+		s.Ran(q.Ran)
+	}
 	if news := s.Log.News(q); news != nil && q.Wait > 0 {
 		t := time.NewTimer(q.Wait)
 		select {
@@ -187,6 +212,9 @@
 
 // Changed returns the question after an answer: what came is not asked for again.
 func (q Question) Changed(a *Answer) Question {
+	if a.MovesSeq != 0 || a.Epoch != q.Epoch {
+		q.Moves = a.MovesSeq
+	}
 	q.Epoch, q.Seq = a.Epoch, a.Seq
 	if a.Config != nil {
 		q.Config = max(q.Config, a.Config.Version)
--- a/gateway/feeder.go
+++ b/gateway/feeder.go
@@ -112,7 +112,7 @@
 	if t := d.table.Load(); t != nil {
 		q.Config = t.Version
 	}
-	q.Wait, q.Usage, q.Hung = wait, d.usage(time.Now()), d.drainHung()
+	q.Wait, q.Usage, q.Hung, q.Ran = wait, d.usage(time.Now()), d.drainHung(), d.drainRan()
 	a, err := d.client.Ask(ctx, m, *q)
 	now := time.Now()
 	if err == nil && (a.Away || a.Age() > maxAge) {
@@ -122,6 +122,7 @@
 		return false
 	}
 	if err != nil {
+		d.putBack(q.Ran)
 		d.members.Failed(now, m.ID)
 		d.log.Info("no news from entry VM", zap.String("from", string(m.ID)), zap.Int64("ageMs", a.AgeMs), zap.Bool("away", a.Away), zap.Error(err))
 		return false
@@ -142,6 +143,9 @@
 	if a.Config != nil {
 		d.use(*a.Config, string(a.Self.ID))
 	}
+	if a.MovesSeq > 0 {
+		d.takeMoves(now, a.Moves, string(a.Self.ID))
+	}
 	if a.Whole {
 		servers := make([]backend.Server, 0, len(a.Words))
 		for i := range a.Words {
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -108,6 +108,7 @@
 func (d *Daemon) watch(ctx context.Context) {
 	go d.watchKind(ctx, platform.Servers, d.listServers, d.changeServer)
 	go d.watchKind(ctx, platform.Configuration, d.listConfigs, d.changeConfig)
+	go d.watchMoves(ctx)
 }
 
 // watchKind lists a kind of objects and watches it from there on.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -52,6 +52,7 @@
 	stopping  atomic.Bool
 	health    storeHealth
 	conns     idleConns
+	moves     moves
 	asking    sync.Map // addresses of servers that are asked who they are
 
 	mu      sync.Mutex
@@ -101,6 +102,8 @@
 	d.relay.Budget = d.budget
 	d.relay.Restarted = d.restarted
 	d.relay.Hung = d.foundHung
+	d.relay.Allowed = d.allowed
+	d.relay.Ran = d.ran
 	d.relay.Closing = d.stopping.Load
 	d.relay.Log = d.log
 	return d, d.measure()
@@ -325,7 +328,7 @@
 // peerHandler answers the other entry VMs.
 func (d *Daemon) peerHandler() http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle("GET "+feed.Path, &feed.Server{Members: &d.members, Log: &d.news, Hung: d.takeHung, Answer: func(q feed.Question) feed.Answer {
+	mux.Handle("GET "+feed.Path, &feed.Server{Members: &d.members, Log: &d.news, Hung: d.takeHung, Ran: d.takeRan, Answer: func(q feed.Question) feed.Answer {
 		now := time.Now()
 		a := d.news.Answer(now, q, d.pool.List)
 		a.Usage, _ = d.members.Usage(now, d.usage(now))
--- a/gateway/world_test.go
+++ b/gateway/world_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -245,4 +246,6 @@
 
 func namesID(s string) names.ID { return names.ID(s) }
 
+func sortTimes(list []time.Time) { slices.SortFunc(list, time.Time.Compare) }
+
 func itoa(n int) string { return strconv.Itoa(n) }
--- a/move/evidence.go
+++ b/move/evidence.go
@@ -98,6 +98,9 @@
 	newForOld = 3
 	// enoughRequests of the new version, and on each route, make a step.
 	enoughRequests, enoughOnRoute = 40, 6
+	// shownRequests of the new version are enough to end a limited move as good: the
+	// bound on its share brings few more to a slow service in a minute.
+	shownRequests = 16
 )
 
 var threshold = -math.Log(falseAlarm)
@@ -274,6 +277,16 @@
 	return total >= enoughRequests
 }
 
+// Shown reports whether the new version has answered enough requests for a limited
+// move to go on.
+func (e *Evidence) Shown() bool {
+	total := 0
+	for _, r := range e.routes {
+		total += r.newN
+	}
+	return total >= shownRequests
+}
+
 // Summary describes the evidence to people.
 func (e *Evidence) Summary() string {
 	names := make([]Route, 0, len(e.routes))
--- a/move/move_test.go
+++ b/move/move_test.go
@@ -32,6 +32,31 @@
 		p.State = TakenBack
 		So(p.Share(begin, false), ShouldEqual, 0)
 	})
+	Convey("A limited move gives a version that turns bad late no more than its bound and a little", t, func() {
+		for _, length := range []time.Duration{10 * time.Second, 40 * time.Second, 10 * time.Minute} {
+			p := Plan{Deployment: "s", To: "v@2", Start: begin, FinishBy: begin.Add(length), MaxExposure: 0.1, State: Started}
+			So(p.Check(), ShouldBeNil)
+			var e Evidence
+			e.Add(begin, []Count{{Route: "r", Server: "a", New: true, N: shownRequests}})
+			got, all := 0.0, 0.0
+			for now := begin; now.Before(p.FinishBy) && p.State == Started; now = now.Add(100 * time.Millisecond) {
+				got += p.Share(now, false)
+				all++
+				p = p.Apply(now, p.Decide(now, &e))
+			}
+			So(p.State, ShouldEqual, Finished)
+			So(p.EndedAt, ShouldHappenBefore, p.FinishBy)
+			// Of a whole move's requests; a bound in requests comes on top.
+			So(got, ShouldBeLessThanOrEqualTo, 0.1*all+1)
+		}
+	})
+	Convey("A limited move that has shown little is taken back", t, func() {
+		p := Plan{Deployment: "s", To: "v@2", Start: begin, FinishBy: begin.Add(time.Minute), MaxExposure: 0.1, State: Started}
+		var e Evidence
+		now := p.FinishBy.Add(-limitedMargin)
+		So(p.Decide(now.Add(-time.Second), &e).Action, ShouldEqual, Keep)
+		So(p.Decide(now, &e).Action, ShouldEqual, TakeBack)
+	})
 	Convey("A request's version is alike everywhere, and stays new as the share rises", t, func() {
 		p := testPlan()
 		news := make([]int, lastStep+1)
--- a/move/plan.go
+++ b/move/plan.go
@@ -42,11 +42,15 @@
 	Start      time.Time      `json:"start"`
 	FinishBy   time.Time      `json:"finishBy"`
 	EarlyShare float64        `json:"earlyShare"` // 0.05 if 0
-	Step       int            `json:"step"`
-	SteppedAt  time.Time      `json:"steppedAt"`
-	State      State          `json:"state"`
-	Reason     string         `json:"reason,omitempty"`
-	EndedAt    time.Time      `json:"endedAt"`
+	// MaxExposure is the part of all requests of the move's whole time that a bad
+	// version may get, also one that turns bad late; 0 for no such bound. Where it
+	// is set, From may be empty: every version but To.
+	MaxExposure float64   `json:"maxExposure,omitempty"`
+	Step        int       `json:"step"`
+	SteppedAt   time.Time `json:"steppedAt"`
+	State       State     `json:"state"`
+	Reason      string    `json:"reason,omitempty"`
+	EndedAt     time.Time `json:"endedAt"`
 }
 
 // The shares of the new version. What is left to the old one at the last step
@@ -63,6 +67,9 @@
 // lastStep is the step at which the new version has its full share.
 var lastStep = len(laterShares)
 
+// LastStep returns the step at which the new version has its full share.
+func LastStep() int { return lastStep }
+
 // UnmarshalJSON decodes and checks the plan.
 func (p *Plan) UnmarshalJSON(b []byte) error {
 	type plain Plan
@@ -77,10 +84,12 @@
 	switch {
 	case p.Deployment == "":
 		return result.New(result.MissingField, "empty").On("deployment")
-	case p.From == "" || p.To == "" || p.From == p.To:
+	case p.From == "" && !p.limited() || p.To == "" || p.From == p.To:
 		return result.New(result.OutOfRange, "from %q to %q", p.From, p.To).On("to")
-	case !p.FinishBy.After(p.Start.Add(minLength)):
-		return result.New(result.OutOfRange, "a move takes %s or more", minLength).On("finishBy")
+	case !p.FinishBy.After(p.Start.Add(p.minLength())):
+		return result.New(result.OutOfRange, "a move takes %s or more", p.minLength()).On("finishBy")
+	case p.MaxExposure < 0 || p.MaxExposure > 1:
+		return result.New(result.OutOfRange, "want 0 to 1").On("maxExposure")
 	case p.EarlyShare < 0 || p.EarlyShare > maxEarlyShare:
 		return result.New(result.OutOfRange, "want 0 to %v", maxEarlyShare).On("earlyShare")
 	case p.Step < 0 || p.Step > lastStep:
@@ -91,8 +100,45 @@
 	return nil
 }
 
-// minLength is the least length of a move.
-const minLength = 30 * time.Second
+// limited reports whether a bad version may get only a part of all requests.
+func (p *Plan) limited() bool { return p.MaxExposure > 0 }
+
+// The least lengths of moves.
+const (
+	minLength        = 30 * time.Second
+	minLimitedLength = 2 * limitedMargin
+)
+
+func (p *Plan) minLength() time.Duration {
+	if p.limited() {
+		return minLimitedLength
+	}
+	return minLength
+}
+
+// limitedEarly is the first share of a limited move, as a part of its bound: the rest
+// is for the larger shares at the end.
+const limitedEarly = 0.8
+
+// limitedFrom are the parts of the time until the end is decided, from which on a limited
+// move may take its later steps. With them, a version that turns bad after its last step
+// has got limitedEarly of the bound and some 2% of all requests.
+var limitedFrom = []float64{0.95, 0.975, 0.99}
+
+// mayRaise reports whether the time of the next step has come.
+func (p *Plan) mayRaise(now time.Time) bool {
+	decided := p.FinishBy.Add(-p.margin())
+	from := p.Start.Add(time.Duration(limitedFrom[p.Step] * float64(decided.Sub(p.Start))))
+	return !now.Before(from)
+}
+
+// margin is how long before finishBy the end is decided.
+func (p *Plan) margin() time.Duration {
+	if p.limited() {
+		return limitedMargin
+	}
+	return finishMargin
+}
 
 // Share returns the share of requests that the new version gets at now. bad says
 // that it is known to be bad, which counts at once. An entry VM that has not
@@ -103,6 +149,8 @@
 		return 1
 	case p.State == TakenBack, bad, now.Before(p.Start), !now.Before(p.FinishBy):
 		return 0
+	case p.Step == 0 && p.limited():
+		return limitedEarly * p.MaxExposure
 	case p.Step == 0 && p.EarlyShare > 0:
 		return p.EarlyShare
 	case p.Step == 0:
@@ -133,6 +181,8 @@
 	// finishMargin is how long before finishBy the end is decided, so that all
 	// entry VMs hear of it in time.
 	finishMargin = 6 * time.Second
+	// limitedMargin is the same where the old servers stop with the end.
+	limitedMargin = 3 * time.Second
 )
 
 // Action is what becomes of a move.
@@ -172,17 +222,23 @@
 	if v := e.Verdict(); v.Bad {
 		return Decision{Action: TakeBack, Why: ShownBad, Detail: v.String()}
 	}
-	late := !now.Before(p.FinishBy.Add(-finishMargin))
+	late := !now.Before(p.FinishBy.Add(-p.margin()))
 	switch {
 	case !now.Before(p.FinishBy):
 		// Every entry VM went back already.
 		return Decision{Action: TakeBack, Why: NotInTime, Detail: e.Summary()}
-	case late && p.Step == lastStep:
+	case late && (p.Step == lastStep || p.limited() && e.Shown()):
 		return Decision{Action: Finish, Why: GoodThroughout, Detail: e.Summary()}
 	case late:
 		return Decision{Action: TakeBack, Why: NotInTime, Detail: e.Summary()}
 	case p.Step == lastStep:
 		return Decision{Why: GoodSoFar}
+	case p.limited() && !p.mayRaise(now):
+		return Decision{Why: TooSoon}
+	case p.limited() && !e.Shown():
+		return Decision{Why: MoreEvidence}
+	case p.limited():
+		return Decision{Action: Raise, Why: GoodSoFar, Detail: e.Summary()}
 	case now.Before(later(p.SteppedAt, p.Start).Add(p.dwell())):
 		return Decision{Why: TooSoon}
 	case !e.Enough(now.Sub(later(p.SteppedAt, p.Start)) > waitDwells*p.dwell()):
--- a/relay/plain.go
+++ b/relay/plain.go
@@ -101,6 +101,11 @@
 // replied takes over one server's outcome.
 func (p *plainRun) replied(rep reply) Action {
 	if rep.outcome == Answered {
+		if rep.status >= http.StatusInternalServerError {
+			p.ran(rep.by, true, 0, 0)
+		} else {
+			p.ran(rep.by, false, rep.took, 0)
+		}
 		if p.best == nil || rep.status < p.best.status {
 			p.best = &rep
 		}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -51,6 +51,8 @@
 	Ended func(service routing.ServiceName, c result.Code, took time.Duration)
 	// Sent is told of each stream sent to an engine, and why; nil for nobody.
 	Sent func(why string)
+	// Ran is told of each answer of a server, a failure too; nil for nobody.
+	Ran func(Ran)
 	// Judge decides about silent streams.
 	Judge Judge
 	Log   *zap.Logger
@@ -61,6 +63,25 @@
 	controls  *http.Transport // for reports of engines and orders to them
 }
 
+// Ran is how a server answered a request.
+type Ran struct {
+	Service routing.ServiceName
+	Route   routing.RouteName
+	Server  engine.ServerID
+	Version engine.Version
+	Failed  bool // it answered with a failure
+	// First is the time to the answer, or to a stream's first event; Gap is the mean
+	// time between events. Both are 0 for failures.
+	First, Gap time.Duration
+}
+
+// ran tells of a server's answer.
+func (j *job) ran(by backend.Choice, failed bool, first, gap time.Duration) {
+	if j.relay.Ran != nil {
+		j.relay.Ran(Ran{Service: j.service, Route: j.route.Name, Server: by.ID, Version: by.Version, Failed: failed, First: first, Gap: gap})
+	}
+}
+
 // New returns a relay without its fields set that dials with d; a nil d dials as
 // package net does.
 func New(d engine.Dialer) *Relay {
--- a/relay/send.go
+++ b/relay/send.go
@@ -162,6 +162,8 @@
 // reply is what a server made of a plain request.
 type reply struct {
 	from    engine.ServerID
+	by      backend.Choice // the same server
+	took    time.Duration
 	outcome Outcome
 	why     error
 	status  int
@@ -175,7 +177,8 @@
 	work := backend.Work{Requests: 1}
 	r.Pool.Begin(to.ID, work)
 	defer r.Pool.End(to.ID, work)
-	rep := reply{from: to.ID}
+	rep := reply{from: to.ID, by: to}
+	begun := time.Now()
 	resp, err := r.roundTrip(ctx, m, to, send)
 	if resp != nil {
 		defer resp.Body.Close()
@@ -188,5 +191,6 @@
 	if err != nil {
 		rep.outcome, rep.why = Lost, fmt.Errorf("read answer of %s: %w", to.ID, err)
 	}
+	rep.took = time.Since(begun)
 	return rep
 }
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -431,9 +431,9 @@
 		s.w.WriteHeader(http.StatusOK)
 	}
 	if s.sends == 1 && s.msg.ask.LastEvent == "" && s.last > 1 {
-		s.relay.pace.Note(s.route.Name, Sample{
-			Prompt: s.msg.ask.PromptTokens, First: s.firstAt.Sub(s.begun), Gap: time.Since(s.firstAt) / time.Duration(s.last-1), Events: s.last,
-		})
+		first, gap := s.firstAt.Sub(s.begun), time.Since(s.firstAt)/time.Duration(s.last-1)
+		s.relay.pace.Note(s.route.Name, Sample{Prompt: s.msg.ask.PromptTokens, First: first, Gap: gap, Events: s.last})
+		s.ran(s.cur.to, false, first, gap)
 	}
 	s.end(result.OK, s.cur.to.ID, zap.Int64("lastEvent", s.last))
 	return false
@@ -451,6 +451,7 @@
 		s.drop()
 		return s.start("refused", nil)
 	case Answered:
+		s.ran(s.cur.to, true, 0, 0)
 		s.failed = &reply{from: s.cur.to.ID, status: p.head.StatusCode, header: p.head.Header, body: p.event.raw}
 	case Lost:
 		s.relay.Pool.Lost(s.cur.to.ID, time.Now())
