relay: a copy that finds no room is ordered elsewhere

Change: engines where a run's copy failed are passed over until all have been tried. TestCopyElsewhere fails without it (1.4 s between two events).

--- a/relay/protect.go
+++ b/relay/protect.go
@@ -88,13 +88,20 @@
 	if o := s.cur.ordered; o != nil && s.alive(&o.to, s.cur.sentAt, now) {
 		return o.to, true
 	}
-	return s.relay.Pool.Choose(s.relay.need(s.job, now, append(slices.Clone(s.asked), s.cur.to.ID), s.cur.to.ID))
+	exclude := append(slices.Clone(s.asked), s.cur.to.ID)
+	if to, ok := s.relay.Pool.Choose(s.relay.need(s.job, now, append(exclude, s.cur.noCopy...), s.cur.to.ID)); ok {
+		return to, true
+	}
+	s.cur.noCopy = nil // all were tried; some may have room by now
+	return s.relay.Pool.Choose(s.relay.need(s.job, now, exclude, s.cur.to.ID))
 }
 
 // copied takes over the outcome of an order.
 func (s *streamRun) copied(o ordered) {
 	s.cur.ordering = false
 	if o.err != nil {
+		// It has no room or cannot be reached from there, though it may be from here.
+		s.cur.noCopy = append(s.cur.noCopy, o.to.ID)
 		s.note("copy failed", s.cur.to.ID, zap.String("copyAt", string(o.to.ID)), zap.Error(o.err))
 		return
 	}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -33,6 +33,7 @@
 	ordered   *ordered     // the copy that was made last
 	ordering  bool
 	orderedAt time.Time
+	noCopy    []engine.ServerID // where a copy failed
 }
 
 // piece is what comes from a run: its head, an event, or its end.
--- a/relay/stream_test.go
+++ b/relay/stream_test.go
@@ -8,6 +8,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"quetzalhold/engine"
 	"quetzalhold/platform/platformtest"
 	"quetzalhold/relay"
 	"quetzalhold/result"
@@ -239,6 +240,39 @@
 	})
 }
 
+// TestCopyElsewhere loses a run's copy while most engines have no room for another: one
+// that has gets it, before the run's engine dies too.
+func TestCopyElsewhere(t *testing.T) {
+	inWorld(t, "A copy that finds no room is ordered elsewhere", func(w *world) {
+		w.fill()
+		full := make(map[string]bool)
+		time.AfterFunc(1500*time.Millisecond, func() {
+			first := w.serving("r1")
+			for _, s := range w.servers {
+				if s.Domain == domains[2] {
+					full[s.Address] = true
+				}
+			}
+			for _, s := range w.servers {
+				s.Fail(platformtest.Fault{NoRoomAt: full})
+			}
+			copyAt := w.book.Runs("r1")[0].Header.Get("X-Kv-Backup")
+			full[copyAt] = true // it is about to die
+			for _, s := range w.servers {
+				if s.Address == copyAt {
+					w.kill(s)
+					w.pool.Lost(engine.ServerID(s.ID), time.Now())
+				}
+			}
+			time.AfterFunc(2500*time.Millisecond, func() { w.kill(first) })
+		})
+		a := w.brief(context.Background())
+		So(a.body, ShouldEqual, events(1, numEvent))
+		So(a.gap, ShouldBeLessThan, maxGap)
+		So(w.book.Runs("r1")[1].Prefill, ShouldBeLessThan, 1000)
+	})
+}
+
 // TestNear checks that a prompt stays in the region, where reports come at once, and
 // leaves it for engines that are less loaded.
 func TestNear(t *testing.T) {
