gateway: few calls while the store is away; verdicts of moves hold without it

The return reached them late, since those who had answered without fresh news were asked less and less. A verdict on a version stayed where it was found, or reached others as if the store knew it, and was then never written.

Change: entry VMs that are not the first of their failure domain try in turn, 500 ms apart together, and for servers only; the other watches wait for that one. The two best-ranked are asked again each second. That a version is known to be bad is told by itself, until the store has it. The stand-in engine has a cheap reading for tests that wait.

--- a/entry/site_test.go
+++ b/entry/site_test.go
@@ -117,13 +117,18 @@
 
 // generated returns the tokens that all engines have generated.
 func (w *world) generated() int {
-	return w.all(func(c standin.EngineCounts) int { return int(c.Generated) })
+	n := engine.Tokens(0)
+	for _, e := range w.AllEngines() {
+		_, generated := e.Load()
+		n += generated
+	}
+	return int(n)
 }
 
 // busy returns the engine that generates, or an empty id.
 func (w *world) busy() engine.ServerID {
 	for _, e := range w.AllEngines() {
-		if e.Counts().Running > 0 {
+		if running, _ := e.Load(); running > 0 {
 			return e.ID()
 		}
 	}
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -76,6 +76,9 @@
 	Step     int        `json:"step"`
 	State    move.State `json:"state"`
 	Reason   string     `json:"reason,omitempty"`
+	// Bad is why the version is known to be bad while the store may not know yet; empty
+	// if it is not.
+	Bad string `json:"bad,omitempty"`
 }
 
 // Counted is what an entry VM has seen of a service in a move.
--- a/feed/members.go
+++ b/feed/members.go
@@ -89,6 +89,9 @@
 	// failure in a row, up to maxStrikes times.
 	askAgain   = time.Second
 	maxStrikes = 4
+	// askedSoon is how many members without fresh news are asked again without
+	// doubling.
+	askedSoon = 2
 )
 
 // Note takes over that members exist. It returns those that are new.
@@ -147,6 +150,27 @@
 	}
 }
 
+// Stale notes that a member answered that it has no fresh news. The best-ranked ones,
+// which are the first to have some again, are asked again soon.
+func (m *Members) Stale(now time.Time, id MemberID) {
+	m.Failed(now, id)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	k := m.known[id]
+	if k == nil {
+		return
+	}
+	better := 0
+	for _, o := range m.known {
+		if o.Domain == k.Domain && before(o.Member, k.Member) {
+			better++
+		}
+	}
+	if better < askedSoon {
+		k.strikes = 1
+	}
+}
+
 // Expire forgets members that were not heard of for long.
 func (m *Members) Expire(now time.Time) {
 	m.mu.Lock()
--- a/gateway/feeder.go
+++ b/gateway/feeder.go
@@ -121,9 +121,15 @@
 	if ctx.Err() != nil {
 		return false
 	}
-	if err != nil {
-		d.putBack(q.Ran)
+	switch {
+	case errors.Is(err, errStale):
+		d.members.Stale(now, m.ID)
+		d.takeMoves(now, a.Moves, false, string(a.Self.ID)) // a verdict holds without the store
+	case err != nil:
 		d.members.Failed(now, m.ID)
+		d.putBack(q.Ran)
+	}
+	if err != nil {
 		d.log.Info("no news from entry VM", zap.String("from", string(m.ID)), zap.Int64("ageMs", a.AgeMs), zap.Bool("away", a.Away), zap.Error(err))
 		return false
 	}
@@ -144,7 +150,7 @@
 		d.use(*a.Config, string(a.Self.ID))
 	}
 	if a.MovesSeq > 0 {
-		d.takeMoves(now, a.Moves, string(a.Self.ID))
+		d.takeMoves(now, a.Moves, true, string(a.Self.ID))
 	}
 	if a.Whole {
 		servers := make([]backend.Server, 0, len(a.Words))
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -32,10 +32,14 @@
 	// The pauses after a failed call.
 	minBackoff = 150 * time.Millisecond
 	maxBackoff = 600 * time.Millisecond
-	// politeBackoff is the longest pause of an entry VM that is not the first of
-	// its failure domain: while the store is away the first one tries for all, and
-	// the others only in case the store turns that one away.
+	// politeBackoff is the least pause of an entry VM that is not the first of its
+	// failure domain: while the store is away the first one tries for all, and the
+	// others only in case the store turns that one away. Together they try every
+	// politeShare, however many they are.
 	politeBackoff = 2 * time.Second
+	politeShare   = 500 * time.Millisecond
+	// awayLimit is how long the other watches leave the trying to that of servers.
+	awayLimit = 30 * time.Second
 	// awayPause is how often the other watches look whether the store is back
 	// while the watch of servers tries.
 	awayPause = 100 * time.Millisecond
@@ -106,29 +110,51 @@
 // watch keeps the pool and the configuration up to date from the store until ctx
 // ends. It returns at once.
 func (d *Daemon) watch(ctx context.Context) {
-	go d.watchKind(ctx, platform.Servers, d.listServers, d.changeServer)
-	go d.watchKind(ctx, platform.Configuration, d.listConfigs, d.changeConfig)
-	go d.watchMoves(ctx)
+	tried := make(chan struct{}) // closed after the first call
+	go d.watchKind(ctx, platform.Servers, d.listServers, d.changeServer, func() { close(tried) })
+	go func() {
+		if d.table.Load() != nil {
+			d.awaitTry(ctx, tried)
+		}
+		d.watchKind(ctx, platform.Configuration, d.listConfigs, d.changeConfig, func() {})
+	}()
+	go func() {
+		d.awaitTry(ctx, tried)
+		d.watchMoves(ctx)
+	}()
+	go d.decideMoves(ctx)
+}
+
+// awaitTry waits until the first call has been tried, and the store is there: what can
+// wait does not try a store that is away.
+func (d *Daemon) awaitTry(ctx context.Context, tried <-chan struct{}) {
+	select {
+	case <-tried:
+		d.awaitStore(ctx)
+	case <-ctx.Done():
+	}
 }
 
-// watchKind lists a kind of objects and watches it from there on.
-func (d *Daemon) watchKind(ctx context.Context, k platform.Kind, list func(platform.Page), change func(platform.Change)) {
+// watchKind lists a kind of objects and watches it from there on. It calls tried after
+// the first call.
+func (d *Daemon) watchKind(ctx context.Context, k platform.Kind, list func(platform.Page), change func(platform.Change), tried func()) {
 	backoff := minBackoff
+	var once sync.Once
 	wait := func() {
+		if others := len(d.members.InDomain()); !d.members.First() {
+			backoff = max(politeBackoff, time.Duration(others)*politeShare)
+		}
 		// The loop sees the end of ctx.
 		_ = clock.Sleep(ctx, backoff/2+rand.N(backoff))
-		longest := maxBackoff
-		if !d.members.First() {
-			longest = politeBackoff
-		}
-		backoff = min(2*backoff, longest)
+		backoff = min(2*backoff, maxBackoff)
 		if k != platform.Servers {
-			d.awaitStore(ctx, longest)
+			d.awaitStore(ctx)
 		}
 	}
 	for ctx.Err() == nil {
 		page, err := d.store.List(ctx, k, false)
 		d.noteStore(ctx, k, err)
+		once.Do(tried)
 		if err != nil {
 			wait()
 			continue
@@ -161,10 +187,9 @@
 	}
 }
 
-// awaitStore waits until the store is back, as far as other watches know, but not
-// longer than limit.
-func (d *Daemon) awaitStore(ctx context.Context, limit time.Duration) {
-	until := time.Now().Add(limit)
+// awaitStore waits until the store is back, as far as the watch of servers knows.
+func (d *Daemon) awaitStore(ctx context.Context) {
+	until := time.Now().Add(awayLimit)
 	for ctx.Err() == nil && d.health.isAway() && time.Now().Before(until) {
 		_ = clock.Sleep(ctx, awayPause) // the loop sees the end of ctx
 	}
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -199,6 +199,29 @@
 	})
 }
 
+// TestOutage counts what a failure domain of twelve spends on a store that is away, and
+// how soon it knows of what happened meanwhile.
+func TestOutage(t *testing.T) {
+	inWorld(t, "Few calls while the store is away, and soon back", func(w *world) {
+		for i := range 12 {
+			w.vm("e"+itoa(i), "cn-a", 1+i)
+		}
+		time.Sleep(5 * time.Second)
+		w.store.Fail(platformtest.StoreFault{Busy: true})
+		before := w.store.Calls()
+		time.Sleep(20 * time.Second)
+		calls := w.store.Calls() - before
+		// The first tries about every 600 ms, all others together every 400 ms.
+		So(calls, ShouldBeLessThan, 20*1000/600+20*1000/400+12)
+		w.configure(2, "key-2")
+		w.store.Fail(platformtest.StoreFault{})
+		time.Sleep(2 * time.Second)
+		for _, v := range w.vms {
+			So(w.ask(v, "key-2"), ShouldEqual, 200)
+		}
+	})
+}
+
 func TestNoConfiguration(t *testing.T) {
 	inWorld(t, "Entry VMs that have no configuration yet ask each other twice a second", func(w *world) {
 		w.store.Remove("config", "main")
--- a/gateway/moves.go
+++ b/gateway/moves.go
@@ -70,8 +70,9 @@
 type serviceMove struct {
 	plan  move.Plan
 	order platform.MoveOrder // with the revision to write with; of entry VMs that watch the store
-	// bad is known here, if not yet in the store.
-	bad   bool
+	// bad is why the version is known to be bad, if not yet in the store; empty if it
+	// is not.
+	bad   string
 	speed move.Speed
 	// untold is what this entry VM saw and has told nobody; domain is what the
 	// failure domain saw, and elsewhere what each other one had told when it was
@@ -143,9 +144,7 @@
 		f := feed.Move{
 			Service: service, To: sm.plan.To, AgeMs: now.Sub(sm.plan.Start).Milliseconds(),
 			LengthMs: sm.plan.FinishBy.Sub(sm.plan.Start).Milliseconds(), Step: sm.plan.Step, State: sm.plan.State, Reason: sm.plan.Reason,
-		}
-		if sm.bad {
-			f.State = move.TakenBack
+			Bad: sm.bad,
 		}
 		list = append(list, f)
 	}
@@ -178,8 +177,8 @@
 	}
 	now := time.Now()
 	to := sm.plan.To
-	isNew := sm.plan.Version(id, now, sm.bad) == to
-	bad := sm.bad || sm.plan.State == move.TakenBack
+	isNew := sm.plan.Version(id, now, sm.bad != "") == to
+	bad := sm.bad != "" || sm.plan.State == move.TakenBack
 	if !bad && !d.pool.Has(service, now, func(v engine.Version) bool { return (v == to) == isNew }) {
 		return nil
 	}
@@ -249,24 +248,27 @@
 	}
 }
 
-// takeMoves takes over all moves from another entry VM.
-func (d *Daemon) takeMoves(now time.Time, list []feed.Move, from string) {
-	d.moves.mu.Lock()
-	maps.DeleteFunc(d.moves.all, func(service routing.ServiceName, _ *serviceMove) bool {
-		return !slices.ContainsFunc(list, func(f feed.Move) bool { return f.Service == service })
-	})
-	d.moves.mu.Unlock()
+// takeMoves takes over the moves that another entry VM knows. If its news are fresh,
+// there are no others.
+func (d *Daemon) takeMoves(now time.Time, list []feed.Move, fresh bool, from string) {
+	if fresh {
+		d.moves.mu.Lock()
+		maps.DeleteFunc(d.moves.all, func(service routing.ServiceName, _ *serviceMove) bool {
+			return !slices.ContainsFunc(list, func(f feed.Move) bool { return f.Service == service })
+		})
+		d.moves.mu.Unlock()
+	}
 	for _, f := range list {
 		start := now.Add(-time.Duration(f.AgeMs) * time.Millisecond)
 		d.setMove(now, platform.MoveOrder{
 			Service: f.Service, To: f.To, Length: time.Duration(f.LengthMs) * time.Millisecond,
 			Progress: &platform.MoveProgress{State: f.State, Step: f.Step, Reason: f.Reason},
-		}, start, from)
+		}, start, f.Bad, from)
 	}
 }
 
-// setMove takes over an order and how far it is.
-func (d *Daemon) setMove(now time.Time, o platform.MoveOrder, start time.Time, from string) {
+// setMove takes over an order, how far it is, and why its version is known to be bad.
+func (d *Daemon) setMove(now time.Time, o platform.MoveOrder, start time.Time, bad, from string) {
 	d.moves.mu.Lock()
 	exposure := d.settings.Load().Bounds.BadShare
 	if exposure <= 0 {
@@ -279,24 +281,25 @@
 	if o.Progress != nil && sm.progress(now, o.Progress.State, o.Progress.Step, o.Progress.Reason) {
 		changed = true
 	}
-	p := sm.plan
+	if sm.bad == "" && bad != "" {
+		sm.bad, changed = bad, true
+	}
+	p, why := sm.plan, sm.bad
 	d.moves.mu.Unlock()
 	if changed {
-		d.noteMove(&p, from)
+		d.noteMove(&p, why, from)
 	}
 }
 
 // noteMove logs how a move stands and tells the others.
-func (d *Daemon) noteMove(p *move.Plan, from string) {
+func (d *Daemon) noteMove(p *move.Plan, bad, from string) {
 	d.log.Info("version move", zap.String("service", p.Deployment), zap.String("to", string(p.To)), zap.String("state", string(p.State)),
-		zap.Int("step", p.Step), zap.Float64("share", p.Share(time.Now(), false)), zap.Time("finishBy", p.FinishBy), zap.String("why", p.Reason), zap.String("from", from))
+		zap.Int("step", p.Step), zap.Float64("share", p.Share(time.Now(), bad != "")), zap.Time("finishBy", p.FinishBy), zap.String("why", p.Reason), zap.String("bad", bad), zap.String("from", from))
 	d.news.SetMoves(d.moves.list)
 }
 
-// watchMoves follows the operator's orders to move services, and decides about them,
-// until ctx ends.
+// watchMoves follows the operator's orders to move services until ctx ends.
 func (d *Daemon) watchMoves(ctx context.Context) {
-	go d.decideMoves(ctx)
 	for ctx.Err() == nil {
 		page, err := d.store.List(ctx, platform.Moves, false)
 		for i := range page.Objects {
@@ -318,7 +321,7 @@
 		if ctx.Err() == nil && result.CodeOf(err) != result.HistoryGone {
 			d.log.Info("orders of version moves not known", zap.Error(err))
 			_ = clock.Sleep(ctx, maxBackoff) // the loop sees the end of ctx
-			d.awaitStore(ctx, politeBackoff)
+			d.awaitStore(ctx)
 		}
 	}
 }
@@ -338,7 +341,7 @@
 		d.log.Error("version move ignored", zap.String("service", c.Object.Name()), zap.Error(err))
 		return
 	}
-	d.setMove(now, o, now, "store")
+	d.setMove(now, o, now, "", "store")
 }
 
 // decideMoves looks at the moves that are under way until ctx ends.
@@ -464,13 +467,18 @@
 		return
 	}
 	dec := sm.plan.Decide(now, &sm.evidence)
+	if sm.bad != "" {
+		dec = move.Decision{Action: move.TakeBack, Why: move.ShownBad, Detail: sm.bad}
+	}
 	next := sm.plan.Apply(now, dec)
 	if dec.Action == move.Keep && sm.order.Progress != nil {
 		d.moves.mu.Unlock()
 		return
 	}
-	found := dec.Action == move.TakeBack && !sm.bad
-	sm.bad = sm.bad || found
+	found := dec.Action == move.TakeBack && sm.bad == ""
+	if found {
+		sm.bad = cmp.Or(dec.Detail, dec.Why.String())
+	}
 	if want := (intent{dec.Action, next.Step, sm.order.Progress != nil}); sm.wait.IsZero() || want != sm.want {
 		sm.want, sm.wait = want, now.Add(d.turn())
 	}
@@ -478,7 +486,7 @@
 	order := sm.order
 	d.moves.mu.Unlock()
 	if found {
-		d.noteMove(&next, "own decision") // the domain goes back before the store knows
+		d.noteMove(&next, dec.Detail, "own decision") // the domain goes back before the store knows
 	}
 	if waits {
 		return
@@ -497,6 +505,6 @@
 	p := sm.plan
 	d.moves.mu.Unlock()
 	if changed {
-		d.noteMove(&p, "own decision")
+		d.noteMove(&p, "", "own decision")
 	}
 }
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -157,6 +157,14 @@
 	return c
 }
 
+// Load returns the requests that the engine has now and the tokens that it has
+// generated so far. It is cheaper than [Engine.Counts], for tests that wait for a moment.
+func (e *Engine) Load() (running int, generated engine.Tokens) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.running + len(e.waiting), e.counts.Generated
+}
+
 func cloneMap[K comparable, V any](m map[K]V) map[K]V {
 	c := make(map[K]V, len(m))
 	for k, v := range m {
