relay, gateway: a span of each traced request, with its decisions

Cause: the gateway had metrics and logs, but no traces.

Change: settings otlp and traceShare; a request's span is below its caller's and has the decisions as events. Without them no tracer exists. Shown by TestSpans.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -39,8 +39,11 @@
 	log      *zap.Logger
 	lines    *telemetry.Lines
 	metrics  *telemetry.Gateway
-	dial     engine.Dialer // nil for that of package net
-	listen   func(address string) (net.Listener, error)
+	traced   []telemetry.Option
+	// closeTraces pushes the last spans.
+	closeTraces func(context.Context) error
+	dial        engine.Dialer // nil for that of package net
+	listen      func(address string) (net.Listener, error)
 
 	members feed.Members
 	news    feed.Log
@@ -68,6 +71,11 @@
 	return func(d *Daemon) { d.lines = telemetry.NewLines(w) }
 }
 
+// WithTelemetry sets where spans go beside the settings.
+func WithTelemetry(opts ...telemetry.Option) Option {
+	return func(d *Daemon) { d.traced = opts }
+}
+
 // WithNetwork sets how connections are opened and accepted.
 func WithNetwork(d engine.Dialer, listen func(address string) (net.Listener, error)) Option {
 	return func(g *Daemon) { g.dial, g.listen = d, listen }
@@ -132,6 +140,9 @@
 		return err
 	}
 	d.metrics = m
+	if d.relay.Tracer, d.closeTraces, err = telemetry.NewGatewayTracer(d.settings.Load(), d.traced...); err != nil {
+		return err
+	}
 	d.relay.Sent = m.Sent
 	d.relay.Ended = func(n routing.ServiceName, c result.Code, took time.Duration) { m.Ended(string(n), c, took) }
 	d.store.Observe = func(_ string, took time.Duration, c result.Code) { m.Store(c, took) }
@@ -311,6 +322,9 @@
 	d.store.CloseIdle()
 	d.client.CloseIdle()
 	d.relay.CloseIdle()
+	if err := d.closeTraces(ctx); err != nil {
+		d.log.Info("spans not pushed", zap.Error(err))
+	}
 	if d.lines != nil {
 		d.lines.Close()
 	}
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -8,6 +8,9 @@
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/codes"
+	"go.opentelemetry.io/otel/sdk/trace/tracetest"
 
 	"quetzalhold/memnet"
 	"quetzalhold/platform/platformtest"
@@ -360,3 +363,24 @@
 		}
 	})
 }
+
+// TestSpans checks that a request's span is below its caller's and has the decisions.
+func TestSpans(t *testing.T) {
+	inWorld(t, "A request has a span with its decisions", func(w *world) {
+		spans := tracetest.NewInMemoryExporter()
+		w.traced = spans
+		v := w.vm("e1", "cn-a", 1)
+		time.Sleep(2 * time.Second)
+		const caller = "4bf92f3577b34da6a3ce929d0e0e4736"
+		a := w.get(v, "/book/1", "key-1", http.Header{"Traceparent": {"00-" + caller + "-00f067aa0ba902b7-01"}})
+		So(a.status, ShouldEqual, 200)
+		So(w.get(v, "/book/1", "wrong", nil).status, ShouldEqual, 401)
+		got := spans.GetSpans()
+		So(got, ShouldHaveLength, 2)
+		So(got[0].SpanContext.TraceID().String(), ShouldEqual, caller)
+		So(got[0].Events, ShouldHaveLength, 1)
+		So(got[0].Events[0].Name, ShouldEqual, "request ended")
+		So(got[0].Attributes, ShouldContain, attribute.String("service", "app"))
+		So(got[1].Status.Code, ShouldEqual, codes.Error)
+	})
+}
--- a/gateway/world_test.go
+++ b/gateway/world_test.go
@@ -16,12 +16,14 @@
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
+	"go.opentelemetry.io/otel/sdk/trace/tracetest"
 
 	"quetzalhold/gateway"
 	"quetzalhold/memnet"
 	"quetzalhold/names"
 	"quetzalhold/platform/platformtest"
 	"quetzalhold/settings"
+	"quetzalhold/telemetry"
 )
 
 // The world of the tests: the store, a plain server, an engine and entry VMs.
@@ -45,6 +47,8 @@
 	http  []*http.Server
 	vms   []*vm
 	seq   int
+	// traced gets the spans of entry VMs that start from now on; nil for nobody.
+	traced *tracetest.InMemoryExporter
 }
 
 // vm is an entry VM.
@@ -144,7 +148,12 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	v.stop, v.done = cancel, make(chan struct{})
-	d, err := gateway.New(s, gateway.WithLog(&v.log), gateway.WithNetwork(w.net.Dialer(memnet.Host(v.host)), w.net.Listen))
+	opts := []gateway.Option{gateway.WithLog(&v.log), gateway.WithNetwork(w.net.Dialer(memnet.Host(v.host)), w.net.Listen)}
+	if w.traced != nil {
+		s.TraceShare = 1
+		opts = append(opts, gateway.WithTelemetry(telemetry.WithSpans(w.traced)))
+	}
+	d, err := gateway.New(s, opts...)
 	if err != nil {
 		panic(err)
 	}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -11,6 +11,10 @@
 	"strings"
 	"time"
 
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/codes"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
 	"go.uber.org/zap"
 
 	"quetzalhold/backend"
@@ -53,6 +57,8 @@
 	Sent func(why string)
 	// Ran is told of each answer of a server, a failure too; nil for nobody.
 	Ran func(Ran)
+	// Tracer makes a span of each request, with its decisions as events; nil for none.
+	Tracer trace.Tracer
 	// Judge decides about silent streams.
 	Judge Judge
 	Log   *zap.Logger
@@ -108,10 +114,23 @@
 	begun        time.Time
 	deadline     time.Time
 	sends        int
+	span         trace.Span // nil if requests are not traced
+}
+
+// trace begins the request's span, below the caller's if it has one.
+func (j *job) trace() {
+	if j.relay.Tracer == nil {
+		return
+	}
+	ctx := propagation.TraceContext{}.Extract(j.msg.Context(), propagation.HeaderCarrier(j.msg.Header))
+	_, j.span = j.relay.Tracer.Start(ctx, "request", trace.WithSpanKind(trace.SpanKindServer), trace.WithTimestamp(j.begun))
 }
 
 // note logs a decision about the request.
 func (j *job) note(what string, server engine.ServerID, fields ...zap.Field) {
+	if j.span != nil {
+		j.span.AddEvent(what, trace.WithAttributes(attribute.String("server", string(server)), attribute.Int("sends", j.sends)))
+	}
 	j.relay.Log.Info(what, append([]zap.Field{
 		zap.String("request", string(j.msg.ask.ID)),
 		zap.String("server", string(server)),
@@ -131,6 +150,15 @@
 		zap.Int64("configuration", int64(j.version)),
 		zap.Int("code", int(c)),
 	}, fields...)...)
+	if j.span == nil {
+		return
+	}
+	j.span.SetAttributes(attribute.String("request", string(j.msg.ask.ID)), attribute.String("service", string(j.service)),
+		attribute.String("route", string(j.route.Name)), attribute.Int64("configuration", int64(j.version)), attribute.String("code", c.String()))
+	if c != result.OK {
+		j.span.SetStatus(codes.Error, c.String())
+	}
+	j.span.End()
 }
 
 // The times after which refused callers may come back.
@@ -143,6 +171,7 @@
 // ServeHTTP implements http.Handler.
 func (r *Relay) ServeHTTP(w http.ResponseWriter, req *http.Request) {
 	j := &job{relay: r, begun: time.Now(), route: &routing.Route{}, msg: &message{Request: req}}
+	j.trace()
 	if r.Closing != nil && r.Closing() {
 		w.Header().Set("Connection", "close")
 	}
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -43,6 +43,11 @@
 	LinkMbps float64 `json:"linkMbps"`
 	// LogLevel is debug, info, warn or error; info if empty.
 	LogLevel string `json:"logLevel"`
+	// OTLP is the IP number and port that traces are pushed to over HTTP; nothing is
+	// traced if empty.
+	OTLP string `json:"otlp,omitempty"`
+	// TraceShare is the share of requests that are traced, 0 to 1.
+	TraceShare float64 `json:"traceShare,omitempty"`
 
 	Bounds Bounds `json:"bounds"`
 }
@@ -111,6 +116,12 @@
 	c.address("peers", g.Peers)
 	c.address("metrics", g.Metrics)
 	c.address("store", g.Store)
+	if g.OTLP != "" {
+		c.address("otlp", g.OTLP)
+	}
+	if g.TraceShare < 0 || g.TraceShare > 1 {
+		c.add(result.OutOfRange, "traceShare", "%v; want 0 to 1", g.TraceShare)
+	}
 	if _, ok := g.Regions[g.Domain]; !ok {
 		c.add(result.UnknownDomain, "domain", "%q has no region", g.Domain)
 	}
--- a/telemetry/gateway.go
+++ b/telemetry/gateway.go
@@ -9,8 +9,11 @@
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/metric"
 	sdkmetric "go.opentelemetry.io/otel/sdk/metric"
+	"go.opentelemetry.io/otel/sdk/resource"
+	"go.opentelemetry.io/otel/trace"
 
 	"quetzalhold/result"
+	"quetzalhold/settings"
 )
 
 // Gateway is the instruments of an entry VM on the users' platform.
@@ -23,6 +26,28 @@
 	handler   http.Handler
 }
 
+// NewGatewayTracer returns what makes the spans of an entry VM on the users' platform,
+// and what pushes the last of them. It returns nil where the settings let nothing be
+// traced.
+func NewGatewayTracer(s *settings.Gateway, opts ...Option) (trace.Tracer, func(context.Context) error, error) {
+	var o options
+	for _, f := range opts {
+		f(&o)
+	}
+	if s.OTLP == "" && o.spans == nil {
+		return nil, func(context.Context) error { return nil }, nil
+	}
+	p, err := newTracerProvider(s.OTLP, s.TraceShare, resource.NewSchemaless(
+		attribute.String("service.name", scope),
+		attribute.String("service.instance.id", s.ID),
+		attribute.String("quetzalhold.domain", string(s.Domain)),
+	), o)
+	if err != nil {
+		return nil, nil, err
+	}
+	return p.Tracer(scope), p.Shutdown, nil
+}
+
 // Gauges are read when the metrics are scraped.
 type Gauges struct {
 	Servers      func() int
--- a/telemetry/telemetry.go
+++ b/telemetry/telemetry.go
@@ -113,25 +113,32 @@
 }
 
 func (t *Telemetry) setTraces(s *settings.Entry, res *resource.Resource, o options) error {
+	p, err := newTracerProvider(s.Telemetry.OTLP, s.Telemetry.TraceShare, res, o)
+	if err != nil {
+		return err
+	}
+	t.Tracer = p.Tracer(scope)
+	t.close = append(t.close, p.Shutdown)
+	return nil
+}
+
+// newTracerProvider returns where spans of a share of the requests go.
+func newTracerProvider(otlp string, share float64, res *resource.Resource, o options) (*sdktrace.TracerProvider, error) {
 	opts := []sdktrace.TracerProviderOption{
 		sdktrace.WithResource(res),
-		sdktrace.WithSampler(sdktrace.ParentBased(sdktrace.TraceIDRatioBased(s.Telemetry.TraceShare))),
+		sdktrace.WithSampler(sdktrace.ParentBased(sdktrace.TraceIDRatioBased(share))),
 	}
 	if o.spans != nil {
 		opts = append(opts, sdktrace.WithSyncer(o.spans))
 	}
-	if s.Telemetry.OTLP != "" {
-		exp, err := otlptracehttp.New(context.Background(),
-			otlptracehttp.WithEndpoint(s.Telemetry.OTLP), otlptracehttp.WithInsecure())
+	if otlp != "" {
+		exp, err := otlptracehttp.New(context.Background(), otlptracehttp.WithEndpoint(otlp), otlptracehttp.WithInsecure())
 		if err != nil {
-			return fmt.Errorf("trace exporter: %w", err)
+			return nil, fmt.Errorf("trace exporter: %w", err)
 		}
 		opts = append(opts, sdktrace.WithBatcher(exp))
 	}
-	p := sdktrace.NewTracerProvider(opts...)
-	t.Tracer = p.Tracer(scope)
-	t.close = append(t.close, p.Shutdown)
-	return nil
+	return sdktrace.NewTracerProvider(opts...), nil
 }
 
 // newScrape returns a reader of metrics and the handler that serves what it reads,
