feed: the list of entry VMs is told when it has changed, not with every answer

Cause: every answer of a feeder carried all entry VMs, 25 KB at 300, twice a second to each entry VM of the failure domain.

Change: answers carry the list's digest; the list comes with it only where the asker does not have it. TestMembersOnce.

--- a/feed/feed.go
+++ b/feed/feed.go
@@ -58,8 +58,11 @@
 	Config   *routing.Config  `json:"config,omitempty"` // if newer than the asker's
 	// Usage is what the entry VMs of the failure domain use of the retry budgets,
 	// the asker included.
-	Usage   []backend.Usage `json:"usage,omitempty"`
-	Members []Member        `json:"members,omitempty"`
+	Usage []backend.Usage `json:"usage,omitempty"`
+	// Members are all entry VMs that are known, if the asker does not have the list of
+	// MembersDigest.
+	Members       []Member `json:"members,omitempty"`
+	MembersDigest uint64   `json:"membersDigest,omitempty"`
 	// Moves are all moves of services' versions, if the asker does not have MovesSeq.
 	Moves    []Move `json:"moves,omitempty"`
 	MovesSeq int64  `json:"movesSeq,omitempty"`
@@ -119,8 +122,10 @@
 	Begun  bool            // the asker has just begun
 	Usage  []backend.Usage // of the asker
 	Hung   []Hung          // that the asker found since it last asked
-	Moves  int64           // the number of the moves that the asker has
-	Ran    []Counted       // that the asker has seen since it last asked
+	// Members is the digest of the members that the same entry VM told last.
+	Members uint64
+	Moves   int64     // the number of the moves that the asker has
+	Ran     []Counted // that the asker has seen since it last asked
 }
 
 // Hung is a server's start that accepts requests and does not work on them.
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -1,7 +1,10 @@
 package feed_test
 
 import (
+	"encoding/json"
 	"fmt"
+	"net/http"
+	"net/http/httptest"
 	"net/url"
 	"reflect"
 	"testing"
@@ -96,6 +99,37 @@
 	})
 }
 
+// TestMembersOnce checks that the list of entry VMs is told when it has changed, not with
+// every answer: at 300 entry VMs it is 25 KB.
+func TestMembersOnce(t *testing.T) {
+	Convey("The members are told once", t, func() {
+		self := feed.Member{ID: "e0", Address: "10.0.0.1:1", Domain: "cn-a"}
+		m := &feed.Members{Self: self}
+		for i := range 300 {
+			m.Note(start, feed.Member{ID: feed.MemberID(fmt.Sprintf("e%d", i+1)), Address: fmt.Sprintf("10.0.1.%d:1", i), Domain: "cn-a"})
+		}
+		s := &feed.Server{Members: m, Log: &feed.Log{}, Answer: func(feed.Question) feed.Answer { return feed.Answer{Epoch: "e"} }}
+		asker := feed.Member{ID: "e1", Address: "10.0.1.0:1", Domain: "cn-a"}
+		ask := func(q feed.Question) (feed.Answer, int) {
+			q.Asker = asker
+			rec := httptest.NewRecorder()
+			s.ServeHTTP(rec, httptest.NewRequest(http.MethodGet, feed.Path+"?"+q.Query().Encode(), http.NoBody))
+			var a feed.Answer
+			So(json.Unmarshal(rec.Body.Bytes(), &a), ShouldBeNil)
+			return a, rec.Body.Len()
+		}
+		a, _ := ask(feed.Question{})
+		So(a.Members, ShouldHaveLength, 300)
+		q := feed.Question{}.Changed(&a)
+		b, size := ask(q)
+		So(b.Members, ShouldBeEmpty)
+		So(size, ShouldBeLessThan, 1000)
+		m.Note(start, feed.Member{ID: "late", Address: "10.0.2.1:1", Domain: "cn-a"})
+		c, _ := ask(q.Changed(&b))
+		So(c.Members, ShouldHaveLength, 301)
+	})
+}
+
 func TestMembers(t *testing.T) {
 	Convey("Members of a failure domain", t, func() {
 		all := make([]feed.Member, 6)
--- a/feed/http.go
+++ b/feed/http.go
@@ -33,6 +33,9 @@
 		"begun":   {strconv.FormatBool(q.Begun)},
 		"waitMs":  {strconv.FormatInt(q.Wait.Milliseconds(), 10)},
 	}
+	if q.Members > 0 {
+		v.Set("members", strconv.FormatUint(q.Members, 10))
+	}
 	if q.Moves > 0 {
 		v.Set("moves", strconv.FormatInt(q.Moves, 10))
 	}
@@ -84,6 +87,13 @@
 		*f.into = n
 	}
 	q.Asker.LinkMbps = int(link)
+	if s := v.Get("members"); s != "" {
+		n, err := strconv.ParseUint(s, 10, 64)
+		if err != nil {
+			return q, result.Wrap(result.BadRequest, err, "members").On("members")
+		}
+		q.Members = n
+	}
 	if s := v.Get("moves"); s != "" {
 		n, err := strconv.ParseInt(s, 10, 64)
 		if err != nil {
@@ -156,7 +166,9 @@
 	}
 	a := s.Answer(q)
 	a.Self = s.Members.Self
-	a.Members = s.Members.List()
+	if a.MembersDigest = s.Members.Digest(); a.MembersDigest != q.Members {
+		a.Members = s.Members.List()
+	}
 	w.Header().Set("Content-Type", "application/json")
 	// The connection may be gone; there is nobody left to tell.
 	_ = json.NewEncoder(w).Encode(&a)
@@ -215,7 +227,7 @@
 	if a.MovesSeq != 0 || a.Epoch != q.Epoch {
 		q.Moves = a.MovesSeq
 	}
-	q.Epoch, q.Seq = a.Epoch, a.Seq
+	q.Epoch, q.Seq, q.Members = a.Epoch, a.Seq, a.MembersDigest
 	if a.Config != nil {
 		q.Config = max(q.Config, a.Config.Version)
 	}
--- a/feed/members.go
+++ b/feed/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -31,8 +32,9 @@
 type Members struct {
 	Self Member
 
-	mu    sync.Mutex
-	known map[MemberID]*member
+	mu     sync.Mutex
+	known  map[MemberID]*member
+	digest uint64 // of the list; 0 if it is to be made anew
 }
 
 // member is an entry VM with what its answers showed.
@@ -112,7 +114,9 @@
 			m.known[x.ID] = k
 			fresh = append(fresh, x)
 		}
-		k.Member = x
+		if k.Member != x {
+			k.Member, m.digest = x, 0
+		}
 		if k.seenAt.IsZero() {
 			k.seenAt = now
 		}
@@ -178,6 +182,7 @@
 	for id, k := range m.known {
 		if now.Sub(k.seenAt) > forgetAfter && !k.failedAt.IsZero() {
 			delete(m.known, id)
+			m.digest = 0
 		}
 	}
 }
@@ -251,6 +256,10 @@
 func (m *Members) List() []Member {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	return m.list()
+}
+
+func (m *Members) list() []Member {
 	all := make([]Member, 0, len(m.known))
 	for _, k := range m.known {
 		all = append(all, k.Member)
@@ -259,6 +268,21 @@
 	return all
 }
 
+// Digest names the list of the members that are known: another one has another digest.
+func (m *Members) Digest() uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.digest == 0 {
+		h := xxhash.New()
+		for _, k := range m.list() {
+			// A hash takes whatever is written.
+			_, _ = fmt.Fprintf(h, "%s %s %s %d;", k.ID, k.Address, k.Domain, k.LinkMbps)
+		}
+		m.digest = max(1, h.Sum64())
+	}
+	return m.digest
+}
+
 // InDomain returns the members of the own failure domain.
 func (m *Members) InDomain() []Member {
 	return slices.DeleteFunc(m.List(), func(x Member) bool { return x.Domain != m.Self.Domain })
