--- a/feed/feed.go
+++ b/feed/feed.go
@@ -122,7 +122,7 @@
 	Begun  bool            // the asker has just begun
 	Usage  []backend.Usage // of the asker
 	Hung   []Hung          // that the asker found since it last asked
-	// Members is the digest of the members that the same entry VM told last.
+	// Members is the digest of the list of members that it was told last.
 	Members uint64
 	Moves   int64     // the number of the moves that the asker has
 	Ran     []Counted // that the asker has seen since it last asked
--- a/relay/place.go
+++ b/relay/place.go
@@ -54,8 +54,8 @@
 	return &backend.Reported{Choice: to}
 }
 
-// reports asks engines for their reports. Engines at whose address nothing listens, or
-// another start answers, are left out.
+// reports asks engines for their reports. Those from which none comes are listed without
+// one; those at whose address another start answers are left out.
 func (r *Relay) reports(ctx context.Context, choices []backend.Choice, now time.Time) []backend.Reported {
 	ctx, cancel := context.WithTimeout(ctx, reportLimit)
 	defer cancel()
