gateway: orders to move that were withdrawn unseen end; no write without a revision

Found by reading: an order removed while the store was away stood on at entry VMs that watch, and one that had its order from another entry VM could have written its status unconditionally.

Shown by TestVersionMoves (withdrawn), red without the change.

--- a/gateway/moves.go
+++ b/gateway/moves.go
@@ -151,6 +151,15 @@
 	return list
 }
 
+// keep drops the moves that do not stand any more, and reports whether there were any.
+func (m *moves) keep(stands func(routing.ServiceName) bool) (dropped bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	before := len(m.all)
+	maps.DeleteFunc(m.all, func(service routing.ServiceName, _ *serviceMove) bool { return !stands(service) })
+	return len(m.all) < before
+}
+
 // underWay returns the services with a move that has not ended.
 func (m *moves) underWay() []routing.ServiceName {
 	m.mu.Lock()
@@ -252,11 +261,9 @@
 // there are no others.
 func (d *Daemon) takeMoves(now time.Time, list []feed.Move, fresh bool, from string) {
 	if fresh {
-		d.moves.mu.Lock()
-		maps.DeleteFunc(d.moves.all, func(service routing.ServiceName, _ *serviceMove) bool {
-			return !slices.ContainsFunc(list, func(f feed.Move) bool { return f.Service == service })
+		d.moves.keep(func(service routing.ServiceName) bool {
+			return slices.ContainsFunc(list, func(f feed.Move) bool { return f.Service == service })
 		})
-		d.moves.mu.Unlock()
 	}
 	for _, f := range list {
 		start := now.Add(-time.Duration(f.AgeMs) * time.Millisecond)
@@ -302,8 +309,8 @@
 func (d *Daemon) watchMoves(ctx context.Context) {
 	for ctx.Err() == nil {
 		page, err := d.store.List(ctx, platform.Moves, false)
-		for i := range page.Objects {
-			d.changeMove(platform.Change{Object: page.Objects[i]})
+		if err == nil {
+			d.listMoves(page)
 		}
 		rev := page.Revision
 		for err == nil && ctx.Err() == nil {
@@ -326,12 +333,23 @@
 	}
 }
 
+func (d *Daemon) listMoves(page platform.Page) {
+	dropped := d.moves.keep(func(service routing.ServiceName) bool {
+		return slices.ContainsFunc(page.Objects, func(o platform.Object) bool { return o.Name() == string(service) })
+	})
+	if dropped {
+		d.log.Info("version moves removed", zap.Int("listed", len(page.Objects)))
+		d.news.SetMoves(d.moves.list)
+	}
+	for i := range page.Objects {
+		d.changeMove(platform.Change{Object: page.Objects[i]})
+	}
+}
+
 func (d *Daemon) changeMove(c platform.Change) {
 	now := time.Now()
 	if c.Removed {
-		d.moves.mu.Lock()
-		delete(d.moves.all, routing.ServiceName(c.Object.Name()))
-		d.moves.mu.Unlock()
+		d.moves.keep(func(service routing.ServiceName) bool { return string(service) != c.Object.Name() })
 		d.log.Info("version move removed", zap.String("service", c.Object.Name()))
 		d.news.SetMoves(d.moves.list)
 		return
@@ -488,7 +506,7 @@
 	if found {
 		d.noteMove(&next, dec.Detail, "own decision") // the domain goes back before the store knows
 	}
-	if waits {
+	if waits || order.Revision == 0 { // without a revision the write would not be conditional
 		return
 	}
 	err := d.store.SetMove(ctx, order, platform.MoveProgress{State: next.State, Step: next.Step, Reason: next.Reason})
--- a/gateway/moves_test.go
+++ b/gateway/moves_test.go
@@ -121,6 +121,21 @@
 		So(m.statuses[200], ShouldBeGreaterThan, 0)
 		So(m.store.Names("moveEvidence"), ShouldBeEmpty)
 	})
+	inWorld(t, "An order that is withdrawn, also unseen, moves nothing any more", func(w *world) {
+		m := newMoveWorld(w)
+		m.order()
+		m.load(5 * time.Second)
+		m.store.Fail(platformtest.StoreFault{Busy: true})
+		m.store.Remove("rollouts", "app")
+		m.store.Compact()
+		m.load(3 * time.Second)
+		m.store.Fail(platformtest.StoreFault{})
+		time.Sleep(3 * time.Second)
+		before := len(m.toNew())
+		m.load(5 * time.Second)
+		// All versions take requests again, as without a move.
+		So(len(m.toNew())-before, ShouldBeGreaterThan, moveRate*5/4)
+	})
 	for _, bad := range []struct {
 		name  string
 		after time.Duration
