gateway: configurations do not wait for the watch of servers

Cause: since the watch of configurations left the trying of a lost store to that of servers for up to 30 s.

Change: the wait for the other watch is bounded by the own pause; a newer configuration is taken also from an entry VM that has lost the store. Entry VMs that are not first try every 900 ms together, so that calls stay as few. TestConfigurationAlone fails without it; TestOutage holds.

--- a/gateway/feeder.go
+++ b/gateway/feeder.go
@@ -124,7 +124,11 @@
 	switch {
 	case errors.Is(err, errStale):
 		d.members.Stale(now, m.ID)
-		d.takeMoves(now, a.Moves, false, string(a.Self.ID)) // a verdict holds without the store
+		// A newer configuration and a verdict hold without the store.
+		if a.Config != nil {
+			d.use(*a.Config, string(a.Self.ID))
+		}
+		d.takeMoves(now, a.Moves, false, string(a.Self.ID))
 	case err != nil:
 		d.members.Failed(now, m.ID)
 		d.putBack(q.Ran)
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -37,9 +37,7 @@
 	// others only in case the store turns that one away. Together they try every
 	// politeShare, however many they are.
 	politeBackoff = 2 * time.Second
-	politeShare   = 500 * time.Millisecond
-	// awayLimit is how long the other watches leave the trying to that of servers.
-	awayLimit = 30 * time.Second
+	politeShare   = 900 * time.Millisecond
 	// awayPause is how often the other watches look whether the store is back
 	// while the watch of servers tries.
 	awayPause = 100 * time.Millisecond
@@ -114,41 +112,48 @@
 	go d.watchKind(ctx, platform.Servers, d.listServers, d.changeServer, func() { close(tried) })
 	go func() {
 		if d.table.Load() != nil {
-			d.awaitTry(ctx, tried)
+			d.awaitTry(ctx, tried, d.politePause())
 		}
 		d.watchKind(ctx, platform.Configuration, d.listConfigs, d.changeConfig, func() {})
 	}()
 	go func() {
-		d.awaitTry(ctx, tried)
+		d.awaitTry(ctx, tried, moveWait)
 		d.watchMoves(ctx)
 	}()
 	go d.decideMoves(ctx)
 }
 
-// awaitTry waits until the first call has been tried, and the store is there: what can
-// wait does not try a store that is away.
-func (d *Daemon) awaitTry(ctx context.Context, tried <-chan struct{}) {
+// awaitTry waits until the first call has been tried, and the store is there or limit
+// is over: what can wait does not try a store that is away.
+func (d *Daemon) awaitTry(ctx context.Context, tried <-chan struct{}, limit time.Duration) {
 	select {
 	case <-tried:
-		d.awaitStore(ctx)
+		d.awaitStore(ctx, limit)
 	case <-ctx.Done():
 	}
 }
 
+// politePause returns the pause between tries of a store that is away, of an entry VM
+// that is not the first of its failure domain.
+func (d *Daemon) politePause() time.Duration {
+	return max(politeBackoff, time.Duration(len(d.members.InDomain()))*politeShare)
+}
+
 // watchKind lists a kind of objects and watches it from there on. It calls tried after
 // the first call.
 func (d *Daemon) watchKind(ctx context.Context, k platform.Kind, list func(platform.Page), change func(platform.Change), tried func()) {
 	backoff := minBackoff
 	var once sync.Once
 	wait := func() {
-		if others := len(d.members.InDomain()); !d.members.First() {
-			backoff = max(politeBackoff, time.Duration(others)*politeShare)
+		if !d.members.First() {
+			backoff = d.politePause()
 		}
+		limit := max(politeBackoff, backoff)
 		// The loop sees the end of ctx.
 		_ = clock.Sleep(ctx, backoff/2+rand.N(backoff))
 		backoff = min(2*backoff, maxBackoff)
 		if k != platform.Servers {
-			d.awaitStore(ctx)
+			d.awaitStore(ctx, limit)
 		}
 	}
 	for ctx.Err() == nil {
@@ -187,9 +192,10 @@
 	}
 }
 
-// awaitStore waits until the store is back, as far as the watch of servers knows.
-func (d *Daemon) awaitStore(ctx context.Context) {
-	until := time.Now().Add(awayLimit)
+// awaitStore waits until the store is back, as far as other watches know, but not
+// longer than limit: theirs may fail for reasons of their own.
+func (d *Daemon) awaitStore(ctx context.Context, limit time.Duration) {
+	until := time.Now().Add(limit)
 	for ctx.Err() == nil && d.health.isAway() && time.Now().Before(until) {
 		_ = clock.Sleep(ctx, awayPause) // the loop sees the end of ctx
 	}
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -225,6 +225,37 @@
 	})
 }
 
+// TestConfigurationAlone lets only the calls for servers fail after an outage, as at an
+// entry VM whose link is too slow for the list of thousands.
+func TestConfigurationAlone(t *testing.T) {
+	inWorld(t, "A configuration does not wait for the list of servers", func(w *world) {
+		v := w.vm("e1", "cn-a", 1)
+		time.Sleep(3 * time.Second)
+		w.store.Fail(platformtest.StoreFault{Busy: true})
+		time.Sleep(2 * time.Second)
+		w.store.Fail(platformtest.StoreFault{Busy: true, Kind: "servers"})
+		w.configure(2, "key-2")
+		time.Sleep(configBound)
+		So(w.ask(v, "key-2"), ShouldEqual, 200)
+	})
+	inWorld(t, "A newer configuration is taken from an entry VM that has lost the store too", func(w *world) {
+		a, b := w.vm("e1", "cn-a", 1), w.vm("e2", "cn-a", 2)
+		time.Sleep(3 * time.Second)
+		for i, other := range []*vm{b, a} {
+			// One is served, for long enough to get the configuration.
+			w.store.Fail(platformtest.StoreFault{Busy: true, Only: []string{other.host}})
+			w.configure(2+i, "key-"+itoa(2+i))
+			time.Sleep(1500 * time.Millisecond)
+			w.store.Fail(platformtest.StoreFault{Busy: true})
+			time.Sleep(configBound)
+			So(w.ask(a, "key-"+itoa(2+i)), ShouldEqual, 200)
+			So(w.ask(b, "key-"+itoa(2+i)), ShouldEqual, 200)
+			w.store.Fail(platformtest.StoreFault{})
+			time.Sleep(3 * time.Second)
+		}
+	})
+}
+
 func TestNoConfiguration(t *testing.T) {
 	inWorld(t, "Entry VMs that have no configuration yet ask each other twice a second", func(w *world) {
 		w.store.Remove("config", "main")
--- a/gateway/moves.go
+++ b/gateway/moves.go
@@ -328,7 +328,7 @@
 		if ctx.Err() == nil && result.CodeOf(err) != result.HistoryGone {
 			d.log.Info("orders of version moves not known", zap.Error(err))
 			_ = clock.Sleep(ctx, maxBackoff) // the loop sees the end of ctx
-			d.awaitStore(ctx)
+			d.awaitStore(ctx, moveWait)
 		}
 	}
 }
