--- a/feed/feed.go
+++ b/feed/feed.go
@@ -103,6 +103,11 @@
 			return err
 		}
 	}
+	for i := range a.Moves {
+		if m := &a.Moves[i]; m.Service == "" || m.To == "" || m.AgeMs < 0 || m.LengthMs < 0 || m.Step < 0 {
+			return result.New(result.OutOfRange, "move of service %q to %q", m.Service, m.To).On("moves")
+		}
+	}
 	if a.Config != nil {
 		return a.Config.Check()
 	}
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -75,6 +75,8 @@
 			So(l.News(q), ShouldBeNil)
 			a := l.Answer(start, q, standing)
 			So(a.Moves, ShouldResemble, moves)
+			So(a.Check(), ShouldBeNil)
+			So((&feed.Answer{Epoch: "e", Moves: []feed.Move{{Service: "app"}}}).Check(), ShouldNotBeNil)
 			q = q.Changed(&a)
 			So(l.News(q), ShouldNotBeNil)
 			a = l.Answer(start, q, standing)
