feed: a long answer on a slow link is waited for

Cause: at 300 entry VMs and 3,000 servers an answer with all servers is 750 KB, which a link of 10 Mbit/s does not carry in the 0.9 s that an answer had. Entry VMs there asked one after another in vain.

Change: the limit holds for the beginning of an answer; its body has 1.5 s. TestSlowAnswer fails without it.

--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -1,6 +1,7 @@
 package feed_test
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"net/http"
@@ -8,6 +9,7 @@
 	"net/url"
 	"reflect"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
@@ -15,6 +17,7 @@
 	"quetzalhold/backend"
 	"quetzalhold/engine"
 	"quetzalhold/feed"
+	"quetzalhold/memnet"
 	"quetzalhold/move"
 	"quetzalhold/routing"
 )
@@ -101,6 +104,39 @@
 	})
 }
 
+// TestSlowAnswer checks that a long answer on a slow link is waited for, and one that does
+// not begin is not.
+func TestSlowAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("An answer that takes its time", t, func() {
+			network := &memnet.Network{}
+			var before, within time.Duration
+			s := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				time.Sleep(before)
+				w.WriteHeader(http.StatusOK)
+				_ = http.NewResponseController(w).Flush()
+				time.Sleep(within)
+				_, _ = w.Write([]byte(`{"epoch":"e"}`))
+			})}
+			l, err := network.Listen("10.0.0.1:1")
+			So(err, ShouldBeNil)
+			go func() { _ = s.Serve(l) }()
+			c := feed.NewClient(network.Dialer("10.0.0.2"))
+			for _, x := range []struct {
+				before, within time.Duration
+				ok             bool
+			}{{0, 0, true}, {0, 1200 * time.Millisecond, true}, {0, 4 * time.Second, false}, {2 * time.Second, 0, false}} {
+				before, within = x.before, x.within
+				_, err := c.Ask(context.Background(), feed.Member{ID: "e", Address: "10.0.0.1:1"}, feed.Question{Wait: 500 * time.Millisecond})
+				So(err == nil, ShouldEqual, x.ok)
+			}
+			c.CloseIdle()
+			_ = s.Close()
+			time.Sleep(time.Minute)
+		})
+	})
+}
+
 // TestMembersOnce checks that the list of entry VMs is told when it has changed, not with
 // every answer: at 300 entry VMs it is 25 KB.
 func TestMembersOnce(t *testing.T) {
--- a/feed/http.go
+++ b/feed/http.go
@@ -181,9 +181,12 @@
 const (
 	// dialLimit bounds opening a connection; other regions are 60 ms away.
 	dialLimit = 400 * time.Millisecond
-	// grace is how much longer than asked an answer may take.
-	grace   = 400 * time.Millisecond
-	maxBody = 32 << 20
+	// grace is how much longer than asked an answer may take to begin, and bodyLimit
+	// how long it may take from there on: all of 3,000 servers are 750 KB, for links
+	// of 10 Mbit/s.
+	grace     = 400 * time.Millisecond
+	bodyLimit = 1500 * time.Millisecond
+	maxBody   = 32 << 20
 )
 
 // NewClient returns a client that dials with d; a nil d dials as package net does.
@@ -200,8 +203,10 @@
 // Ask asks a member. The connection is closed after a failure: it may have gone
 // silent.
 func (c *Client) Ask(ctx context.Context, m Member, q Question) (Answer, error) {
-	ctx, cancel := context.WithTimeout(ctx, q.Wait+grace)
+	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	limit := time.AfterFunc(q.Wait+grace, cancel)
+	defer limit.Stop()
 	u := url.URL{Scheme: "http", Host: m.Address, Path: Path, RawQuery: q.Query().Encode()}
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, u.String(), nil)
 	if err != nil {
@@ -212,6 +217,7 @@
 		return Answer{}, fmt.Errorf("ask %s: %w", m.ID, err)
 	}
 	defer resp.Body.Close()
+	limit.Reset(bodyLimit)
 	if resp.StatusCode != http.StatusOK {
 		return Answer{}, fmt.Errorf("ask %s: %w", m.ID, result.Read(resp, result.Internal))
 	}
