--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -8,6 +8,7 @@
 	"net/http/httptest"
 	"net/url"
 	"reflect"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -110,12 +111,12 @@
 	synctest.Test(t, func(t *testing.T) {
 		Convey("An answer that takes its time", t, func() {
 			network := &memnet.Network{}
-			var before, within time.Duration
+			var before, within atomic.Int64 // of the next answer, as time.Duration
 			s := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-				time.Sleep(before)
+				time.Sleep(time.Duration(before.Load()))
 				w.WriteHeader(http.StatusOK)
 				_ = http.NewResponseController(w).Flush()
-				time.Sleep(within)
+				time.Sleep(time.Duration(within.Load()))
 				_, _ = w.Write([]byte(`{"epoch":"e"}`))
 			})}
 			l, err := network.Listen("10.0.0.1:1")
@@ -126,7 +127,8 @@
 				before, within time.Duration
 				ok             bool
 			}{{0, 0, true}, {0, 1200 * time.Millisecond, true}, {0, 4 * time.Second, false}, {2 * time.Second, 0, false}} {
-				before, within = x.before, x.within
+				before.Store(int64(x.before))
+				within.Store(int64(x.within))
 				_, err := c.Ask(context.Background(), feed.Member{ID: "e", Address: "10.0.0.1:1"}, feed.Question{Wait: 500 * time.Millisecond})
 				So(err == nil, ShouldEqual, x.ok)
 			}
