relay: a stream whose time ends is not said to have lost its engine

Traced: at the end of a request's time both the request and its run end, and where the run's end was seen first the request was answered 502 and its engine counted as lost.

The end of the time now decides.

--- a/relay/stream.go
+++ b/relay/stream.go
@@ -457,6 +457,10 @@
 		s.ran(s.cur.to, true, 0, 0)
 		s.failed = &reply{by: s.cur.to, status: p.head.StatusCode, header: p.head.Header, body: p.event.raw}
 	case Lost:
+		if s.ctx.Err() != nil {
+			s.expire() // the run ended with the request's time, not by its engine
+			return false
+		}
 		s.relay.Pool.Lost(s.cur.to.ID, time.Now())
 	}
 	return s.takeOver("run ended early")
--- a/relay/stream_test.go
+++ b/relay/stream_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -401,6 +403,27 @@
 		a := w.stream(context.Background(), "/once/1", "X-Deadline-Ms", "3000")
 		So(a.status, ShouldEqual, 504)
 	})
+	// The run of a stream ends with its time; which of both is seen first must not matter.
+	inWorld(t, "Of many whose time ends at once none is said to have lost its engine", func(w *world) {
+		w.fill()
+		for _, s := range w.servers {
+			s.Fail(platformtest.Fault{Hang: true})
+		}
+		statuses := make([]int, 300)
+		var wg sync.WaitGroup
+		for i := range statuses {
+			wg.Go(func() {
+				statuses[i] = w.stream(context.Background(), "/once/1", "X-Request-Id", fmt.Sprintf("r%d", i), "X-Deadline-Ms", "3000").status
+			})
+		}
+		wg.Wait()
+		So(statuses, ShouldResemble, slices.Repeat([]int{504}, len(statuses)))
+		for _, s := range w.servers {
+			v, ok := w.pool.View(engine.ServerID(s.ID), time.Now())
+			So(ok, ShouldBeTrue)
+			So(v.LostAt.IsZero(), ShouldBeTrue)
+		}
+	})
 	inWorld(t, "One that is refused goes to another engine", func(w *world) {
 		w.fill()
 		n := 0
