peer, operator: comparing and applying objects is one step

Gossip.Accept compared objects with the store and applied the newer ones in two steps. Store.Apply now compares and applies under one lock and returns what was newer; Apply of Gossip does the same.

The entry daemon's apply had the same race with the gate's policy and the list of faults; it is serialised, and faults that were corrected no longer stay in the status.

--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -68,6 +68,7 @@
 	inFlight  atomic.Int64 // callers' requests in progress
 	vmsListed atomic.Bool  // the platform's list of VMs has been read at least once
 
+	applying          sync.Mutex // held while configuration objects are applied
 	mu                sync.Mutex
 	faults            []*result.Error
 	platformReachedAt time.Time
--- a/entry/sync.go
+++ b/entry/sync.go
@@ -36,33 +36,35 @@
 	maxLeaving = 16
 )
 
-// apply applies configuration objects to the store and sets the gate's policy
-// from the preset in force. It keeps and logs the faults of invalid objects.
-func (d *Daemon) apply(objs []objects.Object) {
-	faults := d.store.Apply(objs)
+// apply applies those of the configuration objects that are newer than the store's,
+// sets the gate's policy from the preset in force, and returns them. It keeps and
+// logs the faults of invalid objects.
+func (d *Daemon) apply(objs []objects.Object) []objects.Object {
+	// Of two calls, the later one must set the policy last.
+	d.applying.Lock()
+	defer d.applying.Unlock()
+	newer, faults := d.store.Apply(objs)
+	if len(newer) == 0 {
+		return nil
+	}
 	if p := d.store.Current().InForce(); p != nil {
 		d.gate.SetPolicy(p.Policy())
 	}
-	if len(faults) == 0 {
-		return
-	}
 	d.mu.Lock()
 	d.faults = faults
 	d.mu.Unlock()
 	for _, f := range faults {
 		d.telemetry.Log.Error("configuration object ignored: it is invalid or conflicts with another", zap.Error(f))
 	}
+	return newer
 }
 
 // applyAndPush applies those of the platform's objects that are newer than the
 // store's, and pushes them to other entry VMs.
 func (d *Daemon) applyAndPush(ctx context.Context, objs []objects.Object) {
-	newer := d.store.Newer(objs)
-	if len(newer) == 0 {
-		return
+	if newer := d.apply(objs); len(newer) > 0 {
+		d.gossip.Push(ctx, newer)
 	}
-	d.apply(newer)
-	d.gossip.Push(ctx, newer)
 }
 
 // recordPlatformCall records the outcome of a call to the platform, for the
--- a/operator/bench_test.go
+++ b/operator/bench_test.go
@@ -35,7 +35,7 @@
 			b.ReportAllocs()
 			for b.Loop() {
 				var s Store
-				if faults := s.Apply(objs); len(faults) > 0 {
+				if _, faults := s.Apply(objs); len(faults) > 0 {
 					b.Fatal(faults[0])
 				}
 			}
@@ -53,7 +53,7 @@
 			b.ReportAllocs()
 			for b.Loop() {
 				v++
-				if faults := s.Apply([]objects.Object{object(KindPreset, "day", v, day)}); len(faults) > 0 {
+				if _, faults := s.Apply([]objects.Object{object(KindPreset, "day", v, day)}); len(faults) > 0 {
 					b.Fatal(faults[0])
 				}
 			}
--- a/operator/client.go
+++ b/operator/client.go
@@ -31,7 +31,7 @@
 	return &Client{
 		entries: entries,
 		key:     key,
-		http:    &http.Client{Timeout: clientTimeout, Transport: &http.Transport{DialContext: engine.TimeoutDialer(nil), DisableKeepAlives: true}},
+		http:    &http.Client{Timeout: clientTimeout, Transport: &http.Transport{DialContext: engine.TimeoutDialer(nil), DisableKeepAlives: true, MaxResponseHeaderBytes: engine.MaxHeaderBytes}},
 	}
 }
 
--- a/operator/digest.go
+++ b/operator/digest.go
@@ -104,17 +104,3 @@
 	}
 	return found
 }
-
-// Newer returns those of objs that are newer than the store's.
-func (s *Store) Newer(objs []objects.Object) []objects.Object {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	var newer []objects.Object
-	for _, o := range objs {
-		known := s.objects[objectKey{o.Kind, o.Name}].Version
-		if known < o.Version && isKind(o.Kind) {
-			newer = append(newer, o)
-		}
-	}
-	return newer
-}
--- a/operator/store.go
+++ b/operator/store.go
@@ -38,15 +38,14 @@
 func (s *Store) Empty() bool { return s.current.Load() == nil }
 
 // Apply stores those of objs that are newer than the store's, rebuilds the
-// configuration if there are any, and returns the faults of all objects that
-// cannot be part of it. An object is never replaced by an earlier version.
-func (s *Store) Apply(objs []objects.Object) []*result.Error {
+// configuration if there are any, and returns them with the faults of all objects
+// that cannot be part of it. An object is never replaced by an earlier version.
+func (s *Store) Apply(objs []objects.Object) (newer []objects.Object, faults []*result.Error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.objects == nil {
 		s.objects = make(map[objectKey]objects.Object)
 	}
-	changed := false
 	for _, o := range objs {
 		if !isKind(o.Kind) {
 			continue
@@ -60,17 +59,17 @@
 		}
 		s.digests[k.bucket()] += k.digest(o.Version)
 		s.objects[k] = o
-		changed = true
+		newer = append(newer, o)
 	}
-	if !changed {
-		return nil
+	if len(newer) == 0 {
+		return nil, nil
 	}
 	if s.cache == nil {
 		s.cache = make(decodeCache)
 	}
 	c, faults := build(s.sorted(), s.cache)
 	s.current.Store(c)
-	return faults
+	return newer, faults
 }
 
 func (s *Store) sorted() []objects.Object {
--- a/peer/gossip.go
+++ b/peer/gossip.go
@@ -40,9 +40,9 @@
 	Client *Client
 	// Store is the configuration.
 	Store *operator.Store
-	// Apply applies objects that came from other entry VMs and are newer than
-	// those in Store.
-	Apply func([]objects.Object)
+	// Apply applies those of the objects from other entry VMs that are newer than
+	// the ones in Store, and returns them.
+	Apply func([]objects.Object) []objects.Object
 	// Draining returns the backend servers that were recently found to be draining.
 	Draining func() []DrainingServer
 	// RecordDraining records draining servers that other entry VMs reported.
@@ -265,12 +265,9 @@
 // Accept applies the objects from another entry VM that are newer than those in
 // Store and pushes them on to other members.
 func (g *Gossip) Accept(ctx context.Context, objs []objects.Object) {
-	fresh := g.Store.Newer(objs)
-	if len(fresh) == 0 {
-		return
+	if newer := g.Apply(objs); len(newer) > 0 {
+		g.Push(ctx, newer)
 	}
-	g.Apply(fresh)
-	g.Push(ctx, fresh)
 }
 
 // Push sends new objects to a few random members of this domain. It returns
--- a/peer/gossip_test.go
+++ b/peer/gossip_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -32,6 +33,8 @@
 	server   *http.Server
 	mu       sync.Mutex
 	versions []objects.Version // of each applied object, in order
+	// maxApplyDelay bounds the random time by which applying objects is delayed.
+	maxApplyDelay time.Duration
 }
 
 // fleet is a set of entry VMs of several failure domains on an in-memory network.
@@ -127,13 +130,24 @@
 	}
 }
 
-func (vm *entryVM) apply(objs []objects.Object) {
+func (vm *entryVM) apply(objs []objects.Object) []objects.Object {
+	if vm.maxApplyDelay > 0 {
+		time.Sleep(rand.N(vm.maxApplyDelay))
+	}
 	vm.mu.Lock()
 	defer vm.mu.Unlock()
-	for _, o := range objs {
+	newer, _ := vm.store.Apply(objs)
+	for _, o := range newer {
 		vm.versions = append(vm.versions, o.Version)
 	}
-	vm.store.Apply(objs)
+	return newer
+}
+
+// applied returns the versions of the objects applied so far, in order.
+func (vm *entryVM) applied() []objects.Version {
+	vm.mu.Lock()
+	defer vm.mu.Unlock()
+	return slices.Clone(vm.versions)
 }
 
 func (f *fleet) stop() {
@@ -243,13 +257,34 @@
 			time.Sleep(10 * time.Second)
 			for _, vm := range f.vms {
 				last := objects.Version(0)
-				for _, v := range vm.versions {
+				for _, v := range vm.applied() {
 					So(v, ShouldBeGreaterThan, last)
 					last = v
 				}
 			}
 		})
 	})
+	synctest.Test(t, func(t *testing.T) {
+		Convey("Versions only increase if objects arrive while others are being applied", t, func() {
+			f := newFleet(perDomain, 1)
+			defer f.stop()
+			for _, vm := range f.vms {
+				vm.maxApplyDelay = 5 * time.Millisecond
+			}
+			time.Sleep(5 * time.Second)
+			var wg sync.WaitGroup
+			for v := range objects.Version(20) {
+				wg.Go(func() { f.vms[v%3].gossip.Accept(context.Background(), []objects.Object{preset(v + 1)}) })
+			}
+			wg.Wait()
+			So(f.spreadTime(len(f.vms), 20, time.Minute), ShouldBeLessThan, inForceTime)
+			for _, vm := range f.vms {
+				versions := vm.applied()
+				So(slices.IsSorted(versions), ShouldBeTrue)
+				So(slices.Compact(slices.Clone(versions)), ShouldResemble, versions)
+			}
+		})
+	})
 	synctest.Test(t, func(t *testing.T) {
 		Convey("A partitioned entry VM catches up when the partition is healed", t, func() {
 			f := newFleet(7, 1)
