--- a/backend/backend.go
+++ b/backend/backend.go
@@ -4,6 +4,7 @@
 package backend
 
 import (
+	"cmp"
 	"net/netip"
 	"sync"
 	"time"
@@ -24,15 +25,44 @@
 	Start    engine.Incarnation  `json:"start"`
 	Slots    int                 `json:"slots"`
 	Draining bool                `json:"draining,omitempty"`
-	ColdFor  time.Duration       `json:"coldForNs,omitempty"` // remaining time in which the server is slow after its start
+	// Leaving is set once an answer of this start of the server has said that it is
+	// leaving. It stays set, whatever the entry says; Draining is then set too.
+	Leaving bool `json:"leaving,omitempty"`
+	// Sequence is the number of heartbeats that the server had sent since its start when it
+	// wrote the entry.
+	Sequence int64         `json:"sequence,omitempty"`
+	ColdFor  time.Duration `json:"coldForNs,omitempty"` // remaining time in which the server is slow after its start
 	// Revision is the store's revision at the entry's last change. Updates about a server
-	// arrive over several paths; the one with the highest revision wins. It is 0 for a server
-	// without an entry.
-	Revision Revision `json:"revision"`
+	// arrive over several paths; the one with the highest revision wins. It is zero for a
+	// server without an entry.
+	Revision
 }
 
-// Revision is a revision number of the platform's store; it increases with every change.
-type Revision int64
+// Era counts how often the platform's store was restored from an older copy.
+type Era int64
+
+// Revision is a revision of the platform's store. It increases with every change. Since a
+// restored store assigns the same numbers again, revisions are ordered by era first.
+type Revision struct {
+	Era    Era   `json:"era,omitempty"`
+	Number int64 `json:"revision"`
+}
+
+// Compare returns -1, 0 or 1 if r comes before, is equal to or comes after o.
+func (r Revision) Compare(o Revision) int {
+	return cmp.Or(cmp.Compare(r.Era, o.Era), cmp.Compare(r.Number, o.Number))
+}
+
+// Before reports whether r comes before o.
+func (r Revision) Before(o Revision) bool { return r.Compare(o) < 0 }
+
+// Latest returns the later of two revisions.
+func Latest(a, b Revision) Revision {
+	if a.Before(b) {
+		return b
+	}
+	return a
+}
 
 // Check returns the first reason why the server cannot be used, or nil.
 func (s *Server) Check() error {
@@ -68,6 +98,13 @@
 	// replaced is set when this start of the server is known to have ended because a different
 	// start answers at its address.
 	replaced bool
+	// held is an entry that was read after a restore of the store but is older than what is
+	// known; nil if there is none. It is applied at heldUntil if the server has not written
+	// another one by then.
+	held      *Server
+	heldUntil time.Time
+	// retryAt is when the server accepts requests again, after it has refused one.
+	retryAt time.Time
 	// load is this entry VM's in-flight load at the server.
 	load Load
 
@@ -140,25 +177,79 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	st := g.servers[s.ID]
+	learned := false // that the server is leaving
+	if st != nil && st.Start == s.Start {
+		learned = s.Leaving && !st.Leaving
+		s.Leaving = s.Leaving || st.Leaving
+	}
+	s.Draining = s.Draining || s.Leaving
+	if learned {
+		st.Leaving, st.Draining = true, true
+	}
 	switch {
 	case st == nil:
 		st = &state{Server: s}
 		g.servers[s.ID] = st
-	case s.Revision < st.Revision || s.Revision == st.Revision && !st.removeAt.IsZero():
-		return false // older than what is already known
+	case s.Revision.Before(st.Revision) || s.Revision == st.Revision && !st.removeAt.IsZero():
+		return learned // the entry is older than what is already known
+	case st.outdates(s):
+		st.held = &s
+		return learned
 	case st.Start < s.Start:
 		// The server restarted under the same id and has lost all its state. In-flight
 		// requests stay counted until they end.
-		st.Server, st.removeAt, st.replaced, st.failedAt, st.failures = s, time.Time{}, false, time.Time{}, 0
+		st.Server, st.removeAt, st.replaced, st.failedAt, st.failures, st.retryAt = s, time.Time{}, false, time.Time{}, 0, time.Time{}
 	case st.Server == s:
-		return false
+		return learned
 	default:
 		st.Server, st.removeAt = s, time.Time{}
 	}
+	st.held, st.heldUntil = nil, time.Time{}
 	g.supersede(s)
 	return true
 }
 
+// outdates reports whether what is known about the server is newer than an entry of a later
+// era: the store was restored from a copy that lacks the server's last writes. What a server
+// writes is ordered by its start and its heartbeats. Where these are equal, an entry does not
+// undo that the server is draining or removed.
+func (st *state) outdates(s Server) bool {
+	switch {
+	case s.Revision.Era == st.Revision.Era || st.Revision.Number == 0:
+		return false
+	case s.Start != st.Start:
+		return s.Start < st.Start
+	case s.Sequence != st.Sequence:
+		return s.Sequence < st.Sequence
+	}
+	return st.Draining && !s.Draining || !st.removeAt.IsZero()
+}
+
+// restoredEntryHold is how long an entry of a restored store that is older than what is known
+// is held back. A live server has written its entry again by then, and the store has removed
+// that of a dead one.
+const restoredEntryHold = 10 * time.Second
+
+// ReleaseHeld applies the entries of a restored store that were held back for
+// restoredEntryHold, and returns the servers that this changed.
+func (p *Pool) ReleaseHeld(now time.Time) []Server {
+	var released []Server
+	for _, id := range p.ids() {
+		p.withState(id, func(st *state) {
+			switch {
+			case st.held == nil:
+			case st.heldUntil.IsZero():
+				st.heldUntil = now.Add(restoredEntryHold)
+			case !now.Before(st.heldUntil):
+				st.Server, st.removeAt = *st.held, time.Time{}
+				st.held, st.heldUntil = nil, time.Time{}
+				released = append(released, st.Server)
+			}
+		})
+	}
+	return released
+}
+
 // supersede marks earlier servers with the same address as replaced, because a later start now
 // uses it.
 func (g *group) supersede(s Server) {
@@ -185,10 +276,14 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	st := g.servers[id]
-	if st == nil || rev < st.Revision || !st.removeAt.IsZero() && !st.removeAt.After(at) {
+	if st == nil || rev.Before(st.Revision) {
 		return false
 	}
-	st.Revision, st.removeAt = rev, at
+	st.Revision, st.held, st.heldUntil = rev, nil, time.Time{}
+	if !st.removeAt.IsZero() && !st.removeAt.After(at) {
+		return false
+	}
+	st.removeAt = at
 	return true
 }
 
@@ -204,7 +299,9 @@
 	}
 	for _, id := range p.ids() {
 		v, ok := p.View(id, now)
-		if ok && !listed[id] && v.Revision <= rev && p.Remove(id, v.Revision, goneAt) {
+		// A list from another entry VM lacks servers whose entries that one holds back: a server
+		// that is removed already keeps the revision of its removal.
+		if ok && !listed[id] && !v.Removed && !rev.Before(v.Revision) && p.Remove(id, rev, goneAt) {
 			removed = append(removed, id)
 		}
 	}
@@ -248,7 +345,7 @@
 func (p *Pool) List(now time.Time) []View {
 	var all []View
 	for _, id := range p.ids() {
-		if v, ok := p.View(id, now); ok && v.Revision > 0 && (v.RemoveAt.IsZero() || now.Before(v.RemoveAt)) {
+		if v, ok := p.View(id, now); ok && v.Revision.Number > 0 && (v.RemoveAt.IsZero() || now.Before(v.RemoveAt)) {
 			all = append(all, v)
 		}
 	}
@@ -337,6 +434,27 @@
 	})
 }
 
+// MarkLeaving records that an answer of a server's start said that it is leaving: the start gets
+// no more requests. MarkLeaving reports whether that was not known yet.
+func (p *Pool) MarkLeaving(id engine.ServerID, start engine.Incarnation) bool {
+	changed := false
+	p.withState(id, func(st *state) {
+		if st.Start == start && !st.Leaving {
+			st.Leaving, st.Draining, changed = true, true, true
+		}
+	})
+	return changed
+}
+
+// Postpone records that a server's start refuses requests until an instant.
+func (p *Pool) Postpone(id engine.ServerID, start engine.Incarnation, until time.Time) {
+	p.withState(id, func(st *state) {
+		if st.Start == start && until.After(st.retryAt) {
+			st.retryAt = until
+		}
+	})
+}
+
 // MarkReplaced records that a server's current start has ended for good: a different start answers at
 // its address.
 func (p *Pool) MarkReplaced(id engine.ServerID) {
@@ -366,6 +484,7 @@
 	Removed  bool
 	RemoveAt time.Time // zero while its entry exists
 	FailedAt time.Time
+	RetryAt  time.Time     // until then the server refuses requests; zero if it has refused none
 	DialTime time.Duration // usual time to open a connection; 0 if unknown
 }
 
@@ -375,7 +494,7 @@
 	found := false
 	p.withState(id, func(st *state) {
 		found = true
-		v = View{Server: st.Server, Removed: !st.active(now), RemoveAt: st.removeAt, FailedAt: st.failedAt, DialTime: st.dial}
+		v = View{Server: st.Server, Removed: !st.active(now), RemoveAt: st.removeAt, FailedAt: st.failedAt, RetryAt: st.retryAt, DialTime: st.dial}
 	})
 	return v, found
 }
--- a/backend/backend_test.go
+++ b/backend/backend_test.go
@@ -15,10 +15,12 @@
 
 var start = time.Unix(1_000_000, 0)
 
-func server(id string, domain names.ID, address string, started engine.Incarnation, rev backend.Revision) backend.Server {
-	return backend.Server{ID: engine.ServerID(id), Service: "models", Address: address, Domain: domain, Version: "v1", Start: started, Slots: 48, Revision: rev}
+func server(id string, domain names.ID, address string, started engine.Incarnation, rev int64) backend.Server {
+	return backend.Server{ID: engine.ServerID(id), Service: "models", Address: address, Domain: domain, Version: "v1", Start: started, Slots: 48, Revision: at(rev)}
 }
 
+func at(rev int64) backend.Revision { return backend.Revision{Number: rev} }
+
 func need() backend.Criteria {
 	return backend.Criteria{Now: start, Service: "models", Domain: "cn-a", AffinityKey: "s", Tokens: 8000, Model: &routing.Model{Slots: 48, KVTokens: 88000}}
 }
@@ -56,7 +58,7 @@
 			So(choose(start), ShouldBeFalse)
 		})
 		Convey("An older update does not bring a removed server back; a newer one does", func() {
-			So(p.Remove("a", 12, start), ShouldBeTrue)
+			So(p.Remove("a", at(12), start), ShouldBeTrue)
 			So(p.Apply(server("a", "cn-a", "10.0.0.1:1", 5, 10)), ShouldBeFalse)
 			So(p.Apply(server("a", "cn-a", "10.0.0.1:1", 5, 12)), ShouldBeFalse)
 			So(choose(start), ShouldBeFalse)
@@ -64,10 +66,10 @@
 			So(choose(start), ShouldBeTrue)
 		})
 		Convey("A removal older than the entry changes nothing", func() {
-			So(p.Remove("a", 9, start), ShouldBeFalse)
+			So(p.Remove("a", at(9), start), ShouldBeFalse)
 		})
 		Convey("A server to be removed later is usable until then, and is listed with its removal time", func() {
-			So(p.Remove("a", 10, start.Add(time.Second)), ShouldBeTrue)
+			So(p.Remove("a", at(10), start.Add(time.Second)), ShouldBeTrue)
 			So(choose(start), ShouldBeTrue)
 			So(p.List(start)[0].RemoveAt, ShouldEqual, start.Add(time.Second))
 			So(choose(start.Add(time.Second)), ShouldBeFalse)
@@ -75,7 +77,7 @@
 		})
 		Convey("A list removes servers that it lacks, except those with newer entries", func() {
 			p.Apply(server("b", "cn-a", "10.0.0.2:1", 5, 20))
-			applied, removed := p.Replace(start, start, 15, nil)
+			applied, removed := p.Replace(start, start, at(15), nil)
 			So(applied, ShouldBeEmpty)
 			So(removed, ShouldResemble, []engine.ServerID{"a"})
 		})
--- a/backend/choice.go
+++ b/backend/choice.go
@@ -87,7 +87,7 @@
 	defer g.mu.Unlock()
 	var healthy, suspect []candidate
 	for _, st := range g.servers {
-		if !st.active(n.Now) || st.Draining || slices.Contains(n.Exclude, st.ID) || n.Allowed != nil && !n.Allowed(st.Version) {
+		if !st.eligible(n) || n.Now.Before(st.retryAt) || slices.Contains(n.Exclude, st.ID) {
 			continue
 		}
 		c := candidate{
@@ -116,6 +116,32 @@
 	return healthy
 }
 
+// eligible reports whether the server may take such requests at all.
+func (st *state) eligible(n *Criteria) bool {
+	return st.active(n.Now) && !st.Draining && (n.Allowed == nil || n.Allowed(st.Version))
+}
+
+// RetryAt returns the instant at which the first server accepts requests again, if all servers
+// that may take the request have refused others until some instant. Exclude has no effect.
+func (p *Pool) RetryAt(n Criteria) (time.Time, bool) {
+	g := p.group(n.Service)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var first time.Time
+	for _, st := range g.servers {
+		if !st.eligible(&n) {
+			continue
+		}
+		if !n.Now.Before(st.retryAt) {
+			return time.Time{}, false
+		}
+		if first.IsZero() || st.retryAt.Before(first) {
+			first = st.retryAt
+		}
+	}
+	return first, !first.IsZero()
+}
+
 // Cost of leaving the failure domain or the region, expressed as waiting time: about one round
 // trip.
 const (
--- a/caller/client.go
+++ b/caller/client.go
@@ -69,7 +69,7 @@
 	c := &Client{
 		addrs:       entries,
 		key:         key,
-		http:        &http.Client{Transport: &http.Transport{DialContext: engine.TimeoutDialer(nil), DisableKeepAlives: true}},
+		http:        &http.Client{Transport: &http.Transport{DialContext: engine.TimeoutDialer(nil), DisableKeepAlives: true, MaxResponseHeaderBytes: engine.MaxHeaderBytes}},
 		onPiece:     func(string) {},
 		logf:        func(string, ...any) {},
 		idleTimeout: clientIdleTimeout,
--- a/engine/client.go
+++ b/engine/client.go
@@ -61,6 +61,10 @@
 	}
 }
 
+// MaxHeaderBytes bounds the head of a response to any call of the system, so that one
+// without end does not exhaust the memory.
+const MaxHeaderBytes = 64 << 10
+
 // TimeoutDialer returns a dialer that calls d, or a [net.Dialer] if d is nil, with a
 // timeout of a few seconds. The timeout of the request is not enough:
 // [http.Transport] continues to dial after the request that needed the connection
@@ -83,6 +87,8 @@
 		DialContext:        d,
 		DisableCompression: true,
 		Protocols:          new(http.Protocols),
+
+		MaxResponseHeaderBytes: MaxHeaderBytes,
 	}
 	t.Protocols.SetHTTP1(true)
 	return t
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -51,10 +51,10 @@
 	// upstream.
 	Disconnected bool `json:"away,omitempty"`
 	// Full is set if Updates lists all servers as of Revision, instead of only the changes.
-	Full     bool             `json:"whole,omitempty"`
-	Revision backend.Revision `json:"revision"`
-	Updates  []Update         `json:"words,omitempty"`
-	Config   *routing.Config  `json:"config,omitempty"` // if newer than the requester's
+	Full bool `json:"whole,omitempty"`
+	backend.Revision
+	Updates []Update        `json:"words,omitempty"`
+	Config  *routing.Config `json:"config,omitempty"` // if newer than the requester's
 	// Usage is how much of the retry budgets the entry VMs of the failure domain use,
 	// including the requester.
 	Usage []backend.Usage `json:"usage,omitempty"`
@@ -126,22 +126,24 @@
 	Wait     time.Duration   // maximum time to wait for a change if there is none yet
 	Starting bool            // the requester has just started
 	Usage    []backend.Usage // retry budget usage of the requester
-	Hung     []HungServer    // servers that the requester has found to hang since its last request
+	Hung     []ServerStart   // servers that the requester has found to hang since its last request
+	Leaving  []ServerStart   // servers that have said to the requester that they are leaving
 	// Members is the digest of the list of members that the requester last received.
 	Members uint64
 	Moves   int64           // sequence number of the moves that the requester has
 	Counts  []ServiceCounts // what the requester has counted since its last request
 }
 
-// HungServer is a start of a server that accepts requests but does not process them.
-type HungServer struct {
+// ServerStart identifies a start of a server.
+type ServerStart struct {
 	ID    engine.ServerID
 	Start engine.Incarnation
 }
 
-// Update returns the update that reports the hung server.
-func (h HungServer) Update() Update {
-	return Update{Server: backend.Server{ID: h.ID, Start: h.Start}, Hung: true}
+// HungUpdate returns the update that reports that the server accepts requests but does not
+// process them.
+func (s ServerStart) HungUpdate() Update {
+	return Update{Server: backend.Server{ID: s.ID, Start: s.Start}, Hung: true}
 }
 
 // maxUpdates is the number of changes that a log keeps. A requester that has missed more of
@@ -178,6 +180,14 @@
 	l.changed = make(chan struct{})
 }
 
+// Epoch returns the epoch of the log.
+func (l *Log) Epoch() Epoch {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.init()
+	return l.epoch
+}
+
 // Add appends an update.
 func (l *Log) Add(w Update) {
 	l.mu.Lock()
@@ -196,7 +206,14 @@
 func (l *Log) SetRevision(rev backend.Revision) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.revision = max(l.revision, rev)
+	l.revision = backend.Latest(l.revision, rev)
+}
+
+// Revision returns the store revision up to which the servers are known.
+func (l *Log) Revision() backend.Revision {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.revision
 }
 
 // SetConfig sets a newer configuration.
@@ -208,6 +225,16 @@
 	l.notify()
 }
 
+// configVersion returns the version of the newest configuration; 0 if there is none.
+func (l *Log) configVersion() routing.Version {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.config == nil {
+		return 0
+	}
+	return l.config.Version
+}
+
 // SetMoves records that the moves have changed, and sets the function that returns them.
 func (l *Log) SetMoves(moves func(now time.Time) []Move) {
 	l.mu.Lock()
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -26,7 +26,7 @@
 var start = time.Unix(1_000_000, 0)
 
 func update(i int) feed.Update {
-	return feed.Update{Server: backend.Server{ID: engine.ServerID(fmt.Sprintf("s%d", i)), Service: "app", Address: "10.0.0.1:1", Revision: backend.Revision(i)}}
+	return feed.Update{Server: backend.Server{ID: engine.ServerID(fmt.Sprintf("s%d", i)), Service: "app", Address: "10.0.0.1:1", Revision: backend.Revision{Number: int64(i)}}}
 }
 
 func listServers(now time.Time) []backend.View {
@@ -37,7 +37,7 @@
 	Convey("A log of changes", t, func() {
 		var l feed.Log
 		l.Add(update(1))
-		l.SetRevision(1)
+		l.SetRevision(backend.Revision{Number: 1})
 		l.SetFreshAt(start)
 		whole := l.Respond(start.Add(time.Second), feed.Request{}, listServers)
 		Convey("sends all current servers to a requester without a position, with pending removals", func() {
@@ -263,7 +263,7 @@
 }
 
 func FuzzQuestion(f *testing.F) {
-	q := feed.Request{From: feed.Member{ID: "e", Address: "10.0.0.1:1", Domain: "d", LinkMbps: 10}, Epoch: "x", Seq: 4, Config: 5, Wait: time.Second, Starting: true, Usage: []backend.Usage{{Service: "s", Requests: 3, Retries: 1}}, Hung: []feed.HungServer{{ID: "s1", Start: 7}}}
+	q := feed.Request{From: feed.Member{ID: "e", Address: "10.0.0.1:1", Domain: "d", LinkMbps: 10}, Epoch: "x", Seq: 4, Config: 5, Wait: time.Second, Starting: true, Usage: []backend.Usage{{Service: "s", Requests: 3, Retries: 1}}, Hung: []feed.ServerStart{{ID: "s1", Start: 7}}}
 	f.Add(q.Query().Encode())
 	f.Add("seq=9999999999999999999&waitMs=-1&config=a")
 	f.Fuzz(func(t *testing.T, s string) {
--- a/feed/http.go
+++ b/feed/http.go
@@ -47,12 +47,29 @@
 	for _, u := range q.Usage {
 		v.Add("usage", fmt.Sprintf("%s %d %d", u.Service, u.Requests, u.Retries))
 	}
-	for _, h := range q.Hung {
-		v.Add("hung", fmt.Sprintf("%s %d", h.ID, h.Start))
-	}
+	addStarts(v, "hung", q.Hung)
+	addStarts(v, "leaving", q.Leaving)
 	return v
 }
 
+func addStarts(v url.Values, name string, list []ServerStart) {
+	for _, s := range list {
+		v.Add(name, fmt.Sprintf("%s %d", s.ID, s.Start))
+	}
+}
+
+func parseStarts(v url.Values, name string) ([]ServerStart, error) {
+	var list []ServerStart
+	for _, field := range v[name] {
+		var s ServerStart
+		if _, err := fmt.Sscanf(field, "%s %d", &s.ID, &s.Start); err != nil {
+			return nil, result.Wrap(result.BadRequest, err, "%s", name).WithField(name)
+		}
+		list = append(list, s)
+	}
+	return list, nil
+}
+
 // parseUsage parses the usage of one service.
 func parseUsage(s string) (backend.Usage, error) {
 	var u backend.Usage
@@ -113,15 +130,13 @@
 		}
 		q.Usage = append(q.Usage, u)
 	}
-	for _, s := range v["hung"] {
-		var h HungServer
-		if _, err := fmt.Sscanf(s, "%s %d", &h.ID, &h.Start); err != nil {
-			return q, result.Wrap(result.BadRequest, err, "hung").WithField("hung")
-		}
-		q.Hung = append(q.Hung, h)
-	}
 	q.Wait = min(maxWait, max(0, q.Wait*time.Millisecond))
-	return q, nil
+	var err error
+	if q.Hung, err = parseStarts(v, "hung"); err != nil {
+		return q, err
+	}
+	q.Leaving, err = parseStarts(v, "leaving")
+	return q, err
 }
 
 // Server serves the feed to other entry VMs. All fields must be set.
@@ -129,7 +144,11 @@
 	Members *Members
 	Log     *Log
 	// OnHung receives the servers that the requester has found to hang.
-	OnHung func([]HungServer)
+	OnHung func([]ServerStart)
+	// OnLeaving receives the servers that have said to the requester that they are leaving.
+	OnLeaving func([]ServerStart)
+	// OnNewerConfig is called with a requester that has a newer configuration.
+	OnNewerConfig func(Member)
 	// OnCounts receives what the requester has counted of services in moves.
 	OnCounts func([]ServiceCounts)
 	// Respond returns the changes for a request.
@@ -152,9 +171,15 @@
 	if len(q.Hung) > 0 {
 		s.OnHung(q.Hung)
 	}
+	if len(q.Leaving) > 0 {
+		s.OnLeaving(q.Leaving)
+	}
 	if len(q.Counts) > 0 {
 		s.OnCounts(q.Counts)
 	}
+	if s.Log.configVersion() < q.Config {
+		s.OnNewerConfig(q.From)
+	}
 	if changed := s.Log.Changed(q); changed != nil && q.Wait > 0 {
 		t := time.NewTimer(q.Wait)
 		select {
@@ -186,7 +211,7 @@
 	// which must fit through links of 10 Mbit/s.
 	headerGrace = 400 * time.Millisecond
 	bodyTimeout = 1500 * time.Millisecond
-	maxBody     = 32 << 20
+	maxBody     = 8 << 20
 )
 
 // NewClient returns a client that opens connections with d; if d is nil, it uses a
@@ -195,7 +220,7 @@
 	if d == nil {
 		d = (&net.Dialer{Timeout: dialTimeout}).DialContext
 	}
-	return &Client{http: &http.Client{Transport: &http.Transport{DialContext: engine.TimeoutDialer(d), MaxIdleConnsPerHost: 1}}}
+	return &Client{http: &http.Client{Transport: &http.Transport{DialContext: engine.TimeoutDialer(d), MaxIdleConnsPerHost: 1, MaxResponseHeaderBytes: engine.MaxHeaderBytes}}}
 }
 
 // CloseIdle closes idle connections.
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -49,7 +49,7 @@
 type storeHealth struct {
 	mu          sync.Mutex
 	okAt        map[platform.Kind]time.Time // of the last successful call
-	recoveredAt time.Time                   // when it was last found reachable again
+	recoveredAt time.Time                   // when it was last found reachable again, or restored
 	down        bool
 }
 
@@ -83,6 +83,14 @@
 	return changed
 }
 
+// recordRestore records that the store was found restored from an older copy. Entries are
+// missing then as after an outage.
+func (h *storeHealth) recordRestore(now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.recoveredAt = now
+}
+
 // isDown reports whether the store was last found unreachable.
 func (h *storeHealth) isDown() bool {
 	h.mu.Lock()
@@ -112,7 +120,7 @@
 // ends. It returns at once.
 func (d *Daemon) watch(ctx context.Context) {
 	tried := make(chan struct{}) // closed after the first call for servers
-	go d.watchKind(ctx, platform.Servers, d.applyServerList, d.applyServerChange, func() { close(tried) })
+	go d.watchKind(ctx, platform.Servers, func(p platform.Page) { d.applyServerList(ctx, p) }, d.applyServerChange, func() { close(tried) })
 	go func() {
 		if d.table.Load() != nil {
 			d.awaitFirstCall(ctx, tried, d.standbyBackoff())
@@ -186,7 +194,7 @@
 			for _, ch := range c.Changes {
 				change(ch)
 			}
-			rev = max(rev, c.Revision)
+			rev = backend.Latest(rev, c.Revision)
 			if k == platform.Servers {
 				d.changes.SetRevision(rev)
 			}
@@ -230,7 +238,7 @@
 	}
 }
 
-func (d *Daemon) applyServerList(page platform.Page) {
+func (d *Daemon) applyServerList(ctx context.Context, page platform.Page) {
 	var servers []backend.Server
 	for i := range page.Objects {
 		if s, ok := d.readServer(&page.Objects[i]); ok {
@@ -238,6 +246,12 @@
 		}
 	}
 	now := time.Now()
+	if known := d.changes.Revision(); known.Era < page.Revision.Era && known.Number > 0 {
+		d.health.recordRestore(now)
+		d.log.Warn("the store was restored from an older copy", zap.Int64("era", int64(page.Revision.Era)), zap.Int64("eraBefore", int64(known.Era)),
+			zap.Int64("revision", page.Revision.Number), zap.Int64("revisionBefore", known.Number))
+		go d.restoreEntries(ctx)
+	}
 	goneAt := d.health.removalTime(now)
 	applied, removed := d.replaceServers(now, goneAt, page.Revision, servers)
 	d.log.Info("servers listed", zap.Int("servers", len(servers)), zap.Int("applied", len(applied)), zap.Any("removed", removed), zap.Time("goneAt", goneAt))
@@ -275,6 +289,36 @@
 	}
 }
 
+// releaseHeldServers puts entries of a restored store into force that were held back and
+// that their servers have not written again.
+func (d *Daemon) releaseHeldServers(now time.Time) {
+	for _, s := range d.pool.ReleaseHeld(now) {
+		d.publishServer(s.ID)
+		d.log.Info("entry of the restored store in force", zap.String("server", string(s.ID)), zap.Bool("draining", s.Draining))
+	}
+}
+
+// restoreEntries writes again the entries of this failure domain's entry VMs that the
+// restored store lacks.
+func (d *Daemon) restoreEntries(ctx context.Context) {
+	page, err := d.store.List(ctx, platform.EntryVMs, false)
+	if err != nil {
+		d.log.Warn("entries of entry VMs not checked after the store was restored", zap.Error(err))
+		return
+	}
+	listed := make(map[string]bool, len(page.Objects))
+	for i := range page.Objects {
+		listed[page.Objects[i].Name()] = true
+	}
+	for _, m := range append(d.members.InDomain(), d.members.Self) {
+		if listed[string(m.ID)] {
+			continue
+		}
+		err := d.store.Create(ctx, platform.EntryVMs, string(m.ID), m)
+		d.log.Info("entry of an entry VM written again", zap.String("member", string(m.ID)), zap.Error(err))
+	}
+}
+
 func (d *Daemon) readServer(o *platform.Object) (backend.Server, bool) {
 	s, err := platform.ReadServer(o)
 	if err != nil {
@@ -291,7 +335,7 @@
 		return
 	}
 	id, rev := engine.ServerID(c.Object.Name()), c.Object.Revision()
-	if v, ok := d.pool.View(id, now); ok && rev == 0 {
+	if v, ok := d.pool.View(id, now); ok && rev.Number == 0 {
 		rev = v.Revision // the event names no revision
 	}
 	d.removeServer(now, id, rev, d.health.removalTime(now), "store")
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -58,9 +58,12 @@
 	conns       idleConns
 	moves       moves
 	identifying sync.Map // addresses of servers whose identity is being queried
+	// fetchingConfig is set while a newer configuration is fetched from another entry VM.
+	fetchingConfig atomic.Bool
 
 	mu      sync.Mutex
-	hung    []feed.HungServer // found here since the last poll of another entry VM
+	hung    []feed.ServerStart // found here since the last poll of another entry VM
+	leaving []feed.ServerStart // have said so here since the last poll of another entry VM
 	budgets map[routing.ServiceName]*backend.RetryBudget
 }
 
@@ -111,6 +114,7 @@
 	d.relay.Budget = d.budget
 	d.relay.Restarted = d.handleRestart
 	d.relay.Hung = d.reportHung
+	d.relay.Leaving = d.reportLeaving
 	d.relay.Allowed = d.allowedVersions
 	d.relay.Answered = d.recordAnswer
 	d.relay.Closing = d.stopping.Load
@@ -344,12 +348,16 @@
 // peerHandler returns the handler of polls from other entry VMs.
 func (d *Daemon) peerHandler() http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle("GET "+feed.Path, &feed.Server{Members: &d.members, Log: &d.changes, OnHung: d.applyHung, OnCounts: d.applyPeerCounts, Respond: func(q feed.Request) feed.Response {
-		now := time.Now()
-		a := d.changes.Respond(now, q, d.pool.List)
-		a.Usage, _ = d.members.Usage(now, d.usage(now))
-		return a
-	}})
+	mux.Handle("GET "+feed.Path, &feed.Server{
+		Members: &d.members, Log: &d.changes,
+		OnHung: d.applyHung, OnLeaving: d.applyLeaving, OnCounts: d.applyPeerCounts, OnNewerConfig: d.fetchConfig,
+		Respond: func(q feed.Request) feed.Response {
+			now := time.Now()
+			a := d.changes.Respond(now, q, d.pool.List)
+			a.Usage, _ = d.members.Usage(now, d.usage(now))
+			return a
+		},
+	})
 	return mux
 }
 
@@ -362,6 +370,7 @@
 		select {
 		case now := <-t.C:
 			d.pool.Expire(now)
+			d.releaseHeldServers(now)
 			d.members.Expire(now)
 			d.updateSlack()
 			if table := d.table.Load(); table != nil {
--- a/gateway/moves.go
+++ b/gateway/moves.go
@@ -12,6 +12,7 @@
 
 	"go.uber.org/zap"
 
+	"quetzalhold/backend"
 	"quetzalhold/clock"
 	"quetzalhold/engine"
 	"quetzalhold/feed"
@@ -87,13 +88,33 @@
 	// had reported when its counts were last added to the evidence.
 	unreported   tally
 	ownDomain    tally
-	otherDomains map[names.ID]tally
+	otherDomains map[names.ID]reportedTally
 	evidence     move.Evidence
 	// pending is the decision that this failure domain intends to write, and writeAt
 	// when it may.
 	pending        intent
 	writeAt        time.Time
 	evidenceStored bool // the store may have evidence of this failure domain
+	// rewriteAt is when this failure domain may write progress again that the restored store
+	// lacks; zero if it lacks none.
+	rewriteAt time.Time
+}
+
+// reportedTally is what a failure domain has reported, and which entry VM counted it.
+type reportedTally struct {
+	writer feed.Epoch
+	tally
+}
+
+// aheadOf reports whether the move has progressed further than p, which may be nil.
+func (sm *serviceMove) aheadOf(p *platform.MoveProgress) bool {
+	switch {
+	case p == nil:
+		return sm.plan.State != move.Started || sm.plan.Step > 0
+	case p.State != move.Started:
+		return false
+	}
+	return sm.plan.State != move.Started || sm.plan.Step > p.Step
 }
 
 // addCounts adds the counts of an entry VM of this failure domain.
@@ -128,7 +149,7 @@
 		plan: move.Plan{
 			Deployment: string(service), To: to, Start: start, FinishBy: start.Add(length), MaxExposure: exposure, State: move.Started,
 		},
-		unreported: make(tally), ownDomain: make(tally), otherDomains: make(map[names.ID]tally),
+		unreported: make(tally), ownDomain: make(tally), otherDomains: make(map[names.ID]reportedTally),
 	}
 	m.all[service] = sm
 	return sm, true
@@ -281,20 +302,28 @@
 		d.applyMove(now, platform.MoveOrder{
 			Service: f.Service, To: f.To, Duration: time.Duration(f.LengthMs) * time.Millisecond,
 			Progress: &platform.MoveProgress{State: f.State, Step: f.Step, Reason: f.Reason},
-		}, start, f.Bad, from)
+		}, start, f.Bad, from, false)
 	}
 }
 
 // applyMove applies an order, its progress, and why its version is known to be bad, if
-// it is.
-func (d *Daemon) applyMove(now time.Time, o platform.MoveOrder, start time.Time, bad, from string) {
+// it is. listed is set if the order is from a list of the store: unlike a change, it is
+// not older than what was written before.
+func (d *Daemon) applyMove(now time.Time, o platform.MoveOrder, start time.Time, bad, from string, listed bool) {
 	d.moves.mu.Lock()
 	exposure := d.settings.Load().Bounds.BadShare
 	if exposure <= 0 {
 		exposure = defaultExposure
 	}
 	sm, changed := d.moves.ensure(o.Service, o.To, start, o.Duration, exposure)
-	if o.Revision >= sm.order.Revision {
+	switch newEra := sm.order.Revision.Era < o.Revision.Era; {
+	case o.Revision.Number == 0: // from another entry VM
+	case !sm.aheadOf(o.Progress):
+		sm.rewriteAt = time.Time{}
+	case (listed || newEra) && sm.rewriteAt.IsZero():
+		sm.rewriteAt = now.Add(d.writeDelay())
+	}
+	if !o.Revision.Before(sm.order.Revision) {
 		sm.order = o
 	}
 	if o.Progress != nil && sm.setProgress(now, o.Progress.State, o.Progress.Step, o.Progress.Reason) {
@@ -319,13 +348,19 @@
 
 // watchMoves follows the operator's orders to move services until ctx ends.
 func (d *Daemon) watchMoves(ctx context.Context) {
+	var era backend.Era
+	var relistAt time.Time // zero unless the store was just restored
 	for ctx.Err() == nil {
 		page, err := d.store.List(ctx, platform.Moves, false)
+		rev := page.Revision
 		if err == nil {
-			d.applyMoveList(page)
+			if relistAt = (time.Time{}); era < rev.Era && len(d.moves.list(time.Now())) > 0 {
+				relistAt = time.Now().Add(restoredOrderHold)
+			}
+			era = rev.Era
+			d.applyMoveList(page, relistAt.IsZero())
 		}
-		rev := page.Revision
-		for err == nil && ctx.Err() == nil {
+		for err == nil && ctx.Err() == nil && (relistAt.IsZero() || time.Now().Before(relistAt)) {
 			wait := orderWatchWait
 			if len(d.moves.active()) > 0 {
 				wait = watchWait // a connection that has gone silent is noticed sooner
@@ -333,11 +368,11 @@
 			var c platform.Changes
 			c, err = d.store.Watch(ctx, platform.Moves, rev, wait)
 			for _, ch := range c.Changes {
-				d.applyMoveChange(ch)
+				d.applyMoveChange(ch, false)
 			}
-			rev = max(rev, c.Revision)
+			rev = backend.Latest(rev, c.Revision)
 		}
-		if ctx.Err() == nil && result.CodeOf(err) != result.HistoryGone {
+		if ctx.Err() == nil && err != nil && result.CodeOf(err) != result.HistoryGone {
 			d.log.Info("orders of version moves not received", zap.Error(err))
 			_ = clock.Sleep(ctx, maxBackoff) // the loop condition checks ctx
 			d.awaitStore(ctx, orderWatchWait)
@@ -345,8 +380,14 @@
 	}
 }
 
-func (d *Daemon) applyMoveList(page platform.Page) {
-	dropped := d.moves.retain(func(service routing.ServiceName) bool {
+// restoredOrderHold is how long orders that a restored store lacks are kept: the operator
+// writes those again that the copy lacks.
+const restoredOrderHold = 10 * time.Second
+
+// applyMoveList applies a list of all orders. It drops the moves that the list lacks if
+// complete is set.
+func (d *Daemon) applyMoveList(page platform.Page, complete bool) {
+	dropped := complete && d.moves.retain(func(service routing.ServiceName) bool {
 		return slices.ContainsFunc(page.Objects, func(o platform.Object) bool { return o.Name() == string(service) })
 	})
 	if dropped {
@@ -354,11 +395,11 @@
 		d.changes.SetMoves(d.moves.list)
 	}
 	for i := range page.Objects {
-		d.applyMoveChange(platform.Change{Object: page.Objects[i]})
+		d.applyMoveChange(platform.Change{Object: page.Objects[i]}, true)
 	}
 }
 
-func (d *Daemon) applyMoveChange(c platform.Change) {
+func (d *Daemon) applyMoveChange(c platform.Change, listed bool) {
 	now := time.Now()
 	if c.Removed {
 		d.moves.retain(func(service routing.ServiceName) bool { return string(service) != c.Object.Name() })
@@ -371,7 +412,7 @@
 		d.log.Error("malformed version move ignored", zap.String("service", c.Object.Name()), zap.Error(err))
 		return
 	}
-	d.applyMove(now, o, now, "", "store")
+	d.applyMove(now, o, now, "", "store", listed)
 }
 
 // decideMoves exchanges the evidence of the moves in progress and decides about them,
@@ -383,10 +424,30 @@
 			d.exchangeEvidence(ctx, service)
 			d.decideMove(ctx, service)
 		}
+		d.rewriteProgress(ctx)
 		d.deleteEvidence(ctx)
 	}
 }
 
+// rewriteProgress writes the progress of moves again that the restored store lacks.
+func (d *Daemon) rewriteProgress(ctx context.Context) {
+	now := time.Now()
+	d.moves.mu.Lock()
+	var due []move.Plan
+	var orders []platform.MoveOrder
+	for _, sm := range d.moves.all {
+		if !sm.rewriteAt.IsZero() && !now.Before(sm.rewriteAt) {
+			sm.rewriteAt = now.Add(d.writeDelay() + decideInterval) // unless the watch shows the write before
+			due, orders = append(due, sm.plan), append(orders, sm.order)
+		}
+	}
+	d.moves.mu.Unlock()
+	for i, p := range due {
+		err := d.store.SetMove(ctx, orders[i], platform.MoveProgress{State: p.State, Step: p.Step, Reason: p.Reason})
+		d.log.Info("progress of a version move written again", zap.String("service", p.Deployment), zap.String("state", string(p.State)), zap.Int("step", p.Step), zap.Error(err))
+	}
+}
+
 // deleteEvidence deletes from the store this failure domain's evidence of moves that
 // have ended.
 func (d *Daemon) deleteEvidence(ctx context.Context) {
@@ -417,6 +478,7 @@
 // domainEvidence is what a failure domain counted for a service in a move.
 type domainEvidence struct {
 	To     engine.Version `json:"to"`
+	Writer feed.Epoch     `json:"writer,omitempty"` // the entry VM that counted
 	Counts []move.Count   `json:"counts"`
 }
 
@@ -433,7 +495,7 @@
 	sm.addCounts(sm.unreported.list())
 	sm.unreported = make(tally)
 	sm.evidenceStored = true
-	report := domainEvidence{To: sm.plan.To, Counts: sm.ownDomain.list()}
+	report := domainEvidence{To: sm.plan.To, Writer: d.changes.Epoch(), Counts: sm.ownDomain.list()}
 	d.moves.mu.Unlock()
 	if err := d.store.Put(ctx, platform.MoveEvidence, evidenceName(service, domain), report); err != nil {
 		d.log.Warn("evidence of a version move not written", zap.String("service", string(service)), zap.Error(err))
@@ -469,15 +531,23 @@
 	}
 	before := sm.otherDomains[other]
 	now := make(tally)
+	sameWriter := e.Writer != "" && e.Writer == before.writer
+	if sameWriter {
+		maps.Copy(now, before.tally)
+	}
 	var more []move.Count
 	for _, c := range e.Counts {
-		now.add(c)
-		old := before[tallyKey{c.Route, c.Server, c.New}]
+		k := tallyKey{c.Route, c.Server, c.New}
+		old := before.tally[k]
+		if sameWriter && c.N < old.N {
+			continue // the store was restored from an older copy
+		}
+		now[k] = c
 		c.N, c.Failed, c.Slow = c.N-old.N, c.Failed-old.Failed, c.Slow-old.Slow
 		// Add skips counts that fell, as when another entry VM reports for the domain.
 		more = append(more, c)
 	}
-	sm.otherDomains[other] = now
+	sm.otherDomains[other] = reportedTally{e.Writer, now}
 	sm.evidence.Add(time.Now(), more)
 }
 
@@ -519,7 +589,7 @@
 		// This failure domain rolls back before the store has the decision.
 		d.publishMove(&next, dec.Detail, "own decision")
 	}
-	if tooEarly || order.Revision == 0 { // without a revision the write would not be conditional
+	if tooEarly || order.Revision.Number == 0 { // without a revision the write would not be conditional
 		return
 	}
 	err := d.store.SetMove(ctx, order, platform.MoveProgress{State: next.State, Step: next.Step, Reason: next.Reason})
--- a/gateway/restarted.go
+++ b/gateway/restarted.go
@@ -73,7 +73,7 @@
 	if !rep.Ready || rep.Start <= c.Start || s.ID == "" || s.ID == c.ID {
 		return
 	}
-	s.Start, s.Revision = rep.Start, 0
+	s.Start, s.Revision = rep.Start, backend.Revision{}
 	if d.pool.Apply(s) {
 		d.log.Info("restarted server added while the store is unreachable", zap.String("server", string(s.ID)),
 			zap.String("before", string(c.ID)), zap.String("address", s.Address), zap.Uint64("start", uint64(s.Start)))
--- a/gateway/upstream.go
+++ b/gateway/upstream.go
@@ -117,10 +117,11 @@
 	if t := d.table.Load(); t != nil {
 		q.Config = t.Version
 	}
-	q.Wait, q.Usage, q.Hung, q.Counts = wait, d.usage(time.Now()), d.drainHung(), d.drainCounts()
+	q.Wait, q.Usage, q.Counts = wait, d.usage(time.Now()), d.drainCounts()
+	q.Hung, q.Leaving = d.drainReports()
 	a, err := d.client.Fetch(ctx, m, *q)
 	now := time.Now()
-	if err == nil && (a.Disconnected || a.Age() > maxAge) {
+	if err == nil && (a.Disconnected || a.Age() > maxAge || a.Revision.Era < d.changes.Revision().Era) {
 		err = errStale
 	}
 	if ctx.Err() != nil {
@@ -138,6 +139,7 @@
 	case err != nil:
 		d.members.MarkFailed(now, m.ID)
 		d.requeueCounts(q.Counts)
+		d.requeueReports(q.Hung, q.Leaving)
 	}
 	if err != nil {
 		d.log.Info("no fresh state from entry VM", zap.String("from", string(m.ID)), zap.Int64("ageMs", a.AgeMs), zap.Bool("away", a.Disconnected), zap.Error(err))
@@ -191,37 +193,89 @@
 	d.changes.SetRevision(a.Revision)
 }
 
-// maxHungReports bounds the hung servers that are queued for the next poll.
-const maxHungReports = 64
+// maxReports bounds the hung and the leaving servers that are queued for the next poll.
+const maxReports = 64
 
 // reportHung records a server that a request found to be hung, so that it is reported
 // to the other entry VMs of the failure domain.
 func (d *Daemon) reportHung(c backend.Choice) {
-	h := feed.HungServer{ID: c.ID, Start: c.Start}
-	d.changes.Add(h.Update())
+	s := feed.ServerStart{ID: c.ID, Start: c.Start}
+	d.changes.Add(s.HungUpdate())
+	d.requeueReports([]feed.ServerStart{s}, nil)
+}
+
+// reportLeaving records a server whose answer said that it is leaving, so that it is
+// reported to the other entry VMs of the failure domain.
+func (d *Daemon) reportLeaving(c backend.Choice) {
+	d.publishServer(c.ID)
+	d.requeueReports(nil, []feed.ServerStart{{ID: c.ID, Start: c.Start}})
+}
+
+// publishServer publishes the current state of a server to other entry VMs.
+func (d *Daemon) publishServer(id engine.ServerID) {
+	if v, ok := d.pool.View(id, time.Now()); ok {
+		d.changes.Add(feed.Update{Server: v.Server})
+	}
+}
+
+// drainReports returns the hung and the leaving servers that are still to be reported,
+// and empties the queues.
+func (d *Daemon) drainReports() (hung, leaving []feed.ServerStart) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if len(d.hung) < maxHungReports {
-		d.hung = append(d.hung, h)
-	}
+	hung, leaving = d.hung, d.leaving
+	d.hung, d.leaving = nil, nil
+	return hung, leaving
 }
 
-// drainHung returns the hung servers that are still to be reported, and empties the
-// queue.
-func (d *Daemon) drainHung() []feed.HungServer {
+// requeueReports queues reports for the next poll. The latest are dropped if there are too
+// many.
+func (d *Daemon) requeueReports(hung, leaving []feed.ServerStart) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	h := d.hung
-	d.hung = nil
-	return h
+	d.hung = append(d.hung, hung[:min(len(hung), maxReports-len(d.hung))]...)
+	d.leaving = append(d.leaving, leaving[:min(len(leaving), maxReports-len(d.leaving))]...)
+}
+
+// applyLeaving applies the reports of leaving servers from another entry VM.
+func (d *Daemon) applyLeaving(list []feed.ServerStart) {
+	for _, s := range list {
+		if d.pool.MarkLeaving(s.ID, s.Start) {
+			d.publishServer(s.ID)
+			d.log.Info("server reported as leaving", zap.String("server", string(s.ID)), zap.Uint64("start", uint64(s.Start)))
+		}
+	}
+}
+
+// fetchConfig fetches the configuration of another entry VM, which has a newer one. The
+// store may have been restored from a copy that lacks it.
+func (d *Daemon) fetchConfig(from feed.Member) {
+	if !d.fetchingConfig.CompareAndSwap(false, true) {
+		return
+	}
+	go func() {
+		defer d.fetchingConfig.Store(false)
+		q := feed.Request{From: d.members.Self}
+		if t := d.table.Load(); t != nil {
+			q.Config = t.Version
+		}
+		a, err := d.client.Fetch(context.Background(), from, q)
+		if err != nil {
+			d.log.Info("newer configuration not fetched", zap.String("from", string(from.ID)), zap.Error(err))
+			return
+		}
+		if a.Config != nil {
+			d.applyConfig(*a.Config, string(a.Self.ID))
+		}
+	}()
 }
 
 // applyHung applies the reports of hung servers from another entry VM.
-func (d *Daemon) applyHung(list []feed.HungServer) {
+func (d *Daemon) applyHung(list []feed.ServerStart) {
 	now := time.Now()
 	for _, h := range list {
 		d.pool.MarkHung(h.ID, h.Start, now)
-		d.changes.Add(h.Update())
+		d.changes.Add(h.HungUpdate())
 		d.log.Info("server reported as hung", zap.String("server", string(h.ID)), zap.Uint64("start", uint64(h.Start)))
 	}
 }
@@ -328,7 +382,7 @@
 		return
 	}
 	d.signalLoaded()
-	d.changes.Add(feed.Update{Server: s})
+	d.publishServer(s.ID)
 	d.log.Info("server", zap.String("server", string(s.ID)), zap.String("service", string(s.Service)), zap.String("address", s.Address),
 		zap.Uint64("start", uint64(s.Start)), zap.String("version", string(s.Version)), zap.Bool("draining", s.Draining), zap.String("from", from))
 }
--- a/objects/client.go
+++ b/objects/client.go
@@ -56,7 +56,7 @@
 func NewClient(address string, opts ...Option) *Client {
 	c := &Client{
 		address:    address,
-		http:       &http.Client{Transport: &http.Transport{DialContext: engine.TimeoutDialer(nil), MaxIdleConnsPerHost: 4, IdleConnTimeout: 30 * time.Second}},
+		http:       &http.Client{Transport: &http.Transport{DialContext: engine.TimeoutDialer(nil), MaxIdleConnsPerHost: 4, IdleConnTimeout: 30 * time.Second, MaxResponseHeaderBytes: engine.MaxHeaderBytes}},
 		newWriteID: uuid.NewString,
 		tracer:     noop.Tracer{},
 	}
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -189,11 +189,13 @@
 	return &Client{
 		token:  t,
 		tracer: tr,
-		http:   &http.Client{Transport: &http.Transport{DialContext: dial, DisableKeepAlives: true}},
+		http:   &http.Client{Transport: &http.Transport{DialContext: dial, DisableKeepAlives: true, MaxResponseHeaderBytes: engine.MaxHeaderBytes}},
 		pooled: &http.Client{Transport: &http.Transport{
 			DialContext:         dial,
 			MaxIdleConnsPerHost: idlePerPeer,
 			IdleConnTimeout:     idleTimeout,
+
+			MaxResponseHeaderBytes: engine.MaxHeaderBytes,
 		}},
 	}
 }
--- a/relay/checkpoint.go
+++ b/relay/checkpoint.go
@@ -5,7 +5,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"slices"
 	"time"
@@ -69,7 +68,7 @@
 	if r.checkpoint != nil {
 		p.CheckpointAt, p.CheckpointAlive = r.checkpoint.at, s.serverAlive(&r.checkpoint.server, r.sentAt, now)
 	}
-	if !p.Due() {
+	if !p.Due() || s.refusesNow(&r.to, now) {
 		return
 	}
 	to, ok := s.checkpointTarget(now)
@@ -79,11 +78,17 @@
 	r.checkpointing, r.triedAt = true, now
 	ctx := r.ctx
 	go func() {
-		m, err := s.relay.moveCache(ctx, s.relay.controlTransport, r.to, platform.KVMove{Run: s.msg.params.ID, Target: to.Address})
+		m, err := s.relay.moveCache(ctx, r.to, platform.KVMove{Run: s.msg.params.ID, Target: to.Address})
 		r.checkpoints <- checkpoint{server: to, handle: m.Handle, at: now, err: err}
 	}()
 }
 
+// refusesNow reports whether a server has refused requests until an instant after now.
+func (s *streamRun) refusesNow(c *backend.Choice, now time.Time) bool {
+	v, ok := s.relay.Pool.View(c.ID, now)
+	return ok && now.Before(v.RetryAt)
+}
+
 // checkpointTarget returns the engine for the next checkpoint of the current run: the one that
 // holds the last checkpoint, if it is up.
 func (s *streamRun) checkpointTarget(now time.Time) (backend.Choice, bool) {
@@ -114,10 +119,10 @@
 }
 
 // serverAlive reports whether a server is believed to have stayed up, without a restart, from
-// since until now.
+// since until now, and accepts requests.
 func (s *streamRun) serverAlive(c *backend.Choice, since, now time.Time) bool {
 	v, ok := s.relay.Pool.View(c.ID, now)
-	return ok && !v.Removed && v.Start == c.Start && !v.FailedAt.After(since)
+	return ok && !v.Removed && !v.Draining && !now.Before(v.RetryAt) && v.Start == c.Start && !v.FailedAt.After(since)
 }
 
 // stopRun stops a silent run at an engine that answers probes: if only the connection was
@@ -130,7 +135,7 @@
 	}
 	at, target := from.to, from.replica.Address
 	go func() {
-		m, err := r.moveCache(context.Background(), r.transport, at, platform.KVMove{Run: id, Target: target, StopRun: true})
+		m, err := r.moveCache(context.Background(), at, platform.KVMove{Run: id, Target: target, StopRun: true})
 		if err == nil {
 			_, _, err = r.control(context.Background(), r.transport, at, http.MethodDelete, platform.KVHandlePath(m.Handle), nil)
 		}
@@ -142,13 +147,14 @@
 // region.
 const controlTimeout = time.Second
 
-// moveCache requests an engine to copy a run's KV cache to another engine.
-func (r *Relay) moveCache(ctx context.Context, via *http.Transport, at backend.Choice, m platform.KVMove) (platform.KVMoveResult, error) {
+// moveCache requests an engine to copy a run's KV cache to another engine. It uses a new
+// connection: a kept one may carry the late answer to the move of another run.
+func (r *Relay) moveCache(ctx context.Context, at backend.Choice, m platform.KVMove) (platform.KVMoveResult, error) {
 	b, err := json.Marshal(m)
 	if err != nil {
 		return platform.KVMoveResult{}, fmt.Errorf("encode move: %w", err)
 	}
-	_, body, err := r.control(ctx, via, at, http.MethodPost, platform.KVMovePath, b)
+	_, body, err := r.control(ctx, r.transport, at, http.MethodPost, platform.KVMovePath, b)
 	if err != nil {
 		return platform.KVMoveResult{}, err
 	}
@@ -175,7 +181,8 @@
 		return nil, nil, fmt.Errorf("%s of %s: %w", path, at.ID, err)
 	}
 	defer resp.Body.Close()
-	answer, err := io.ReadAll(io.LimitReader(resp.Body, maxControlAnswer))
+	r.recordNotices(at, resp, time.Now())
+	answer, err := readBounded(resp.Body, maxControlAnswer)
 	switch {
 	case err != nil:
 		return nil, nil, fmt.Errorf("read %s of %s: %w", path, at.ID, err)
--- a/relay/events.go
+++ b/relay/events.go
@@ -19,7 +19,7 @@
 var errTruncated = errors.New("the stream ended within an event")
 
 // maxEvent bounds one event, in bytes.
-const maxEvent = 1 << 20
+const maxEvent = 256 << 10
 
 // eventReader splits a stream into complete events and leaves their bytes unchanged: the
 // caller checks them against the server's digest, so a decoder that drops line ends or
--- a/relay/plain.go
+++ b/relay/plain.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net/http"
 	"slices"
 	"strconv"
@@ -28,6 +29,8 @@
 	replies chan reply
 	tried   []engine.ServerID
 	best    *reply // an error status, delivered if no better answer comes
+	// retryAt is when the first server accepts requests again; zero unless all refuse them.
+	retryAt time.Time
 }
 
 // servePlain answers a request to a plain service.
@@ -58,7 +61,7 @@
 			r.deliver(w, j, p.best)
 			return
 		case Refuse:
-			r.refuse(w, j, result.New(result.NoServer, "no server of %s took the call", j.service).AsNotRun())
+			r.refuse(w, j, result.New(result.NoServer, "no server of %s took the call", j.service).AsNotRun().WithRetryAt(p.retryAt))
 			return
 		case Fail:
 			r.refuse(w, j, result.New(result.OutcomeUnknown, "the server or its answer was lost"))
@@ -83,6 +86,12 @@
 func (r *Relay) sendPlain(ctx context.Context, p *plainRequest) Action {
 	now := time.Now()
 	to, ok := r.choose(p.job, now, p.tried)
+	if !ok {
+		// There is no point in waiting for servers that have said until when they refuse.
+		if p.retryAt, ok = r.Pool.RetryAt(r.need(p.job, now, nil, "")); ok {
+			return p.retrier.Conclude()
+		}
+	}
 	if !ok || p.sends >= maxSends {
 		return p.retrier.NoServer(now)
 	}
@@ -124,18 +133,25 @@
 	}
 }
 
-// deliver sends a server's complete answer to the caller.
+// deliver sends a server's answer to the caller. If the rest of a long one is lost, it closes
+// the caller's connection, so that the answer does not look complete.
 func (r *Relay) deliver(w http.ResponseWriter, j *job, rep *reply) {
 	h := w.Header()
 	for name, values := range platform.EndToEnd(rep.header) {
 		h[name] = slices.Clone(values)
 	}
-	if j.msg.Method != http.MethodHead {
+	if j.msg.Method != http.MethodHead && rep.rest == nil {
 		h.Set("Content-Length", strconv.Itoa(len(rep.body)))
 	}
 	w.WriteHeader(rep.status)
 	// The caller may have disconnected; there is nobody to report the error to.
-	_, _ = w.Write(rep.body)
+	_, err := w.Write(rep.body)
+	if rep.rest != nil && err == nil {
+		if _, err = io.Copy(w, rep.rest); err != nil {
+			j.end(result.OutcomeUnknown, rep.server.ID, zap.String("why", "the rest of the answer was lost"), zap.Error(err))
+			panic(http.ErrAbortHandler)
+		}
+	}
 	j.end(result.OK, rep.server.ID, zap.Int("status", rep.status))
 }
 
--- a/relay/plain_test.go
+++ b/relay/plain_test.go
@@ -135,7 +135,7 @@
 		s := w.add("a0", "app", 0, work)
 		s.Version = "v2"
 		e := entry(s)
-		e.Revision++
+		e.Number++
 		w.pool.Apply(e)
 		w.relay.Allowed = allowOnly("v1")
 		So(w.request(context.Background(), http.MethodPost, "/book/1", "").status, ShouldEqual, 503)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"time"
 
 	"go.opentelemetry.io/otel/attribute"
@@ -50,6 +51,9 @@
 	// Hung is called when a server is found that accepts requests but does not work on them;
 	// may be nil.
 	Hung func(backend.Choice)
+	// Leaving is called when a server's answer says for the first time that it is leaving; may
+	// be nil.
+	Leaving func(backend.Choice)
 	// Closing reports whether callers' connections are closed after their next answer; may be
 	// nil.
 	Closing func() bool
@@ -69,7 +73,8 @@
 	stats            StreamStats
 	dial             engine.Dialer
 	transport        *http.Transport // for requests
-	controlTransport *http.Transport // for control calls, such as load reports and checkpoints
+	controlTransport *http.Transport // for control calls, such as load reports
+	logMalformed     sync.Once
 }
 
 // ServerAnswer is the result of a request at a server.
@@ -318,7 +323,7 @@
 	if e.NotRun && e.Code.Info().Status == http.StatusServiceUnavailable {
 		delay := retryDelay
 		if !e.RetryAt.IsZero() {
-			delay = time.Until(e.RetryAt)
+			delay = max(0, time.Until(e.RetryAt))
 		}
 		platform.SetRetryAfter(w.Header(), delay)
 	}
--- a/relay/send.go
+++ b/relay/send.go
@@ -11,6 +11,8 @@
 	"net/http/httptrace"
 	"time"
 
+	"go.uber.org/zap"
+
 	"quetzalhold/backend"
 	"quetzalhold/engine"
 	"quetzalhold/platform"
@@ -58,8 +60,9 @@
 // requests by itself only on kept ones.
 func newTransport(dial engine.Dialer) *http.Transport {
 	return &http.Transport{
-		DisableKeepAlives:  true,
-		DisableCompression: true,
+		DisableKeepAlives:      true,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: engine.MaxHeaderBytes,
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			limit, ok := ctx.Value(dialTimeoutKey{}).(time.Duration)
 			if !ok {
@@ -135,10 +138,12 @@
 		return Lost, err
 	}
 	r.Pool.MarkResponsive(to.ID)
+	if by := platform.AnsweredBy(resp.Header); resp.StatusCode == http.StatusMisdirectedRequest && by != to.ID {
+		r.markReplaced(to)
+		return NotRun, fmt.Errorf("refused with status %d", resp.StatusCode)
+	}
+	r.recordNotices(to, resp, now)
 	if platform.NotRun(resp.StatusCode, resp.Header) {
-		if by := platform.AnsweredBy(resp.Header); resp.StatusCode == http.StatusMisdirectedRequest && by != to.ID {
-			r.markReplaced(to)
-		}
 		return NotRun, fmt.Errorf("refused with status %d", resp.StatusCode)
 	}
 	if !platform.Genuine(resp.Header, m.params.ID) {
@@ -147,6 +152,27 @@
 	return Answered, nil
 }
 
+// recordNotices records what a response says about its server besides the answer: that it is
+// leaving, or until when it refuses requests.
+func (r *Relay) recordNotices(to backend.Choice, resp *http.Response, now time.Time) {
+	if platform.Leaving(resp.Header) && r.Pool.MarkLeaving(to.ID, to.Start) {
+		r.Log.Info("server is leaving", zap.String("server", string(to.ID)), zap.Uint64("start", uint64(to.Start)))
+		if r.Leaving != nil {
+			r.Leaving(to)
+		}
+	}
+	until, err := platform.RefusedUntil(resp.StatusCode, resp.Header, now)
+	if err != nil {
+		r.logMalformed.Do(func() {
+			r.Log.Warn("malformed time in a server's refusal ignored; others are not logged", zap.String("server", string(to.ID)), zap.Error(err))
+		})
+	}
+	if !until.IsZero() {
+		r.Pool.Postpone(to.ID, to.Start, until)
+		r.Log.Info("server refuses requests", zap.String("server", string(to.ID)), zap.Time("until", until))
+	}
+}
+
 // markReplaced removes a server from the pool and reports it to Restarted, after another start
 // of it, or another server, answered at its address.
 func (r *Relay) markReplaced(to backend.Choice) {
@@ -156,8 +182,9 @@
 	}
 }
 
-// maxAnswer bounds an answer that is buffered before it is sent to the caller, in bytes.
-const maxAnswer = 16 << 20
+// maxBuffered bounds how much of an answer is buffered before it is sent to the caller, in
+// bytes.
+const maxBuffered = 256 << 10
 
 // reply is the result of a plain request at one server.
 type reply struct {
@@ -168,27 +195,33 @@
 	status  int
 	header  http.Header
 	body    []byte
+	rest    io.Reader // the part of the body after the first maxBuffered bytes; nil if it is complete
 }
 
-// exchange sends a plain request and reads the whole answer: a truncated one must not reach
-// the caller as if it were complete.
-func (r *Relay) exchange(ctx context.Context, m *message, to backend.Choice, send *platform.ServerRequest) reply {
+// exchange sends a plain request and reads the answer: a truncated one must not reach the
+// caller as if it were complete. The rest of a long answer is left to be read until ctx ends.
+func (r *Relay) exchange(ctx context.Context, m *message, to backend.Choice, send *platform.ServerRequest) (rep reply) {
 	work := backend.Load{Requests: 1}
 	r.Pool.Begin(to.ID, work)
 	defer r.Pool.End(to.ID, work)
-	rep := reply{server: to}
+	rep.server = to
 	begun := time.Now()
 	resp, err := r.roundTrip(ctx, m, to, send)
-	if resp != nil {
-		defer resp.Body.Close()
-	}
+	defer func() {
+		if resp != nil && rep.rest == nil {
+			_ = resp.Body.Close() // its end was read, or it is not needed
+		}
+	}()
 	if rep.outcome, rep.err = r.classify(m, to, resp, err); rep.outcome != Answered {
 		return rep
 	}
 	rep.status, rep.header = resp.StatusCode, resp.Header
-	rep.body, err = io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
-	if err != nil {
+	rep.body, err = io.ReadAll(io.LimitReader(resp.Body, maxBuffered))
+	switch {
+	case err != nil:
 		rep.outcome, rep.err = Lost, fmt.Errorf("read answer of %s: %w", to.ID, err)
+	case len(rep.body) == maxBuffered:
+		rep.rest = resp.Body
 	}
 	rep.took = time.Since(begun)
 	return rep
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -29,6 +29,8 @@
 	parts   chan part
 	started bool // it has sent an event
 
+	repeated bool // it has sent an event again
+
 	checkpoints   chan checkpoint // outcomes of its checkpoints
 	checkpoint    *checkpoint     // the last one that succeeded
 	checkpointing bool
@@ -63,6 +65,8 @@
 	runs         int   // sends, except those that were refused
 	rounds       int
 	failure      *reply // a failure that a server answered with
+	// retryAt is when the first engine accepts requests again; zero unless all refuse them.
+	retryAt time.Time
 }
 
 // maxBufferedParts is how many parts of a run are buffered for the caller.
@@ -323,9 +327,12 @@
 		return
 	}
 	if resp.StatusCode != http.StatusOK {
-		body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
-		resp.Body = io.NopCloser(nil)
-		emit(part{head: resp, event: event{raw: body}, ended: true, outcome: Answered, err: errors.Join(errServerFailure, err)})
+		body, err := readBounded(resp.Body, maxBuffered)
+		if err != nil {
+			emit(part{ended: true, outcome: Lost, err: fmt.Errorf("read failure of %s: %w", cur.to.ID, err)})
+			return
+		}
+		emit(part{head: resp, event: event{raw: body}, ended: true, outcome: Answered, err: errServerFailure})
 		return
 	}
 	if !emit(part{head: resp}) {
@@ -349,6 +356,18 @@
 	}
 }
 
+// errTooLong reports that a response has no end within its limit.
+var errTooLong = errors.New("the response is too long")
+
+// readBounded reads all of body. It fails with errTooLong if that is more than limit bytes.
+func readBounded(body io.Reader, limit int64) ([]byte, error) {
+	b, err := io.ReadAll(io.LimitReader(body, limit+1))
+	if err == nil && int64(len(b)) > limit {
+		err = errTooLong
+	}
+	return b, err
+}
+
 // errServerFailure reports that the server answered with a failure.
 var errServerFailure = errors.New("the server answered with a failure")
 
@@ -370,11 +389,17 @@
 		s.relay.Pool.End(s.cur.to.ID, backend.Load{Pending: s.cur.work.Pending})
 		s.cur.work.Pending = 0
 	}
-	s.state.LastEventAt, s.state.ProbedAt, s.state.ProbeOK = now, time.Time{}, false
 	if p.event.id != 0 && p.event.id <= s.lastID {
-		s.logEvent("event repeated", s.cur.to.ID, zap.Int64("event", p.event.id), zap.Int64("lastEvent", s.lastID))
+		if !s.cur.repeated {
+			s.cur.repeated = true
+			s.logEvent("event repeated", s.cur.to.ID, zap.Int64("event", p.event.id), zap.Int64("lastEvent", s.lastID))
+		}
 		return true
 	}
+	if p.event.id != 0 || s.lastID == 0 {
+		// Repeated events and comments do not show that the generation proceeds.
+		s.state.LastEventAt, s.state.ProbedAt, s.state.ProbeOK = now, time.Time{}, false
+	}
 	if !s.isNext(p.event.id) {
 		s.logEvent("event missing", s.cur.to.ID, zap.Int64("event", p.event.id), zap.Int64("lastEvent", s.lastID))
 		return s.failOver("event missing")
@@ -500,6 +525,10 @@
 	if s.rounds > maxStreamRounds || s.sends >= maxSends {
 		return s.giveUp("no engine takes it")
 	}
+	if at, ok := s.relay.Pool.RetryAt(s.relay.need(s.job, time.Now(), nil, "")); ok && !s.headSent {
+		s.retryAt = at
+		return s.giveUp("every engine refuses requests for now")
+	}
 	t := time.NewTimer(streamRetryDelay)
 	defer t.Stop()
 	select {
@@ -524,7 +553,7 @@
 		s.relay.refuse(s.w, s.job, result.New(result.EngineLost, "%s after %d runs", why, s.runs))
 	default:
 		s.clearHead()
-		s.relay.refuse(s.w, s.job, result.New(result.NoServer, "%s of service %s", why, s.service).AsNotRun())
+		s.relay.refuse(s.w, s.job, result.New(result.NoServer, "%s of service %s", why, s.service).AsNotRun().WithRetryAt(s.retryAt))
 	}
 	return false
 }
@@ -576,7 +605,7 @@
 // all.
 func (s *streamRun) probe() {
 	now := time.Now()
-	to, usual, report := s.cur.to, s.cur.to.DialTime, !s.cur.started
+	to, usual, report := s.cur.to, s.cur.to.DialTime, !s.cur.started && !s.refusesNow(&s.cur.to, now)
 	by := now.Add(usual + probeMargin)
 	s.state.ProbedAt, s.state.ProbeDue, s.state.ProbeOK = now, by, false
 	answer := make(chan probeResult, 1)
--- a/relay/world_test.go
+++ b/relay/world_test.go
@@ -168,7 +168,7 @@
 func entry(s *platformtest.Server) backend.Server {
 	return backend.Server{
 		ID: engine.ServerID(s.ID), Service: routing.ServiceName(s.Service), Address: s.Address, Domain: names.ID(s.Domain),
-		Version: engine.Version(s.Version), Start: engine.Incarnation(s.Born), Slots: 6, Revision: backend.Revision(s.Born),
+		Version: engine.Version(s.Version), Start: engine.Incarnation(s.Born), Slots: 6, Revision: backend.Revision{Number: s.Born},
 	}
 }
 
@@ -178,6 +178,41 @@
 	w.serve(s.Address, h)
 }
 
+// stopListening frees a server's address for another handler.
+func (w *harness) stopListening(s *platformtest.Server) {
+	time.Sleep(time.Millisecond) // it has begun to listen
+	_ = w.running[s.ID].Close()
+}
+
+// serveRaw answers the first connection to address with head and then bytes without end, and
+// returns a channel that gets how many there were.
+func (w *harness) serveRaw(address, head string) <-chan int {
+	l, err := w.net.Listen(address)
+	if err != nil {
+		panic(err)
+	}
+	sent := make(chan int, 1)
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer func() { _ = c.Close() }()
+		defer l.Close()
+		// The request fits into one read; its content does not matter.
+		_, _ = c.Read(make([]byte, 4096))
+		_, err = io.WriteString(c, head)
+		n := 0
+		for err == nil {
+			var m int
+			m, err = io.WriteString(c, strings.Repeat("x", 1000))
+			n += m
+		}
+		sent <- n
+	}()
+	return sent
+}
+
 func (w *harness) host(s *platformtest.Server) memnet.Host {
 	host, _, _ := net.SplitHostPort(s.Address)
 	return memnet.Host(host)
--- a/service/service.go
+++ b/service/service.go
@@ -293,7 +293,7 @@
 // [http.Transport] retries requests by itself on reused connections.
 func (c *Client) httpClient() *http.Client {
 	c.once.Do(func() {
-		t := &http.Transport{DialContext: engine.TimeoutDialer(c.Dial), DisableKeepAlives: true, DisableCompression: true}
+		t := &http.Transport{DialContext: engine.TimeoutDialer(c.Dial), DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: engine.MaxHeaderBytes}
 		c.http = &http.Client{
 			Transport:     t,
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
