relay: load reports two at a time, until an idle engine is found

Reports are now requested two at a time until an engine without work is found; where one does not answer, the rest are asked together. Before the first event a probe opens a connection only; a report is requested after 600 ms, when it can show that the server hangs, and then every 1.2 s.

--- a/backend/place.go
+++ b/backend/place.go
@@ -99,6 +99,12 @@
 	return max(0, r.Load.Pending-r.Report.Waiting-r.Report.Prefilling)
 }
 
+// Idle reports whether the engine has no work at all and room for the request.
+func (r *Engine) Idle(n Criteria) bool {
+	return r.Report != nil && r.Report.Waiting+r.Report.Prefilling+r.Report.Generating+r.unreported() == 0 &&
+		r.Report.Used+n.Tokens <= r.Report.Total
+}
+
 // cost returns the estimated delay of a request at an engine.
 func (r *Engine) cost(n *Criteria) time.Duration {
 	c := time.Duration(r.Rank) * weightRank
--- a/relay/decision_test.go
+++ b/relay/decision_test.go
@@ -47,6 +47,29 @@
 	}
 }
 
+// TestReportProbes checks which probes request a load report: only a server that has had the
+// request for a while, and that has sent no event, can show by its load that it hangs.
+func TestReportProbes(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		s    StreamState
+		want bool
+	}{
+		{"just sent", StreamState{Now: at(300), SentAt: at(0), FirstEventBy: at(9000)}, false},
+		{"first event not yet due", StreamState{Now: at(600), SentAt: at(0), FirstEventBy: at(9000)}, true},
+		{"reported lately", StreamState{Now: at(1700), SentAt: at(0), FirstEventBy: at(9000), ReportAt: at(600)}, false},
+		{"reported some time ago", StreamState{Now: at(1800), SentAt: at(0), FirstEventBy: at(9000), ReportAt: at(600)}, true},
+		{"generating", StreamState{Now: at(1800), SentAt: at(0), LastEventAt: at(1600)}, false},
+		{"resumed from a copy", StreamState{Now: at(150), SentAt: at(0), FromCopy: true}, false},
+	} {
+		Convey(c.name, t, func() {
+			v := Detector{}.Decide(c.s)
+			So(v.Action, ShouldEqual, Probe)
+			So(v.Report, ShouldEqual, c.want)
+		})
+	}
+}
+
 func TestProtection(t *testing.T) {
 	for _, c := range []struct {
 		name string
--- a/relay/detector.go
+++ b/relay/detector.go
@@ -24,6 +24,9 @@
 	// IdleAfter is how long a server that was sent the request may report that it has no work
 	// at all. It allows for reports that are out of date.
 	IdleAfter time.Duration
+	// ReportEvery is the interval between probes that request a load report, which costs more
+	// than opening a connection.
+	ReportEvery time.Duration
 }
 
 // The default timeouts of Detector.
@@ -36,7 +39,8 @@
 	defaultFailOverAfter = 450 * time.Millisecond
 	defaultRestartAfter  = 2500 * time.Millisecond
 	// Reports are some hundred milliseconds old.
-	defaultIdleAfter = 600 * time.Millisecond
+	defaultIdleAfter   = 600 * time.Millisecond
+	defaultReportEvery = 1200 * time.Millisecond
 )
 
 // StreamState is the state of the current run of a stream, on which the detector decides.
@@ -55,6 +59,8 @@
 	ProbedAt time.Time
 	ProbeDue time.Time
 	ProbeOK  bool
+	// ReportAt is when the last probe for a load report was sent; zero if there was none.
+	ReportAt time.Time
 	// ServerFailed reports whether the server is known to have failed or to be removed.
 	ServerFailed bool
 	// HasCopy reports whether another server holds a copy of the run's KV cache.
@@ -70,6 +76,8 @@
 	Action  Action
 	CheckAt time.Time
 	Reason  string
+	// Report is set if the probe is to request a load report.
+	Report bool
 }
 
 // reasonIdle is the reason for a failover from a server that was sent the request but reports
@@ -109,11 +117,18 @@
 	case probing:
 		return Decision{Action: Await, CheckAt: earlier(s.ProbeDue, end)}
 	case !s.Now.Before(probeAt):
-		return Decision{Action: Probe, Reason: "silent"}
+		return Decision{Action: Probe, Reason: "silent", Report: d.needsReport(s)}
 	}
 	return Decision{Action: Await, CheckAt: earlier(probeAt, end)}
 }
 
+// needsReport reports whether to ask the server for its load: before the first event, only that
+// shows whether it works on the request.
+func (d Detector) needsReport(s StreamState) bool {
+	return s.LastEventAt.IsZero() && s.Now.Sub(s.SentAt) >= cmp.Or(d.IdleAfter, defaultIdleAfter) &&
+		s.Now.Sub(s.ReportAt) >= cmp.Or(d.ReportEvery, defaultReportEvery)
+}
+
 func earlier(a, b time.Time) time.Time {
 	if a.Before(b) {
 		return a
--- a/relay/place.go
+++ b/relay/place.go
@@ -19,6 +19,9 @@
 	// maxQueried is the number of engines queried. Each report has a cost, and a few random
 	// choices are enough to avoid the loaded engines.
 	maxQueried = 6
+	// queriedAtOnce is the number of engines queried together while one that has no work may
+	// be found.
+	queriedAtOnce = 2
 	// reportTimeout bounds the wait for reports: a round trip to another region on a new
 	// connection.
 	reportTimeout = 150 * time.Millisecond
@@ -29,17 +32,37 @@
 func (r *Relay) place(ctx context.Context, j *job, now time.Time, exclude []engine.ServerID, avoid engine.ServerID) (backend.Placement, bool) {
 	n := r.need(j, now, exclude, avoid)
 	near := r.Pool.Candidates(n.Nearby(), maxQueried)
-	list := r.queryReports(ctx, near, now)
+	list := r.queryNear(ctx, n, near, now)
 	if p, ok := backend.Place(n, list); ok && p.LightlyLoaded(n) {
 		if p.Replica == nil || p.Replica.Domain == p.Run.Domain {
 			r.setCopy(&p, j, now, exclude)
 		}
 		return p, true
 	}
-	list = append(list, r.queryReports(ctx, r.Pool.Candidates(n.Without(near), maxQueried), now)...)
+	list = append(list, r.queryReports(ctx, r.Pool.Candidates(n.Without(near), maxQueried), 0, now)...)
 	return backend.Place(n, list)
 }
 
+// queryNear queries engines for their load reports, a few at a time, until one has no work.
+// Where one does not answer, it queries the rest together, since each round may take until the
+// timeout.
+func (r *Relay) queryNear(ctx context.Context, n backend.Criteria, near []backend.Choice, now time.Time) []backend.Engine {
+	var list []backend.Engine
+	for from, atOnce := 0, queriedAtOnce; from < len(near); {
+		next := near[from:min(from+atOnce, len(near))]
+		list = append(list, r.queryReports(ctx, next, from, now)...)
+		from += len(next)
+		p, ok := backend.Place(n, list)
+		if ok && p.Run.Idle(n) {
+			break
+		}
+		if p.Reports < from {
+			atOnce = maxQueried
+		}
+	}
+	return list
+}
+
 // chooseCopy picks an engine for a copy of a run's KV cache without querying reports.
 func (r *Relay) chooseCopy(j *job, now time.Time, exclude []engine.ServerID, run engine.ServerID) (backend.Choice, bool) {
 	return r.Pool.Choose(r.need(j, now, append(slices.Clone(exclude), run), run))
@@ -74,9 +97,10 @@
 	return answers
 }
 
-// queryReports queries engines for their load reports. An engine that does not answer is
-// listed without a report; one whose address now belongs to a restarted server is left out.
-func (r *Relay) queryReports(ctx context.Context, choices []backend.Choice, now time.Time) []backend.Engine {
+// queryReports queries engines for their load reports; rank is that of the first one. An engine
+// that does not answer is listed without a report; one whose address now belongs to a restarted
+// server is left out.
+func (r *Relay) queryReports(ctx context.Context, choices []backend.Choice, rank int, now time.Time) []backend.Engine {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
 	answers := queryAll(choices, func(c backend.Choice) (backend.Report, error) { return r.Report(ctx, c) })
@@ -84,7 +108,7 @@
 	for range choices {
 		a := <-answers
 		c := choices[a.index]
-		rep := backend.Engine{Choice: c, Rank: a.index}
+		rep := backend.Engine{Choice: c, Rank: rank + a.index}
 		var u dialError
 		switch {
 		case errors.As(a.err, &u) && !errors.Is(a.err, context.DeadlineExceeded):
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -90,7 +90,7 @@
 		v := s.decide()
 		switch v.Action {
 		case Probe:
-			s.probe()
+			s.probe(v.Report)
 			continue
 		case FailOver:
 			if s.state.ProbeOK {
@@ -600,14 +600,16 @@
 	idle bool // the server reports that it has no work at all
 }
 
-// probe probes the current server: one that is unreachable does not answer. Before the first
-// event the probe is a request for the server's load report, which shows whether it works at
-// all.
-func (s *streamRun) probe() {
+// probe probes the current server: one that is unreachable does not answer. With report, the
+// probe is a request for the server's load report, which shows whether it works at all.
+func (s *streamRun) probe(report bool) {
 	now := time.Now()
-	to, usual, report := s.cur.to, s.cur.to.DialTime, !s.cur.started && !s.refusesNow(&s.cur.to, now)
+	to, usual := s.cur.to, s.cur.to.DialTime
 	by := now.Add(usual + probeMargin)
 	s.state.ProbedAt, s.state.ProbeDue, s.state.ProbeOK = now, by, false
+	if report = report && !s.refusesNow(&to, now); report {
+		s.state.ReportAt = now
+	}
 	answer := make(chan probeResult, 1)
 	s.probeResults = answer
 	ctx := s.ctx
--- a/relay/stream_test.go
+++ b/relay/stream_test.go
@@ -306,6 +306,48 @@
 	}
 }
 
+// TestReportsPerStream checks how many load reports a stream costs: few while engines are idle,
+// as many as it takes to find the least loaded one while they are not.
+func TestReportsPerStream(t *testing.T) {
+	reports := func(w *harness) int {
+		n := 0
+		for _, s := range w.servers {
+			n += s.Reports()
+		}
+		return n
+	}
+	withHarness(t, "idle engines", func(w *harness) {
+		for i := range 8 {
+			w.add(fmt.Sprintf("e%d", i), "models", 0, 30*time.Millisecond)
+		}
+		a := w.resumableStream(context.Background())
+		So(a.body, ShouldEqual, events(1, numEvent))
+		So(reports(w), ShouldBeLessThanOrEqualTo, 3)
+	})
+	withHarness(t, "one idle engine among busy ones", func(w *harness) {
+		for i := range 6 {
+			s := w.add(fmt.Sprintf("e%d", i), "models", 0, 30*time.Millisecond)
+			if i != 4 {
+				go w.requestAt(s, "other-"+s.ID)
+			}
+		}
+		time.Sleep(2 * time.Second)
+		a := w.resumableStream(context.Background())
+		So(a.body, ShouldEqual, events(1, numEvent))
+		So(w.book.Runs("r1")[0].Server, ShouldEqual, "e4")
+	})
+	withHarness(t, "engines that do not answer delay the choice once", func(w *harness) {
+		for i := range 9 {
+			if s := w.add(fmt.Sprintf("e%d", i), "models", i/6, 30*time.Millisecond); i < 5 {
+				w.blackhole(s)
+			}
+		}
+		a := w.resumableStream(context.Background())
+		So(a.body, ShouldEqual, events(1, numEvent))
+		So(a.first, ShouldBeLessThan, 1800*time.Millisecond) // 1,025 ms of prefill, two waits for reports
+	})
+}
+
 func TestStreamCallerLeaves(t *testing.T) {
 	for _, after := range []time.Duration{500 * time.Millisecond, 2 * time.Second} {
 		withHarness(t, "The engine stops when the caller leaves after "+after.String(), func(w *harness) {
