gateway: entry VMs that start while the store is silent serve soon after it is back

The first lists are called again every 400 ms until one succeeds (clock.Hedge), the list of the configuration follows that of the servers, and an entry VM without state does not wait for better-ranked ones. Requests wait for the first configuration for a third of the time that their caller has left, at most 3 s (1 s before), and Retry-After counts from the refusal, not from the arrival.

Load pattern: all entry VMs start at once during an outage (TestStart, red before: 2 s after the store's return).

--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -42,6 +42,12 @@
 	// recoveryCheckInterval is how often the other watches check whether the store is back
 	// while the watch of servers retries.
 	recoveryCheckInterval = 100 * time.Millisecond
+	// recoveryCheckLimit is how long they wait for that at most while there is no configuration.
+	recoveryCheckLimit = 2 * time.Second
+	// firstListInterval and firstListCalls are the interval between the calls for the first
+	// list, and their number: as many as fit into the time limit of one call.
+	firstListInterval = 400 * time.Millisecond
+	firstListCalls    = 5
 )
 
 // storeHealth records whether this entry VM reaches the store, or the entry VM that it
@@ -122,9 +128,11 @@
 	tried := make(chan struct{}) // closed after the first call for servers
 	go d.watchKind(ctx, platform.Servers, func(p platform.Page) { d.applyServerList(ctx, p) }, d.applyServerChange, func() { close(tried) })
 	go func() {
-		if d.table.Load() != nil {
-			d.awaitFirstCall(ctx, tried, d.standbyBackoff())
+		limit := d.standbyBackoff()
+		if d.table.Load() == nil {
+			limit = recoveryCheckLimit
 		}
+		d.awaitFirstCall(ctx, tried, limit)
 		d.watchKind(ctx, platform.Configuration, d.applyConfigList, d.applyConfigChange, func() {})
 	}()
 	go func() {
@@ -156,7 +164,7 @@
 	backoff := minBackoff
 	var once sync.Once
 	wait := func() {
-		if !d.members.RanksFirst() {
+		if !d.members.RanksFirst() && d.isLoaded() {
 			backoff = d.standbyBackoff()
 		}
 		limit := max(minStandbyBackoff, backoff)
@@ -168,7 +176,7 @@
 		}
 	}
 	for ctx.Err() == nil {
-		page, err := d.store.List(ctx, k, false)
+		page, err := d.list(ctx, k, false)
 		d.recordStoreCall(ctx, k, err)
 		once.Do(tried)
 		if err != nil {
@@ -203,6 +211,26 @@
 	}
 }
 
+// list lists the objects of a kind. As long as this entry VM knows nothing, it cannot serve, and
+// the store may be silent: list then calls again without waiting for the earlier calls.
+func (d *Daemon) list(ctx context.Context, k platform.Kind, stale bool) (platform.Page, error) {
+	call := func(ctx context.Context) (platform.Page, error) { return d.store.List(ctx, k, stale) }
+	if d.isLoaded() {
+		return call(ctx)
+	}
+	return clock.Hedge(ctx, firstListInterval, firstListCalls, call)
+}
+
+// isLoaded reports whether a configuration and servers are known.
+func (d *Daemon) isLoaded() bool {
+	select {
+	case <-d.loaded:
+		return true
+	default:
+		return false
+	}
+}
+
 // awaitStore waits until the store is reachable as far as the other watches know, but
 // not longer than limit: their calls may fail for reasons of their own.
 func (d *Daemon) awaitStore(ctx context.Context, limit time.Duration) {
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -36,6 +37,30 @@
 		time.Sleep(2 * time.Second)
 		So(w.ready(v), ShouldBeTrue)
 	})
+	inWorld(t, "Entry VMs that start while the store is silent serve half a second after it is back, whenever that is", func(w *world) {
+		for round, after := range []time.Duration{500 * time.Millisecond, 900 * time.Millisecond, 1300 * time.Millisecond, 1900 * time.Millisecond, 2700 * time.Millisecond} {
+			w.store.SetFault(platformtest.StoreFault{Silent: true})
+			var started []*vm
+			for i := range 4 {
+				started = append(started, w.vm(fmt.Sprintf("e%d-%d", round, i), "cn-a", 10*round+i+1))
+			}
+			calls := w.store.Calls()
+			time.Sleep(after)
+			w.store.SetFault(platformtest.StoreFault{})
+			time.Sleep(700 * time.Millisecond)
+			for _, v := range started {
+				So(w.ready(v), ShouldBeTrue)
+				So(w.postBooking(v, "key-1"), ShouldEqual, 200)
+			}
+			t.Logf("store silent for %s: %d calls by 4 entry VMs", after, w.store.Calls()-calls)
+			for _, v := range started {
+				v.stop()
+			}
+			for _, v := range started {
+				<-v.done
+			}
+		}
+	})
 	inWorld(t, "A request that comes before the configuration waits for it", func(w *world) {
 		w.store.SetFault(platformtest.StoreFault{Busy: true})
 		v := w.vm("e1", "cn-a", 1)
--- a/gateway/upstream.go
+++ b/gateway/upstream.go
@@ -336,7 +336,7 @@
 // this one's is among them. A stale list is cheap, and suffices if all entry VMs were
 // registered before.
 func (d *Daemon) readEntries(ctx context.Context, stale bool) (listed bool, err error) {
-	page, err := d.store.List(ctx, platform.EntryVMs, stale)
+	page, err := d.list(ctx, platform.EntryVMs, stale)
 	if err != nil {
 		return false, err
 	}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -203,10 +203,10 @@
 		return result.Wrap(result.BadRequest, err, "headers").AsNotRun()
 	}
 	j.msg.params = params
-	r.awaitReady(j.msg.Context())
+	r.awaitReady(j.msg.Context(), readyWait(params.TimeLeft))
 	t := r.Table()
 	if t == nil {
-		return result.New(result.NoConfiguration, "no configuration yet").AsNotRun().WithRetryAt(j.startedAt.Add(retryDelay))
+		return result.New(result.NoConfiguration, "no configuration yet").AsNotRun().WithRetryAt(time.Now().Add(retryDelay))
 	}
 	j.version = t.Version
 	route, ok := t.Route(hostName(j.msg.Host), j.msg.URL.Path)
@@ -231,13 +231,26 @@
 	return j.readBody(w, t.Limits)
 }
 
-// readyTimeout is how long requests wait after the start for a configuration and servers. They
-// arrive within milliseconds if the store or another entry VM answers, and callers retry only
-// once after a refusal.
-const readyTimeout = time.Second
+// How long requests wait after the start for a configuration and servers: for a share of the time
+// that the caller has left. They arrive within milliseconds if the store or another entry VM
+// answers, and callers retry only once after a refusal.
+const (
+	readyWaitShare = 3 // the divisor of the time left
+	// maxReadyWait leaves time to meet the latency objective of a stream.
+	maxReadyWait = 3 * time.Second
+	// defaultReadyWait is for callers that do not state how much time they have left.
+	defaultReadyWait = time.Second
+)
+
+func readyWait(left time.Duration) time.Duration {
+	if left == 0 {
+		return defaultReadyWait
+	}
+	return min(left/readyWaitShare, maxReadyWait)
+}
 
-// awaitReady waits until a configuration and servers are known, at most readyTimeout.
-func (r *Relay) awaitReady(ctx context.Context) {
+// awaitReady waits until a configuration and servers are known, at most for limit.
+func (r *Relay) awaitReady(ctx context.Context, limit time.Duration) {
 	if r.Ready == nil {
 		return
 	}
@@ -246,7 +259,7 @@
 		return
 	default:
 	}
-	t := time.NewTimer(readyTimeout)
+	t := time.NewTimer(limit)
 	defer t.Stop()
 	select {
 	case <-r.Ready:
