--- a/clock/hedge_test.go
+++ b/clock/hedge_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -20,13 +21,14 @@
 	}
 	synctest.Test(t, func(t *testing.T) {
 		Convey("Calls are repeated while earlier ones are silent, and the first success counts", t, func() {
-			begun, calls := time.Now(), 0
-			v, err := clock.Hedge(context.Background(), interval, 5, func(ctx context.Context) (int, error) {
-				calls++
-				if calls < 3 {
+			begun := time.Now()
+			var calls atomic.Int64
+			v, err := clock.Hedge(context.Background(), interval, 5, func(ctx context.Context) (int64, error) {
+				n := calls.Add(1)
+				if n < 3 {
 					return 0, silent(ctx)
 				}
-				return calls, nil
+				return n, nil
 			})
 			So(err, ShouldBeNil)
 			So(v, ShouldEqual, 3)
@@ -35,26 +37,26 @@
 	})
 	synctest.Test(t, func(t *testing.T) {
 		Convey("A failure ends it at once if no other call is pending", t, func() {
-			calls := 0
+			var calls atomic.Int64
 			_, err := clock.Hedge(context.Background(), interval, 5, func(context.Context) (int, error) {
-				calls++
+				calls.Add(1)
 				return 0, errors.New("refused")
 			})
 			So(err, ShouldNotBeNil)
-			So(calls, ShouldEqual, 1)
+			So(calls.Load(), ShouldEqual, 1)
 		})
 	})
 	synctest.Test(t, func(t *testing.T) {
 		Convey("It ends with its context, after at most n calls", t, func() {
 			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 			defer cancel()
-			calls := 0
+			var calls atomic.Int64
 			_, err := clock.Hedge(ctx, interval, 3, func(ctx context.Context) (int, error) {
-				calls++
+				calls.Add(1)
 				return 0, silent(ctx)
 			})
 			So(err, ShouldEqual, context.DeadlineExceeded)
-			So(calls, ShouldEqual, 3)
+			So(calls.Load(), ShouldEqual, 3)
 		})
 	})
 }
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -94,16 +94,22 @@
 	if a.Epoch == "" {
 		return result.New(result.MissingField, "no epoch").WithField("epoch")
 	}
-	if a.AgeMs < 0 {
+	if a.AgeMs < 0 || a.AgeMs > maxAge.Milliseconds() {
 		return result.New(result.OutOfRange, "%d", a.AgeMs).WithField("ageMs")
 	}
+	if a.Era < 0 || a.Number < 0 {
+		return result.New(result.OutOfRange, "era %d, revision %d", a.Era, a.Number).WithField("revision")
+	}
 	for i := range a.Updates {
+		if in := a.Updates[i].RemoveInMs; in < 0 || in > maxAge.Milliseconds() {
+			return result.New(result.OutOfRange, "%d", in).WithField("goneInMs")
+		}
 		if err := a.Updates[i].Server.Check(); err != nil && !a.Updates[i].Removed && !a.Updates[i].Hung {
 			return err
 		}
 	}
 	for i := range a.Moves {
-		if m := &a.Moves[i]; m.Service == "" || m.To == "" || m.AgeMs < 0 || m.LengthMs < 0 || m.Step < 0 {
+		if m := &a.Moves[i]; m.Service == "" || m.To == "" || min(m.AgeMs, m.LengthMs) < 0 || max(m.AgeMs, m.LengthMs) > maxAge.Milliseconds() || m.Step < 0 {
 			return result.New(result.OutOfRange, "move of service %q to %q", m.Service, m.To).WithField("moves")
 		}
 	}
@@ -284,6 +290,9 @@
 	return l.changed
 }
 
+// maxAge bounds the ages and times in a response, which keeps sums of times in range.
+const maxAge = 1000 * time.Hour
+
 // neverFreshAge is the reported age if this entry VM has never been up to date.
 const neverFreshAge = time.Hour
 
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -15,6 +15,7 @@
 	"quetzalhold/platform"
 	"quetzalhold/result"
 	"quetzalhold/routing"
+	"quetzalhold/telemetry"
 )
 
 // Timing of the watch of the store.
@@ -183,7 +184,7 @@
 			wait()
 			continue
 		}
-		list(page)
+		d.guard("list of "+string(k), func() { list(page) })
 		rev := page.Revision
 		watch := watchWait
 		for ctx.Err() == nil {
@@ -200,7 +201,7 @@
 			}
 			backoff, watch = minBackoff, watchWait
 			for _, ch := range c.Changes {
-				change(ch)
+				d.guard("change of "+string(k), func() { change(ch) })
 			}
 			rev = backend.Latest(rev, c.Revision)
 			if k == platform.Servers {
@@ -211,6 +212,15 @@
 	}
 }
 
+// guard calls f. A panic of f is logged and has no further effect.
+func (d *Daemon) guard(what string, f func()) {
+	// Guard has logged the error, which can only be a panic.
+	_ = telemetry.Guard(d.log, what, func() error {
+		f()
+		return nil
+	})
+}
+
 // list lists the objects of a kind. As long as this entry VM knows nothing, it cannot serve, and
 // the store may be silent: list then calls again without waiting for the earlier calls.
 func (d *Daemon) list(ctx context.Context, k platform.Kind, stale bool) (platform.Page, error) {
--- a/gateway/moves.go
+++ b/gateway/moves.go
@@ -365,12 +365,17 @@
 			if len(d.moves.active()) > 0 {
 				wait = watchWait // a connection that has gone silent is noticed sooner
 			}
+			start := time.Now()
 			var c platform.Changes
 			c, err = d.store.Watch(ctx, platform.Moves, rev, wait)
 			for _, ch := range c.Changes {
 				d.applyMoveChange(ch, false)
 			}
 			rev = backend.Latest(rev, c.Revision)
+			if err == nil {
+				// A watch that ends at once must not be repeated at once.
+				_ = clock.Until(ctx, start.Add(watchInterval)) // the loop condition checks ctx
+			}
 		}
 		if ctx.Err() == nil && err != nil && result.CodeOf(err) != result.HistoryGone {
 			d.log.Info("orders of version moves not received", zap.Error(err))
@@ -486,6 +491,7 @@
 // the other failure domains.
 func (d *Daemon) exchangeEvidence(ctx context.Context, service routing.ServiceName) {
 	domain := d.members.Self.Domain
+	writer := d.changes.Epoch() // the log's lock is taken before that of the moves
 	d.moves.mu.Lock()
 	sm := d.moves.all[service]
 	if sm == nil {
@@ -495,7 +501,7 @@
 	sm.addCounts(sm.unreported.list())
 	sm.unreported = make(tally)
 	sm.evidenceStored = true
-	report := domainEvidence{To: sm.plan.To, Writer: d.changes.Epoch(), Counts: sm.ownDomain.list()}
+	report := domainEvidence{To: sm.plan.To, Writer: writer, Counts: sm.ownDomain.list()}
 	d.moves.mu.Unlock()
 	if err := d.store.Put(ctx, platform.MoveEvidence, evidenceName(service, domain), report); err != nil {
 		d.log.Warn("evidence of a version move not written", zap.String("service", string(service)), zap.Error(err))
--- a/gateway/restarted.go
+++ b/gateway/restarted.go
@@ -34,7 +34,7 @@
 	}
 	go func() {
 		defer d.identifying.Delete(c.Address)
-		d.identify(c, s.HealthPath)
+		d.guard("identification of a server", func() { d.identify(c, s.HealthPath) })
 	}()
 }
 
--- a/gateway/upstream.go
+++ b/gateway/upstream.go
@@ -136,6 +136,11 @@
 			d.applyConfig(*a.Config, string(a.Self.ID))
 		}
 		d.applyMoves(now, a.Moves, false, string(a.Self.ID))
+		d.members.Add(now, a.Members...)
+		if !d.isLoaded() && a.Full {
+			// Servers that may have left meanwhile are better than none.
+			d.guard("update from "+string(m.ID), func() { d.applyUpdate(now, &a) })
+		}
 	case err != nil:
 		d.members.MarkFailed(now, m.ID)
 		d.requeueCounts(q.Counts)
@@ -147,7 +152,7 @@
 	}
 	d.members.MarkFresh(now, a.Self)
 	d.members.Add(now, a.Members...)
-	d.applyUpdate(now, &a)
+	d.guard("update from "+string(m.ID), func() { d.applyUpdate(now, &a) })
 	if a.Self.Domain == d.members.Self.Domain {
 		d.setPeerUsage(now, a.Usage, q.Usage)
 	}
--- a/gateway/world_test.go
+++ b/gateway/world_test.go
@@ -57,6 +57,7 @@
 type vm struct {
 	id, host string
 	domain   names.ID
+	seeds    []string
 	log      syncBuffer
 	stop     context.CancelFunc
 	done     chan struct{}
@@ -145,7 +146,7 @@
 	s := &settings.Gateway{
 		ID: v.id, Domain: v.domain, Regions: map[names.ID]names.ID{"cn-a": "c", "wv-a": "w"},
 		Listen: v.host + ":80", Readiness: v.host + ":81", Peers: v.host + ":82", Metrics: v.host + ":83",
-		Store: string(storeHost) + ":80", HeartbeatMs: 1200,
+		Store: string(storeHost) + ":80", HeartbeatMs: 1200, Seeds: v.seeds,
 		Bounds: settings.Bounds{DrainMs: 3000, GraceS: 8, ConfigMs: 3000, RepeatRatio: 0.8, RepeatSlack: 150, RepeatWindowS: 10},
 	}
 	ctx, cancel := context.WithCancel(context.Background())
--- a/relay/checkpoint.go
+++ b/relay/checkpoint.go
@@ -14,6 +14,7 @@
 	"quetzalhold/backend"
 	"quetzalhold/engine"
 	"quetzalhold/platform"
+	"quetzalhold/telemetry"
 )
 
 // CheckpointState is the state of the copies of a run's KV cache. The replica is kept up to date
@@ -78,7 +79,11 @@
 	r.checkpointing, r.triedAt = true, now
 	ctx := r.ctx
 	go func() {
-		m, err := s.relay.moveCache(ctx, r.to, platform.KVMove{Run: s.msg.params.ID, Target: to.Address})
+		var m platform.KVMoveResult
+		err := telemetry.Guard(s.relay.Log, "checkpoint", func() (err error) {
+			m, err = s.relay.moveCache(ctx, r.to, platform.KVMove{Run: s.msg.params.ID, Target: to.Address})
+			return err
+		})
 		r.checkpoints <- checkpoint{server: to, handle: m.Handle, at: now, err: err}
 	}()
 }
@@ -135,10 +140,13 @@
 	}
 	at, target := from.to, from.replica.Address
 	go func() {
-		m, err := r.moveCache(context.Background(), at, platform.KVMove{Run: id, Target: target, StopRun: true})
-		if err == nil {
-			_, _, err = r.control(context.Background(), r.transport, at, http.MethodDelete, platform.KVHandlePath(m.Handle), nil)
-		}
+		err := telemetry.Guard(r.Log, "stop of a run", func() error {
+			m, err := r.moveCache(context.Background(), at, platform.KVMove{Run: id, Target: target, StopRun: true})
+			if err == nil {
+				_, _, err = r.control(context.Background(), r.transport, at, http.MethodDelete, platform.KVHandlePath(m.Handle), nil)
+			}
+			return err
+		})
 		r.Log.Info("silent run stopped", zap.String("request", string(id)), zap.String("server", string(at.ID)), zap.Error(err))
 	}()
 }
--- a/relay/place.go
+++ b/relay/place.go
@@ -12,6 +12,7 @@
 	"quetzalhold/backend"
 	"quetzalhold/engine"
 	"quetzalhold/platform"
+	"quetzalhold/telemetry"
 )
 
 // The limits of querying engines for load reports before a generation is placed.
@@ -86,11 +87,15 @@
 
 // queryAll queries engines concurrently and sends one answer for each. A receiver that doesn't
 // wait for all of them cancels the queries itself.
-func queryAll[T any](choices []backend.Choice, query func(backend.Choice) (T, error)) <-chan answer[T] {
+func queryAll[T any](l *zap.Logger, choices []backend.Choice, query func(backend.Choice) (T, error)) <-chan answer[T] {
 	answers := make(chan answer[T], len(choices))
 	for i, c := range choices {
 		go func() {
-			value, err := query(c)
+			var value T
+			err := telemetry.Guard(l, "query", func() (err error) {
+				value, err = query(c)
+				return err
+			})
 			answers <- answer[T]{i, value, err}
 		}()
 	}
@@ -103,7 +108,7 @@
 func (r *Relay) queryReports(ctx context.Context, choices []backend.Choice, rank int, now time.Time) []backend.Engine {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
-	answers := queryAll(choices, func(c backend.Choice) (backend.Report, error) { return r.Report(ctx, c) })
+	answers := queryAll(r.Log, choices, func(c backend.Choice) (backend.Report, error) { return r.Report(ctx, c) })
 	list := make([]backend.Engine, 0, len(choices))
 	for range choices {
 		a := <-answers
@@ -154,7 +159,7 @@
 // firstCached queries engines for the prompt in their caches and returns the first that has
 // it.
 func (r *Relay) firstCached(ctx context.Context, j *job, choices []backend.Choice) (backend.Choice, bool) {
-	answers := queryAll(choices, func(c backend.Choice) (engine.Tokens, error) { return r.cachedTokens(ctx, j, c) })
+	answers := queryAll(r.Log, choices, func(c backend.Choice) (engine.Tokens, error) { return r.cachedTokens(ctx, j, c) })
 	answered := 0
 	for range choices {
 		a := <-answers
--- a/relay/plain.go
+++ b/relay/plain.go
@@ -15,6 +15,7 @@
 	"quetzalhold/engine"
 	"quetzalhold/platform"
 	"quetzalhold/result"
+	"quetzalhold/telemetry"
 )
 
 // hedgeShare is the share of the latency objective after which an idempotent request without
@@ -103,7 +104,14 @@
 	p.tried = append(p.tried, to.ID)
 	p.retrier.Sent()
 	send := &platform.ServerRequest{Server: to.ID, Organisation: p.organisation, TimeLeft: time.Until(p.deadline), Urgency: -1}
-	go func() { p.replies <- r.exchange(ctx, p.msg, to, send) }()
+	go func() {
+		rep := reply{server: to}
+		rep.err = telemetry.Guard(r.Log, "exchange", func() error {
+			rep = r.exchange(ctx, p.msg, to, send)
+			return rep.err
+		})
+		p.replies <- rep
+	}()
 	return Await
 }
 
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -16,6 +16,7 @@
 	"quetzalhold/engine"
 	"quetzalhold/platform"
 	"quetzalhold/result"
+	"quetzalhold/telemetry"
 )
 
 // run is one attempt at a stream: one connection to one engine.
@@ -317,6 +318,17 @@
 			return false
 		}
 	}
+	err := telemetry.Guard(r.Log, "stream", func() error {
+		r.readParts(ctx, m, cur, send, emit)
+		return nil
+	})
+	if err != nil {
+		emit(part{ended: true, outcome: Lost, err: err})
+	}
+}
+
+// readParts sends a run's request and emits the parts of its output, until emit returns false.
+func (r *Relay) readParts(ctx context.Context, m *message, cur *run, send *platform.ServerRequest, emit func(part) bool) {
 	resp, err := r.roundTrip(ctx, m, cur.to, send)
 	if resp != nil {
 		defer resp.Body.Close()
@@ -643,7 +655,11 @@
 	first := connect
 	if report {
 		first = func() {
-			rep, err := r.Report(ctx, to)
+			var rep backend.Report
+			err := telemetry.Guard(r.Log, "probe", func() (err error) {
+				rep, err = r.Report(ctx, to)
+				return err
+			})
 			results <- probeResult{err: err, idle: err == nil && rep.Waiting+rep.Prefilling+rep.Generating == 0}
 		}
 	}
