--- a/caller/client.go
+++ b/caller/client.go
@@ -306,11 +306,14 @@
 	return nil
 }
 
+// maxReplyBytes bounds an answer in one response.
+const maxReplyBytes = 16 << 20
+
 // whole requests an answer from one entry VM in one response.
 func (a *clientRequest) whole(ctx context.Context, addr string) error {
 	return a.roundTrip(ctx, addr, func(resp *http.Response) error {
 		var r Reply
-		if err := json.NewDecoder(resp.Body).Decode(&r); err != nil {
+		if err := json.NewDecoder(io.LimitReader(resp.Body, maxReplyBytes)).Decode(&r); err != nil {
 			return fmt.Errorf("decode answer: %w", err)
 		}
 		if len(r.Choices) == 0 || r.Choices[0].FinishReason == nil {
--- a/operator/client.go
+++ b/operator/client.go
@@ -171,12 +171,15 @@
 	if resp.StatusCode >= http.StatusMultipleChoices {
 		return result.Read(resp, result.Internal)
 	}
-	if err := json.NewDecoder(resp.Body).Decode(out); err != nil {
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxReplyBytes)).Decode(out); err != nil {
 		return fmt.Errorf("decode %s: %w", path, err)
 	}
 	return nil
 }
 
+// maxReplyBytes bounds a response of an entry VM.
+const maxReplyBytes = 64 << 20
+
 func readConflict(resp *http.Response) error {
 	var body Conflict
 	err := json.NewDecoder(io.LimitReader(resp.Body, maxChangeBytes)).Decode(&body)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -3,6 +3,7 @@
 package relay
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -296,15 +297,16 @@
 	return nil
 }
 
+// defaultBodyBytes bounds the body of a request if the configuration does not, in bytes.
+const defaultBodyBytes = 8 << 20
+
 // readBody reads the whole body and checks the size limits.
 func (j *job) readBody(w http.ResponseWriter, l routing.Limits) error {
 	if l.HeaderBytes > 0 && headerBytes(j.msg.Request) > l.HeaderBytes {
 		return result.New(result.HeaderTooLarge, "limit %d bytes", l.HeaderBytes).AsNotRun()
 	}
-	body := j.msg.Body
-	if l.BodyBytes > 0 {
-		body = http.MaxBytesReader(w, body, l.BodyBytes)
-	}
+	limit := cmp.Or(l.BodyBytes, defaultBodyBytes)
+	body := http.MaxBytesReader(w, j.msg.Body, limit)
 	// Not every ResponseWriter supports deadlines; httptest.ResponseRecorder doesn't.
 	_ = http.NewResponseController(w).SetReadDeadline(j.deadline)
 	var err error
@@ -312,7 +314,7 @@
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
-		return result.New(result.BodyTooLarge, "limit %d bytes", l.BodyBytes).AsNotRun()
+		return result.New(result.BodyTooLarge, "limit %d bytes", limit).AsNotRun()
 	case err != nil:
 		return result.Wrap(result.CallerGone, err, "read body").AsNotRun()
 	}
