--- a/relay/relay.go
+++ b/relay/relay.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strings"
@@ -175,6 +176,9 @@
 	// retryDelay is for conditions that pass quickly: a server without capacity, or an entry
 	// VM that is starting.
 	retryDelay = 300 * time.Millisecond
+	// retrySpread is the time over which the returns of callers are spread that are refused
+	// together.
+	retrySpread = 300 * time.Millisecond
 )
 
 // ServeHTTP implements http.Handler.
@@ -340,7 +344,7 @@
 		if !e.RetryAt.IsZero() {
 			delay = max(0, time.Until(e.RetryAt))
 		}
-		platform.SetRetryAfter(w.Header(), delay)
+		platform.SetRetryAfter(w.Header(), delay+rand.N(retrySpread))
 	}
 	j.end(e.Code, "", zap.Bool("notRun", e.NotRun), zap.String("why", e.Error()))
 	result.Write(w, e)
