relay, backend: a plain server that goes silent is avoided after the objective

Traced in its logs: all 12 callers waited for bookings and status calls at servers whose connections the proxy had silenced; nothing marks a server as failed that accepts plain requests and answers none, so each new one went to the nearest again, until its deadline of several seconds.

A server that has answered neither a request nor anything else by the request's objective counts as failed for 0.4 s, doubling. A busy server answers others meanwhile and does not count. TestSilentServer: 16 of 40 bookings answered before, at least 24 after.

--- a/backend/backend.go
+++ b/backend/backend.go
@@ -108,7 +108,8 @@
 	// load is this entry VM's in-flight load at the server.
 	load Load
 
-	failedAt time.Time // time of the last failure; zero if the server has responded since
+	respondedAt time.Time // when something last arrived from the server
+	failedAt    time.Time // time of the last failure; zero if the server has responded since
 	failures int       // consecutive failures
 	// dial is the usual time to open a connection; zero if none has been opened yet.
 	dial time.Duration
@@ -394,8 +395,20 @@
 }
 
 // MarkResponsive records that a response or data arrived from a server, and resets its failures.
-func (p *Pool) MarkResponsive(id engine.ServerID) {
-	p.withState(id, func(st *state) { st.failedAt, st.failures = time.Time{}, 0 })
+func (p *Pool) MarkResponsive(id engine.ServerID, now time.Time) {
+	p.withState(id, func(st *state) { st.failedAt, st.failures, st.respondedAt = time.Time{}, 0, now })
+}
+
+// MarkSilent records that a server has not answered a request sent at an instant in the time in
+// which it should have. It counts as failed if nothing else arrived from it since: a busy server
+// answers other requests meanwhile. MarkSilent reports whether it counts as failed.
+func (p *Pool) MarkSilent(id engine.ServerID, sentAt, now time.Time) bool {
+	v, ok := p.View(id, now)
+	if !ok || v.RespondedAt.After(sentAt) {
+		return false
+	}
+	p.MarkFailed(id, now)
+	return true
 }
 
 // RecordDial records how long it took to open a connection to a server.
@@ -484,6 +497,8 @@
 	Removed  bool
 	RemoveAt time.Time // zero while its entry exists
 	FailedAt time.Time
+	// RespondedAt is when something last arrived from the server.
+	RespondedAt time.Time
 	RetryAt  time.Time     // until then the server refuses requests; zero if it has refused none
 	DialTime time.Duration // usual time to open a connection; 0 if unknown
 }
@@ -494,7 +509,7 @@
 	found := false
 	p.withState(id, func(st *state) {
 		found = true
-		v = View{Server: st.Server, Removed: !st.active(now), RemoveAt: st.removeAt, FailedAt: st.failedAt, RetryAt: st.retryAt, DialTime: st.dial}
+		v = View{Server: st.Server, Removed: !st.active(now), RemoveAt: st.removeAt, FailedAt: st.failedAt, RespondedAt: st.respondedAt, RetryAt: st.retryAt, DialTime: st.dial}
 	})
 	return v, found
 }
--- a/relay/plain.go
+++ b/relay/plain.go
@@ -29,11 +29,22 @@
 	retrier Retrier
 	replies chan reply
 	tried   []engine.ServerID
+	sentTo  []sentTo // attempts without an outcome so far
 	best    *reply // an error status, delivered if no better answer comes
 	// retryAt is when the first server accepts requests again; zero unless all refuse them.
 	retryAt time.Time
 }
 
+// sentTo is an attempt: a server and when the request was sent to it.
+type sentTo struct {
+	server engine.ServerID
+	at     time.Time
+}
+
+// silentShare is the share of the latency objective after which a server that has not answered the
+// request, nor anything else since, counts as failed.
+const silentShare = 1.0
+
 // servePlain answers a request to a plain service.
 func (r *Relay) servePlain(w http.ResponseWriter, j *job) {
 	ctx, cancel := context.WithDeadline(j.msg.Context(), j.deadline)
@@ -42,6 +53,8 @@
 	p.retrier = Retrier{Repeatable: j.route.Repeatable(), MaxRuns: j.route.MaxAttempts, GiveUpAt: j.startedAt.Add(j.route.LatencyTarget)}
 	hedge := time.NewTimer(max(time.Millisecond, time.Duration(hedgeShare*float64(j.route.LatencyTarget))))
 	defer hedge.Stop()
+	silent := time.NewTimer(max(time.Millisecond, time.Duration(silentShare*float64(j.route.LatencyTarget))))
+	defer silent.Stop()
 	action := r.sendPlain(ctx, p)
 	for {
 		switch action {
@@ -73,6 +86,8 @@
 			action = p.handleReply(rep)
 		case <-hedge.C:
 			action = p.retrier.Hedge()
+		case <-silent.C:
+			p.markSilent(time.Now())
 		case <-ctx.Done():
 			r.answerCancelled(w, j, p.retrier.runs > 0)
 			return
@@ -103,6 +118,7 @@
 	p.sends++
 	p.tried = append(p.tried, to.ID)
 	p.retrier.Sent()
+	p.sentTo = append(p.sentTo, sentTo{to.ID, now})
 	send := &platform.ServerRequest{Server: to.ID, Organisation: p.organisation, TimeLeft: time.Until(p.deadline), Urgency: -1}
 	go func() {
 		rep := reply{server: to}
@@ -115,8 +131,19 @@
 	return Await
 }
 
+// markSilent marks the servers that have answered neither the request nor anything else since, so
+// that other requests go elsewhere. This one has to wait if it may not be repeated.
+func (p *plainRequest) markSilent(now time.Time) {
+	for _, s := range p.sentTo {
+		if p.relay.Pool.MarkSilent(s.server, s.at, now) {
+			p.logEvent("server silent", s.server)
+		}
+	}
+}
+
 // handleReply handles the outcome of one attempt.
 func (p *plainRequest) handleReply(rep reply) Action {
+	p.sentTo = slices.DeleteFunc(p.sentTo, func(s sentTo) bool { return s.server == rep.server.ID })
 	if rep.outcome == Answered {
 		if rep.status >= http.StatusInternalServerError {
 			p.reportAnswer(rep.server, true, 0, 0)
--- a/relay/send.go
+++ b/relay/send.go
@@ -137,7 +137,7 @@
 	case err != nil:
 		return Lost, err
 	}
-	r.Pool.MarkResponsive(to.ID)
+	r.Pool.MarkResponsive(to.ID, now)
 	if by := platform.AnsweredBy(resp.Header); resp.StatusCode == http.StatusMisdirectedRequest && by != to.ID {
 		r.markReplaced(to)
 		return NotRun, fmt.Errorf("refused with status %d", resp.StatusCode)
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -361,7 +361,7 @@
 			emit(part{ended: true, outcome: Lost, err: err})
 			return
 		}
-		r.Pool.MarkResponsive(cur.to.ID)
+		r.Pool.MarkResponsive(cur.to.ID, time.Now())
 		if !emit(part{event: e}) {
 			return
 		}
--- a/relay/trouble_test.go
+++ b/relay/trouble_test.go
@@ -150,3 +150,44 @@
 		So(w.request(context.Background(), http.MethodPost, "/book/1", "x", "X-Request-Id", "r2").status, ShouldEqual, 200)
 	})
 }
+
+// TestSilentServer checks that a server which accepts plain requests and answers none is left
+// alone soon, although requests that may not be repeated have to wait for it.
+func TestSilentServer(t *testing.T) {
+	withHarness(t, "the nearest of two servers goes silent", func(w *harness) {
+		w.add("a0", "app", 0, work)
+		w.add("a1", "app", 1, work)
+		So(w.request(context.Background(), http.MethodPost, "/book/1", "x").status, ShouldEqual, 200)
+		w.servers["a0"].SetFault(platformtest.Fault{Hang: true})
+		const (
+			callers  = 40
+			interval = 50 * time.Millisecond
+		)
+		answers := make(chan answer, callers)
+		for i := range callers {
+			go func() {
+				answers <- w.request(context.Background(), http.MethodPost, "/book/1", "x", "X-Request-Id", fmt.Sprintf("c%d", i))
+			}()
+			time.Sleep(interval)
+		}
+		served := 0
+		for range callers {
+			if a := <-answers; a.status == 200 {
+				served++
+			}
+		}
+		// Those of the first 200 ms, and of 200 ms after each trial, are lost.
+		So(served, ShouldBeGreaterThanOrEqualTo, callers*6/10)
+	})
+	withHarness(t, "a busy server that answers others is not avoided", func(w *harness) {
+		w.add("a0", "app", 0, 150*time.Millisecond)
+		w.add("a1", "app", 1, work)
+		for i := range 10 {
+			go w.request(context.Background(), http.MethodPost, "/book/1", "x", "X-Request-Id", fmt.Sprintf("c%d", i))
+			time.Sleep(30 * time.Millisecond)
+		}
+		time.Sleep(time.Second)
+		v, _ := w.pool.View("a0", time.Now())
+		So(v.FailedAt.IsZero(), ShouldBeTrue)
+	})
+}
