--- a/backend/backend.go
+++ b/backend/backend.go
@@ -110,7 +110,7 @@
 
 	respondedAt time.Time // when something last arrived from the server
 	failedAt    time.Time // time of the last failure; zero if the server has responded since
-	failures int       // consecutive failures
+	failures    int       // consecutive failures
 	// dial is the usual time to open a connection; zero if none has been opened yet.
 	dial time.Duration
 }
@@ -499,8 +499,8 @@
 	FailedAt time.Time
 	// RespondedAt is when something last arrived from the server.
 	RespondedAt time.Time
-	RetryAt  time.Time     // until then the server refuses requests; zero if it has refused none
-	DialTime time.Duration // usual time to open a connection; 0 if unknown
+	RetryAt     time.Time     // until then the server refuses requests; zero if it has refused none
+	DialTime    time.Duration // usual time to open a connection; 0 if unknown
 }
 
 // View returns a snapshot of a server's state, and false if the server is unknown.
--- a/relay/plain.go
+++ b/relay/plain.go
@@ -30,7 +30,7 @@
 	replies chan reply
 	tried   []engine.ServerID
 	sentTo  []sentTo // attempts without an outcome so far
-	best    *reply // an error status, delivered if no better answer comes
+	best    *reply   // an error status, delivered if no better answer comes
 	// retryAt is when the first server accepts requests again; zero unless all refuse them.
 	retryAt time.Time
 }
