feed: an entry VM that starts gets the list of servers once

An entry VM that starts announces itself to all others of its failure domain, and each answered with the list of all servers and of all members: 49 times 0.8 MB over links of 10 to 20 Mbit/s. Announcements and requests for a newer configuration are brief now: the answer has neither servers nor members.

The list of all servers may take long as long as it goes on, since the upstream sends it to many at once: 1.5 s without progress, instead of 1.5 s in all.

TestSlowAnswer.

--- a/feed/feed.go
+++ b/feed/feed.go
@@ -131,6 +131,9 @@
 	Config   routing.Version // version that the requester has
 	Wait     time.Duration   // maximum time to wait for a change if there is none yet
 	Starting bool            // the requester has just started
+	// Brief asks for no servers, moves and members, and while Starting for no configuration
+	// either. Links of entry VMs are slow.
+	Brief bool
 	Usage    []backend.Usage // retry budget usage of the requester
 	Hung     []ServerStart   // servers that the requester has found to hang since its last request
 	Leaving  []ServerStart   // servers that have said to the requester that they are leaving
@@ -306,9 +309,12 @@
 	if !l.freshAt.IsZero() {
 		a.AgeMs = max(0, now.Sub(l.freshAt).Milliseconds())
 	}
-	if l.config != nil && l.config.Version > q.Config {
+	if l.config != nil && l.config.Version > q.Config && !(q.Brief && q.Starting) {
 		a.Config = l.config
 	}
+	if q.Brief {
+		return a
+	}
 	if l.moves != nil && (q.Epoch != l.epoch || q.Moves != l.movesSeq) {
 		a.Moves, a.MovesSeq = l.moves(now), l.movesSeq
 	}
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -112,11 +112,16 @@
 		Convey("A slow response", t, func() {
 			network := &memnet.Network{}
 			var headerDelay, bodyDelay atomic.Int64 // of the next response, as time.Duration
+			var pieces atomic.Int64                 // in which the body comes, each after bodyDelay
 			s := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 				time.Sleep(time.Duration(headerDelay.Load()))
 				w.WriteHeader(http.StatusOK)
 				_ = http.NewResponseController(w).Flush()
-				time.Sleep(time.Duration(bodyDelay.Load()))
+				for range pieces.Load() {
+					time.Sleep(time.Duration(bodyDelay.Load()))
+					_, _ = w.Write([]byte(" "))
+					_ = http.NewResponseController(w).Flush()
+				}
 				_, _ = w.Write([]byte(`{"epoch":"e"}`))
 			})}
 			l, err := network.Listen("10.0.0.1:1")
@@ -125,11 +130,21 @@
 			c := feed.NewClient(network.Dialer("10.0.0.2"))
 			for _, x := range []struct {
 				headerDelay, bodyDelay time.Duration
+				pieces                 int64
+				epoch                  feed.Epoch // empty for all servers
 				ok                     bool
-			}{{0, 0, true}, {0, 1200 * time.Millisecond, true}, {0, 4 * time.Second, false}, {2 * time.Second, 0, false}} {
+			}{
+				{0, 0, 1, "", true},
+				{0, 1200 * time.Millisecond, 1, "", true},
+				{0, 4 * time.Second, 1, "", false},
+				{2 * time.Second, 0, 1, "", false},
+				{0, time.Second, 6, "", true},
+				{0, time.Second, 6, "e", false},
+			} {
 				headerDelay.Store(int64(x.headerDelay))
 				bodyDelay.Store(int64(x.bodyDelay))
-				_, err := c.Fetch(context.Background(), feed.Member{ID: "e", Address: "10.0.0.1:1"}, feed.Request{Wait: 500 * time.Millisecond})
+				pieces.Store(x.pieces)
+				_, err := c.Fetch(context.Background(), feed.Member{ID: "e", Address: "10.0.0.1:1"}, feed.Request{Epoch: x.epoch, Wait: 500 * time.Millisecond})
 				So(err == nil, ShouldEqual, x.ok)
 			}
 			c.CloseIdle()
--- a/feed/http.go
+++ b/feed/http.go
@@ -33,6 +33,9 @@
 		"begun":   {strconv.FormatBool(q.Starting)},
 		"waitMs":  {strconv.FormatInt(q.Wait.Milliseconds(), 10)},
 	}
+	if q.Brief {
+		v.Set("brief", "true")
+	}
 	if q.Members > 0 {
 		v.Set("members", strconv.FormatUint(q.Members, 10))
 	}
@@ -91,6 +94,7 @@
 		From:     Member{ID: MemberID(v.Get("id")), Address: v.Get("address"), Domain: names.ID(v.Get("domain"))},
 		Epoch:    Epoch(v.Get("epoch")),
 		Starting: v.Get("begun") == "true",
+		Brief:    v.Get("brief") == "true",
 	}
 	var link int64
 	for _, f := range []struct {
@@ -191,7 +195,7 @@
 	}
 	a := s.Respond(q)
 	a.Self = s.Members.Self
-	if a.MembersDigest = s.Members.Digest(); a.MembersDigest != q.Members {
+	if a.MembersDigest = s.Members.Digest(); a.MembersDigest != q.Members && !q.Brief {
 		a.Members = s.Members.List()
 	}
 	w.Header().Set("Content-Type", "application/json")
@@ -247,13 +251,34 @@
 	if resp.StatusCode != http.StatusOK {
 		return Response{}, fmt.Errorf("poll %s: %w", m.ID, result.Read(resp, result.Internal))
 	}
+	body := io.LimitReader(resp.Body, maxBody)
+	if q.Epoch == "" {
+		// The response lists all servers, and the member may send it to many others at once: it
+		// may take long as long as it goes on.
+		body = &progressReader{body, func() { limit.Reset(bodyTimeout) }}
+	}
 	var a Response
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxBody)).Decode(&a); err != nil {
+	if err := json.NewDecoder(body).Decode(&a); err != nil {
 		return Response{}, fmt.Errorf("decode feed response of %s: %w", m.ID, err)
 	}
 	return a, a.Check()
 }
 
+// progressReader calls onRead after each read that returned data.
+type progressReader struct {
+	io.Reader
+	onRead func()
+}
+
+// Read implements io.Reader.
+func (p *progressReader) Read(b []byte) (int, error) {
+	n, err := p.Reader.Read(b)
+	if n > 0 {
+		p.onRead()
+	}
+	return n, err
+}
+
 // Next returns the request to send after a response, so that nothing is sent twice.
 func (q Request) Next(a *Response) Request {
 	if a.MovesSeq != 0 || a.Epoch != q.Epoch {
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -282,6 +283,29 @@
 	})
 }
 
+// TestStartTraffic starts an entry VM among many others: it must get the list of servers about
+// once, as the links of entry VMs are slow.
+func TestStartTraffic(t *testing.T) {
+	inWorld(t, "bytes of a start", func(w *world) {
+		for i := range 300 {
+			s := &platformtest.Server{ID: fmt.Sprintf("m%d", i), Address: fmt.Sprintf("10.4.%d.%d:80", i/200, i%200+1), Service: "models", Domain: "wv-a", Version: "v1", Born: int64(i + 1)}
+			w.store.Put("servers", s.ID, s.Entry("ready"))
+		}
+		for i := range 12 {
+			w.vm("e"+itoa(i), "cn-a", i+1)
+		}
+		time.Sleep(settle)
+		list, err := json.Marshal(map[string]any{"x": w.store.Names("servers")})
+		So(err, ShouldBeNil)
+		const entryBytes = 200 // of one server in the feed
+		listBytes := len(list) + 300*entryBytes
+		late := w.vm("late", "cn-a", 50)
+		time.Sleep(settle)
+		So(w.ready(late), ShouldBeTrue)
+		So(w.net.Traffic(memnet.Host(late.host)).Received, ShouldBeLessThan, 3*listBytes)
+	})
+}
+
 func TestNoConfiguration(t *testing.T) {
 	inWorld(t, "Entry VMs that have no configuration yet poll each other twice a second", func(w *world) {
 		w.store.Remove("config", "main")
--- a/gateway/upstream.go
+++ b/gateway/upstream.go
@@ -260,7 +260,7 @@
 	}
 	go func() {
 		defer d.fetchingConfig.Store(false)
-		q := feed.Request{From: d.members.Self}
+		q := feed.Request{From: d.members.Self, Brief: true}
 		if t := d.table.Load(); t != nil {
 			q.Config = t.Version
 		}
@@ -374,7 +374,7 @@
 			continue
 		}
 		go func() {
-			if a, err := d.client.Fetch(ctx, m, feed.Request{From: d.members.Self, Starting: true}); err == nil {
+			if a, err := d.client.Fetch(ctx, m, feed.Request{From: d.members.Self, Starting: true, Brief: true}); err == nil {
 				d.members.MarkFresh(time.Now(), a.Self)
 			}
 		}()
