--- a/caller/client.go
+++ b/caller/client.go
@@ -221,7 +221,10 @@
 		return causeOf(ctx, err)
 	}
 	defer resp.Body.Close()
-	resp.Body = &activityBody{ReadCloser: resp.Body, onRead: restart}
+	resp.Body = struct {
+		io.Reader
+		io.Closer
+	}{&engine.ActivityReader{Reader: resp.Body, OnRead: restart}, resp.Body}
 	return causeOf(ctx, f(resp))
 }
 
@@ -336,18 +339,3 @@
 	a.client.onPiece(a.answer.Text())
 	a.done = true
 }
-
-// activityBody calls onRead after each read that returns data.
-type activityBody struct {
-	io.ReadCloser
-	onRead func()
-}
-
-// Read implements io.Reader.
-func (h *activityBody) Read(p []byte) (int, error) {
-	n, err := h.ReadCloser.Read(p)
-	if n > 0 {
-		h.onRead()
-	}
-	return n, err
-}
--- a/clock/hedge.go
+++ b/clock/hedge.go
@@ -21,7 +21,7 @@
 		started, pending = started+1, pending+1
 		go func() {
 			v, err := f(ctx)
-			outcomes <- outcome{v, err}
+			outcomes <- outcome{value: v, err: err}
 		}()
 	}
 	start()
--- a/engine/client.go
+++ b/engine/client.go
@@ -65,6 +65,22 @@
 // without end does not exhaust the memory.
 const MaxHeaderBytes = 64 << 10
 
+// ActivityReader calls OnRead after each read that returned data. A time limit that is reset by
+// it bounds a silence, not the whole of a long response.
+type ActivityReader struct {
+	io.Reader
+	OnRead func()
+}
+
+// Read implements io.Reader.
+func (r *ActivityReader) Read(p []byte) (int, error) {
+	n, err := r.Reader.Read(p)
+	if n > 0 {
+		r.OnRead()
+	}
+	return n, err
+}
+
 // TimeoutDialer returns a dialer that calls d, or a [net.Dialer] if d is nil, with a
 // timeout of a few seconds. The timeout of the request is not enough:
 // [http.Transport] continues to dial after the request that needed the connection
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -133,10 +133,10 @@
 	Starting bool            // the requester has just started
 	// Brief asks for no servers, moves and members, and while Starting for no configuration
 	// either. Links of entry VMs are slow.
-	Brief bool
-	Usage    []backend.Usage // retry budget usage of the requester
-	Hung     []ServerStart   // servers that the requester has found to hang since its last request
-	Leaving  []ServerStart   // servers that have said to the requester that they are leaving
+	Brief   bool
+	Usage   []backend.Usage // retry budget usage of the requester
+	Hung    []ServerStart   // servers that the requester has found to hang since its last request
+	Leaving []ServerStart   // servers that have said to the requester that they are leaving
 	// Members is the digest of the list of members that the requester last received.
 	Members uint64
 	Moves   int64           // sequence number of the moves that the requester has
--- a/feed/http.go
+++ b/feed/http.go
@@ -255,7 +255,7 @@
 	if q.Epoch == "" {
 		// The response lists all servers, and the member may send it to many others at once: it
 		// may take long as long as it goes on.
-		body = &progressReader{body, func() { limit.Reset(bodyTimeout) }}
+		body = &engine.ActivityReader{Reader: body, OnRead: func() { limit.Reset(bodyTimeout) }}
 	}
 	var a Response
 	if err := json.NewDecoder(body).Decode(&a); err != nil {
@@ -264,21 +264,6 @@
 	return a, a.Check()
 }
 
-// progressReader calls onRead after each read that returned data.
-type progressReader struct {
-	io.Reader
-	onRead func()
-}
-
-// Read implements io.Reader.
-func (p *progressReader) Read(b []byte) (int, error) {
-	n, err := p.Reader.Read(b)
-	if n > 0 {
-		p.onRead()
-	}
-	return n, err
-}
-
 // Next returns the request to send after a response, so that nothing is sent twice.
 func (q Request) Next(a *Response) Request {
 	if a.MovesSeq != 0 || a.Epoch != q.Epoch {
--- a/gateway/moves.go
+++ b/gateway/moves.go
@@ -553,7 +553,7 @@
 		// Add skips counts that fell, as when another entry VM reports for the domain.
 		more = append(more, c)
 	}
-	sm.otherDomains[other] = reportedTally{e.Writer, now}
+	sm.otherDomains[other] = reportedTally{writer: e.Writer, tally: now}
 	sm.evidence.Add(time.Now(), more)
 }
 
--- a/objects/client.go
+++ b/objects/client.go
@@ -218,7 +218,7 @@
 		return err
 	}
 	defer resp.Body.Close()
-	body := &activityReader{Reader: resp.Body, onRead: func() { idle.Reset(watchIdleTimeout) }}
+	body := &engine.ActivityReader{Reader: resp.Body, OnRead: func() { idle.Reset(watchIdleTimeout) }}
 	for ev, err := range sse.Read(body, &sse.ReadConfig{MaxEventSize: 2 * MaxValueSize}) {
 		if err != nil {
 			return result.Wrap(result.PlatformDown, err, "watch")
@@ -245,18 +245,3 @@
 	}
 	return q
 }
-
-// activityReader calls onRead after each read that returned data.
-type activityReader struct {
-	io.Reader
-	onRead func()
-}
-
-// Read implements io.Reader.
-func (r *activityReader) Read(p []byte) (int, error) {
-	n, err := r.Reader.Read(p)
-	if n > 0 {
-		r.onRead()
-	}
-	return n, err
-}
--- a/relay/plain.go
+++ b/relay/plain.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -41,9 +42,9 @@
 	at     time.Time
 }
 
-// silentShare is the share of the latency objective after which a server that has not answered the
-// request, nor anything else since, counts as failed.
-const silentShare = 1.0
+// defaultSilence is the time after which a server that has not answered the request, nor anything
+// else since, counts as failed, on routes without a latency objective.
+const defaultSilence = time.Second
 
 // servePlain answers a request to a plain service.
 func (r *Relay) servePlain(w http.ResponseWriter, j *job) {
@@ -53,7 +54,7 @@
 	p.retrier = Retrier{Repeatable: j.route.Repeatable(), MaxRuns: j.route.MaxAttempts, GiveUpAt: j.startedAt.Add(j.route.LatencyTarget)}
 	hedge := time.NewTimer(max(time.Millisecond, time.Duration(hedgeShare*float64(j.route.LatencyTarget))))
 	defer hedge.Stop()
-	silent := time.NewTimer(max(time.Millisecond, time.Duration(silentShare*float64(j.route.LatencyTarget))))
+	silent := time.NewTimer(cmp.Or(j.route.LatencyTarget, defaultSilence))
 	defer silent.Stop()
 	action := r.sendPlain(ctx, p)
 	for {
@@ -118,7 +119,7 @@
 	p.sends++
 	p.tried = append(p.tried, to.ID)
 	p.retrier.Sent()
-	p.sentTo = append(p.sentTo, sentTo{to.ID, now})
+	p.sentTo = append(p.sentTo, sentTo{server: to.ID, at: now})
 	send := &platform.ServerRequest{Server: to.ID, Organisation: p.organisation, TimeLeft: time.Until(p.deadline), Urgency: -1}
 	go func() {
 		rep := reply{server: to}
