relay: a silent run is kept until another engine has taken its stream

What callers saw: a stream whose engine was silent for a second or so, and then went on, ended with a closed connection in the middle of its answer, or with 502 before its first event.

Cause: on failover from a silent run the relay closed that run first and looked for another engine then. Where all others refused, no retry was left in the budget, or other streams of the same engine had taken the last one between the check and the send, nothing was left to go back to, and the request was given up although the run was sound.

Evidence: TestSilentRunGivenUpThoughOthersRefuse and TestSilentRunGivenUpForSpentBudget fail on the code before: "unexpected EOF" in the middle of the answer with the engine full, with two retries left, with nobody listening at the other engines and with six streams that share one retry; status 502 instead of 200 before the first event. Where the silent engine took the stream again, its first run was broken off and the rest of the prompt read anew. TestSilentRunResumes fails with a gap of 9 s and a stream that moved.

Fix: the next engine is chosen and the retry taken from the budget first. The silent run stays open until the new one sends its head or an event, at most for 200 ms after the request was sent on an open connection, which leaves time to stop it. It continues if the new one refuses, fails or is lost, or if it speaks first; its events pass the same check of ids. What does not replace it counts neither as a send nor as a round, and the next attempt comes 200 ms later. The state for the detector and the answers to probes belong to a run, so they follow the one that is current. Runs that have ended take the same path as before.

--- /dev/null
+++ b/relay/silent_test.go
@@ -0,0 +1,327 @@
+package relay_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"quetzalhold/platform/platformtest"
+	"quetzalhold/result"
+	"quetzalhold/routing"
+)
+
+// silence makes an engine silent for d.
+func silence(s *platformtest.Server, d time.Duration) {
+	s.SetFault(platformtest.Fault{SilentUntil: time.Now().Add(d)})
+}
+
+// faultOthers makes all engines but one misbehave.
+func (w *harness) faultOthers(s *platformtest.Server, f platformtest.Fault) {
+	for _, x := range w.servers {
+		if x != s {
+			x.SetFault(f)
+		}
+	}
+}
+
+// TestSilentRunGivenUpThoughOthersRefuse guards against a stream that is broken off because its
+// engine is silent for a while and all others refuse it.
+func TestSilentRunGivenUpThoughOthersRefuse(t *testing.T) {
+	for _, x := range []struct {
+		name   string
+		silent time.Duration
+		full   bool // its engine takes no other run meanwhile
+		slack  float64
+		others platformtest.Fault
+	}{
+		{"for a second", time.Second, false, 20, platformtest.Fault{Refuse: true}},
+		{"for four seconds", 4 * time.Second, false, 20, platformtest.Fault{Refuse: true}},
+		{"for a second, engine full", time.Second, true, 20, platformtest.Fault{Refuse: true}},
+		{"for four seconds, engine full", 4 * time.Second, true, 100, platformtest.Fault{Refuse: true}},
+		{"for a second, few retries left", time.Second, false, 2, platformtest.Fault{Refuse: true}},
+		{"for four seconds, others fail", 4 * time.Second, true, 100, platformtest.Fault{Status: 500}},
+	} {
+		withHarness(t, x.name, func(w *harness) {
+			w.addEngines()
+			w.budget.Ratio = 0
+			w.budget.SetSlack(x.slack)
+			time.AfterFunc(2*time.Second, func() {
+				s := w.serving("r1")
+				w.faultOthers(s, x.others)
+				s.SetFault(platformtest.Fault{SilentUntil: time.Now().Add(x.silent), Refuse: x.full})
+			})
+			a := w.resumableStream(context.Background())
+			So(a.err, ShouldBeNil)
+			So(a.body, ShouldEqual, events(1, numEvent))
+			So(w.book.Runs("r1")[0].Events, ShouldEqual, numEvent) // its first run went on to the end
+			So(w.ended(), ShouldResemble, []result.Code{result.OK})
+		})
+	}
+	withHarness(t, "before the first event", func(w *harness) {
+		s := w.add("e0", "models", 0, 30*time.Millisecond)
+		s.SetFault(platformtest.Fault{Delay: 8 * time.Second})
+		time.AfterFunc(500*time.Millisecond, func() {
+			s.SetFault(platformtest.Fault{Refuse: true}) // it is full
+			for i := 1; i < 4; i++ {
+				w.add(fmt.Sprintf("e%d", i), "models", i%3, 30*time.Millisecond).SetFault(platformtest.Fault{Refuse: true})
+			}
+		})
+		a := w.resumableStream(context.Background())
+		So(a.status, ShouldEqual, http.StatusOK)
+		So(a.body, ShouldEqual, events(1, numEvent))
+		So(w.book.Runs("r1"), ShouldHaveLength, 1)
+	})
+	withHarness(t, "the others are unreachable", func(w *harness) {
+		w.addEngines()
+		time.AfterFunc(2*time.Second, func() {
+			s := w.serving("r1")
+			for _, x := range w.servers {
+				if x != s {
+					w.blackhole(x)
+				}
+			}
+			s.SetFault(platformtest.Fault{SilentUntil: time.Now().Add(time.Second), Refuse: true})
+		})
+		a := w.resumableStream(context.Background())
+		So(a.err, ShouldBeNil)
+		So(a.body, ShouldEqual, events(1, numEvent))
+		So(w.book.Runs("r1"), ShouldHaveLength, 1)
+	})
+	withHarness(t, "nothing listens at the others any more", func(w *harness) {
+		w.addEngines()
+		time.AfterFunc(2*time.Second, func() {
+			s := w.serving("r1")
+			for _, x := range w.servers {
+				if x != s {
+					w.kill(x)
+				}
+			}
+			s.SetFault(platformtest.Fault{SilentUntil: time.Now().Add(time.Second), Refuse: true})
+		})
+		a := w.resumableStream(context.Background())
+		So(a.err, ShouldBeNil)
+		So(a.body, ShouldEqual, events(1, numEvent))
+		So(w.book.Runs("r1"), ShouldHaveLength, 1)
+	})
+}
+
+// TestSilentRunGivenUpForSpentBudget guards against streams that are broken off because many of
+// one silent engine decide on a retry at the same moment, of which the budget allows one.
+func TestSilentRunGivenUpForSpentBudget(t *testing.T) {
+	withHarness(t, "six streams, one retry", func(w *harness) {
+		c := testConfig()
+		c.Services[0].Model = &routing.Model{Slots: 48, KVTokens: 88000}
+		w.setTable(routing.NewTable(c))
+		w.relay.Detector.RestartAfter = 400 * time.Millisecond
+		w.budget.Ratio = 0
+		w.budget.SetSlack(1)
+		s := w.add("e0", "models", 0, 30*time.Millisecond)
+		time.AfterFunc(2*time.Second, func() {
+			for i := 1; i < 4; i++ {
+				w.add(fmt.Sprintf("e%d", i), "models", i%3, 30*time.Millisecond)
+			}
+			silence(s, time.Second)
+		})
+		answers := make([]answer, 6)
+		var wg sync.WaitGroup
+		for i := range answers {
+			wg.Go(func() { answers[i] = w.resumableStream(context.Background(), "X-Request-Id", fmt.Sprintf("r%d", i)) })
+		}
+		wg.Wait()
+		for i, a := range answers {
+			So(a.err, ShouldBeNil)
+			So(a.body, ShouldEqual, events(1, numEvent))
+			w.checkOneRun(fmt.Sprintf("r%d", i))
+		}
+		So(w.budget.Usage(time.Now()).Retries, ShouldBeLessThanOrEqualTo, 1)
+	})
+}
+
+// TestSilentRunResumes checks that a silent run which goes on while another engine is about to
+// take its stream continues, and that the other engine stops.
+func TestSilentRunResumes(t *testing.T) {
+	withHarness(t, "the other engine is slow", func(w *harness) {
+		w.addEngines()
+		var first *platformtest.Server
+		time.AfterFunc(2*time.Second, func() {
+			first = w.serving("r1")
+			w.faultOthers(first, platformtest.Fault{Delay: 5 * time.Second})
+			silence(first, 550*time.Millisecond)
+		})
+		a := w.resumableStream(context.Background())
+		So(a.err, ShouldBeNil)
+		So(a.body, ShouldEqual, events(1, numEvent))
+		So(a.gap, ShouldBeLessThan, maxGap)
+		So(w.serving("r1").ID, ShouldEqual, first.ID)
+		for _, s := range w.servers {
+			So(s.Running(), ShouldEqual, 0)
+		}
+	})
+	withHarness(t, "with its last event", func(w *harness) {
+		w.addEngines()
+		var first *platformtest.Server
+		time.AfterFunc(2*time.Second, func() {
+			first = w.serving("r1")
+			w.faultOthers(first, platformtest.Fault{Delay: 5 * time.Second})
+			silence(first, 550*time.Millisecond)
+		})
+		a := w.resumableStream(context.Background(), "X-Token-Count", "8200,165")
+		So(a.err, ShouldBeNil)
+		So(a.body, ShouldEqual, events(1, 33))
+		So(w.serving("r1").ID, ShouldEqual, first.ID)
+	})
+	withHarness(t, "it is lost meanwhile", func(w *harness) {
+		w.addEngines()
+		time.AfterFunc(2*time.Second, func() {
+			s := w.serving("r1")
+			s.SetFault(platformtest.Fault{SilentUntil: time.Now().Add(5 * time.Second)})
+			time.AfterFunc(500*time.Millisecond, func() { w.kill(s) })
+		})
+		a := w.resumableStream(context.Background())
+		So(a.err, ShouldBeNil)
+		So(a.body, ShouldEqual, events(1, numEvent))
+		So(a.gap, ShouldBeLessThan, maxGap)
+		w.checkOneRun("r1")
+	})
+}
+
+// TestSilentConnectionKept guards against a run that is kept although its connection is silent
+// for good: another engine takes the stream within the gap that callers accept, also if the first
+// one that is tried refuses, and the run before stops.
+func TestSilentConnectionKept(t *testing.T) {
+	withHarness(t, "the engine is reachable", func(w *harness) {
+		w.addEngines()
+		time.AfterFunc(2*time.Second, func() { w.net.Blackhole(entryHost, w.host(w.serving("r1"))) })
+		a := w.resumableStream(context.Background())
+		So(a.body, ShouldEqual, events(1, numEvent))
+		So(a.gap, ShouldBeLessThan, maxGap)
+		runs := w.book.Runs("r1")
+		So(runs, ShouldHaveLength, 2)
+		So(runs[0].Ended, ShouldHappenBefore, runs[1].Started.Add(stopBound))
+	})
+	withHarness(t, "the engine with the copy refuses", func(w *harness) {
+		w.addEngines()
+		time.AfterFunc(2*time.Second, func() {
+			copyHost, _, _ := net.SplitHostPort(w.book.Runs("r1")[0].Header.Get("X-Kv-Backup"))
+			for _, s := range w.servers {
+				if string(w.host(s)) == copyHost {
+					s.SetFault(platformtest.Fault{Refuse: true})
+				}
+			}
+			w.net.Blackhole(entryHost, w.host(w.serving("r1")))
+		})
+		a := w.resumableStream(context.Background())
+		So(a.body, ShouldEqual, events(1, numEvent))
+		So(a.gap, ShouldBeLessThan, 2500*time.Millisecond)
+		w.checkOneRun("r1")
+	})
+	withHarness(t, "others refuse for a while", func(w *harness) {
+		w.addEngines()
+		time.AfterFunc(2*time.Second, func() {
+			s := w.serving("r1")
+			w.faultOthers(s, platformtest.Fault{Refuse: true})
+			w.net.Blackhole(entryHost, w.host(s))
+			time.AfterFunc(3*time.Second, func() { w.faultOthers(s, platformtest.Fault{}) })
+		})
+		a := w.resumableStream(context.Background())
+		So(a.err, ShouldBeNil)
+		So(a.body, ShouldEqual, events(1, numEvent))
+		So(a.gap, ShouldBeLessThan, 5*time.Second)
+		w.checkOneRun("r1")
+	})
+}
+
+// TestSilentRunsRecur checks that attempts to replace a silent run do not use up what a later
+// loss of it needs.
+func TestSilentRunsRecur(t *testing.T) {
+	withHarness(t, "silent while all others refuse, then lost", func(w *harness) {
+		w.addEngines()
+		time.AfterFunc(2*time.Second, func() {
+			s := w.serving("r1")
+			w.faultOthers(s, platformtest.Fault{Refuse: true})
+			silence(s, 5*time.Second)
+			time.AfterFunc(5*time.Second, func() { w.faultOthers(s, platformtest.Fault{}) })
+			time.AfterFunc(6*time.Second, func() { w.kill(s) })
+		})
+		w.budget.SetSlack(100)
+		a := w.resumableStream(context.Background())
+		So(a.err, ShouldBeNil)
+		So(a.body, ShouldEqual, events(1, numEvent))
+	})
+}
+
+// TestSilencesMixUpStreams injects silences and refusals at random, and losses: whatever run goes
+// on, callers must get every event once and in order, and no two engines may work on a stream
+// together for long.
+func TestSilencesMixUpStreams(t *testing.T) {
+	for seed := range uint64(10) {
+		withHarness(t, fmt.Sprintf("seed %d", seed), func(w *harness) {
+			w.addEngines()
+			c := testConfig()
+			c.Routes[0].MaxAttempts = 12 // streams meet several silences
+			w.setTable(routing.NewTable(c))
+			w.budget.SetSlack(100)
+			random := rand.New(rand.NewPCG(seed, 1))
+			stop := make(chan struct{})
+			var wg sync.WaitGroup
+			wg.Go(func() { w.disturb(random, stop) })
+			answers := make([]answer, 6)
+			var callers sync.WaitGroup
+			for i := range answers {
+				callers.Go(func() { answers[i] = w.resumableStream(context.Background(), "X-Request-Id", fmt.Sprintf("r%d", i)) })
+			}
+			callers.Wait()
+			close(stop)
+			wg.Wait()
+			time.Sleep(time.Second)
+			for i, a := range answers {
+				So(a.err, ShouldBeNil)
+				So(a.body, ShouldEqual, events(1, numEvent))
+				w.checkOverlap(fmt.Sprintf("r%d", i))
+			}
+			for _, s := range w.servers {
+				So(s.Running(), ShouldEqual, 0)
+			}
+		})
+	}
+}
+
+// disturb injects silences and refusals at random until stop is closed, and makes connections
+// silent for good twice.
+func (w *harness) disturb(random *rand.Rand, stop <-chan struct{}) {
+	for losses := 0; ; {
+		select {
+		case <-stop:
+			return
+		case <-time.After(time.Duration(50+random.IntN(250)) * time.Millisecond):
+		}
+		s := w.servers[fmt.Sprintf("e%d", random.IntN(len(w.servers)))]
+		silent := time.Duration(random.IntN(1500)) * time.Millisecond
+		s.SetFault(platformtest.Fault{SilentUntil: time.Now().Add(silent), Refuse: random.IntN(3) == 0})
+		if losses < 2 && random.IntN(8) == 0 {
+			losses++
+			w.net.Blackhole(entryHost, w.host(s))
+		}
+	}
+}
+
+// checkOverlap checks that no two engines worked on a request together for long.
+func (w *harness) checkOverlap(id string) {
+	runs := w.book.Runs(id)
+	for i, a := range runs {
+		for _, b := range runs[i+1:] {
+			end := a.Ended
+			if b.Ended.Before(end) {
+				end = b.Ended
+			}
+			So(end.Sub(b.Started), ShouldBeLessThan, stopBound)
+		}
+	}
+}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptrace"
 	"slices"
 	"strconv"
 	"time"
@@ -32,6 +33,11 @@
 
 	repeated bool // it has sent an event again
 
+	state        StreamState
+	probeResults chan probeResult
+	recheckAt    time.Time // until then it is not replaced
+	keptFor      string    // why it was not replaced, as last logged
+
 	checkpoints   chan checkpoint // outcomes of its checkpoints
 	checkpoint    *checkpoint     // the last one that succeeded
 	checkpointing bool
@@ -39,10 +45,12 @@
 	noCheckpoint  []engine.ServerID // servers at which a checkpoint failed
 }
 
-// part is a part of a run's output: the response head, an event, or the end.
+// part is a part of a run's output: that its connection is open, the response head, an event, or
+// the end.
 type part struct {
-	head  *http.Response // set once, first
-	event event
+	connected bool           // nothing else is set
+	head      *http.Response // set once, before the events
+	event     event
 	// ended reports that this is the last part; err is nil only after a complete stream.
 	ended   bool
 	outcome Outcome
@@ -52,20 +60,19 @@
 // streamRun is a stream in flight to a caller.
 type streamRun struct {
 	*job
-	w            http.ResponseWriter
-	ctx          context.Context
-	cur          *run
-	tried        []engine.ServerID // servers not to be tried again
-	state        StreamState
-	probeResults chan probeResult
-	headSent     bool // the response head was sent to the caller
-	firstAt      time.Time
-	emptyRuns    int   // consecutive runs without an event
-	lastID       int64 // id of the last event sent to the caller, or received by it before it resumed
-	idStep       int64 // difference between the ids of two events; 0 if unknown
-	runs         int   // sends, except those that were refused
-	rounds       int
-	failure      *reply // a failure that a server answered with
+	w         http.ResponseWriter
+	ctx       context.Context
+	cur       *run
+	handover  handover
+	tried     []engine.ServerID // servers not to be tried again
+	headSent  bool              // the response head was sent to the caller
+	firstAt   time.Time
+	emptyRuns int   // consecutive runs without an event
+	lastID    int64 // id of the last event sent to the caller, or received by it before it resumed
+	idStep    int64 // difference between the ids of two events; 0 if unknown
+	runs      int   // sends, except those that were refused
+	rounds    int
+	failure   *reply // a failure that a server answered with
 	// retryAt is when the first engine accepts requests again; zero unless all refuse them.
 	retryAt time.Time
 }
@@ -81,7 +88,7 @@
 	if id, err := strconv.ParseInt(j.msg.params.LastEvent, 10, 64); err == nil {
 		s.lastID = id
 	}
-	defer s.closeRun()
+	defer s.closeRuns()
 	if s.rejectTooLate() || !s.start("first", nil) {
 		return
 	}
@@ -94,23 +101,21 @@
 			s.probe(v.Report)
 			continue
 		case FailOver:
-			if s.state.ProbeOK {
-				s.relay.stopRun(s.cur, s.msg.params.ID)
-			}
-			s.relay.markFailed(s.cur.to, v.Reason == reasonIdle)
-			if !s.failOver(v.Reason) {
-				return
-			}
+			s.replace(v.Reason)
 			continue
 		}
 		s.checkpointIfDue(time.Now())
 		timer.Reset(max(time.Millisecond, time.Until(v.CheckAt)))
 		select {
 		case p := <-s.cur.parts:
-			if !s.handlePart(p) {
+			if !s.handleCurrent(p) {
+				return
+			}
+		case p := <-s.handover.parts():
+			if !s.handleHeld(p) {
 				return
 			}
-		case p := <-s.probeResults:
+		case p := <-s.cur.probeResults:
 			s.handleProbe(p)
 		case o := <-s.cur.checkpoints:
 			s.checkpointDone(o)
@@ -122,21 +127,21 @@
 	}
 }
 
-// recheckDelay is when to decide again about a silent run while the retry budget allows no
-// other run.
-const recheckDelay = 200 * time.Millisecond
-
 // decide returns what to do about the current run. Where no other run is allowed, the run
 // continues: its engine's silence alone is no reason to end an answer.
 func (s *streamRun) decide() Decision {
-	if !s.route.Resumable || s.runs >= s.route.MaxAttempts {
-		return Decision{Action: Await, CheckAt: s.deadline}
+	now := time.Now()
+	if s.handover.expired(now) {
+		s.takeOver()
 	}
-	v := s.relay.Detector.Decide(s.currentState())
-	if now := time.Now(); v.Action == FailOver && !s.relay.Budget(s.service).Available(now) {
-		return Decision{Action: Await, CheckAt: now.Add(recheckDelay)}
+	v := Decision{Action: Await, CheckAt: s.deadline}
+	if s.route.Resumable && s.runs < s.route.MaxAttempts {
+		v = s.relay.Detector.Decide(s.currentState())
 	}
-	return v
+	if v.Action == FailOver && now.Before(s.cur.recheckAt) {
+		v = Decision{Action: Await, CheckAt: s.cur.recheckAt}
+	}
+	return s.handover.limit(v)
 }
 
 // mayHaveRun reports whether some server may have run the request.
@@ -170,11 +175,11 @@
 // currentState updates the state of the current run and returns it.
 func (s *streamRun) currentState() StreamState {
 	now := time.Now()
-	s.state.Now = now
 	v, ok := s.relay.Pool.View(s.cur.to.ID, now)
-	s.state.ServerFailed = !ok || v.FailedAt.After(s.cur.sentAt)
-	_, _, s.state.HasCopy = s.liveCopy(s.cur, now)
-	return s.state
+	state := &s.cur.state
+	state.Now, state.ServerFailed = now, !ok || v.FailedAt.After(s.cur.sentAt)
+	_, _, state.HasCopy = s.liveCopy(s.cur, now)
+	return *state
 }
 
 // replicaAlive reports whether the server of a run's replica is believed to be up.
@@ -183,13 +188,13 @@
 }
 
 // liveCopy returns a server that holds a copy of a run's KV cache from which another run can
-// resume, and the reference to that copy.
+// resume, and the reference to that copy. A server that refused the stream is left out.
 func (s *streamRun) liveCopy(from *run, now time.Time) (backend.Choice, *platform.KVCopy, bool) {
 	switch {
 	case from == nil || !from.started:
-	case s.replicaAlive(from, now):
+	case s.replicaAlive(from, now) && !slices.Contains(s.tried, from.replica.ID):
 		return *from.replica, &platform.KVCopy{Address: from.replica.Address, Name: string(s.msg.params.ID)}, true
-	case from.checkpoint != nil && s.serverAlive(&from.checkpoint.server, from.sentAt, now):
+	case from.checkpoint != nil && s.serverAlive(&from.checkpoint.server, from.sentAt, now) && !slices.Contains(s.tried, from.checkpoint.server.ID):
 		return from.checkpoint.server, &platform.KVCopy{Address: from.to.Address, Name: from.checkpoint.handle}, true
 	}
 	return backend.Choice{}, nil, false
@@ -200,7 +205,7 @@
 func (s *streamRun) start(why string, from *run) bool {
 	for {
 		now := time.Now()
-		p, memory, ok := s.pick(now, from)
+		p, memory, ok := s.pick(now, from, s.tried)
 		from = nil
 		if !ok || s.sends >= maxSends {
 			if !s.pause() {
@@ -221,28 +226,28 @@
 
 // pick returns the engines for the next run and its replica. A copy exists only of a run that
 // has begun to generate.
-func (s *streamRun) pick(now time.Time, from *run) (backend.Placement, *platform.KVCopy, bool) {
+func (s *streamRun) pick(now time.Time, from *run, exclude []engine.ServerID) (backend.Placement, *platform.KVCopy, bool) {
 	if c, memory, ok := s.liveCopy(from, now); ok {
-		return s.placementAt(c, now), memory, true
+		return s.placementAt(c, now, exclude), memory, true
 	}
 	if s.lastID > 0 && s.sends == 0 && s.rounds == 0 {
 		if c, ok := s.relay.findCached(s.ctx, s.job, now); ok {
-			return s.placementAt(c, now), nil, true
+			return s.placementAt(c, now, exclude), nil, true
 		}
 	}
 	var avoid engine.ServerID
 	if from != nil {
 		avoid = from.to.ID
 	}
-	p, ok := s.relay.place(s.ctx, s.job, now, s.tried, avoid)
+	p, ok := s.relay.place(s.ctx, s.job, now, exclude, avoid)
 	return p, nil, ok
 }
 
 // placementAt returns a placement at a known engine. Since the caller waits, the engine for
 // the next replica is chosen without load reports.
-func (s *streamRun) placementAt(c backend.Choice, now time.Time) backend.Placement {
+func (s *streamRun) placementAt(c backend.Choice, now time.Time, exclude []engine.ServerID) backend.Placement {
 	p := backend.Placement{Run: backend.Engine{Choice: c}}
-	s.relay.setCopy(&p, s.job, now, s.tried)
+	s.relay.setCopy(&p, s.job, now, exclude)
 	return p
 }
 
@@ -252,8 +257,7 @@
 	ctx, cancel := context.WithCancel(s.ctx)
 	to := p.Run.Choice
 	s.cur = &run{to: to, ctx: ctx, cancel: cancel, sentAt: now, parts: make(chan part, maxBufferedParts), checkpoints: make(chan checkpoint, 1), work: backend.Load{Requests: 1, Pending: 1, Tokens: s.tokens}}
-	s.state = StreamState{SentAt: now, FromCopy: memory != nil, FirstEventBy: now.Add(s.firstEventTimeout(p.Run.Report))}
-	s.probeResults = nil // answers to probes of the previous run say nothing about this one
+	s.cur.state = StreamState{SentAt: now, FromCopy: memory != nil, FirstEventBy: now.Add(s.firstEventTimeout(p.Run.Report))}
 	send := &platform.ServerRequest{Server: to.ID, Organisation: s.organisation, TimeLeft: time.Until(s.deadline), Urgency: s.urgency(), ResumeFrom: memory}
 	if s.lastID > 0 {
 		send.LastEvent = strconv.FormatInt(s.lastID, 10)
@@ -318,6 +322,9 @@
 			return false
 		}
 	}
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { emit(part{connected: true}) },
+	})
 	err := telemetry.Guard(r.Log, "stream", func() error {
 		r.readParts(ctx, m, cur, send, emit)
 		return nil
@@ -410,7 +417,9 @@
 	}
 	if p.event.id != 0 || s.lastID == 0 {
 		// Repeated events and comments do not show that the generation proceeds.
-		s.state.LastEventAt, s.state.ProbedAt, s.state.ProbeOK = now, time.Time{}, false
+		state := &s.cur.state
+		state.LastEventAt, state.ProbedAt, state.ProbeOK = now, time.Time{}, false
+		s.endSilence()
 	}
 	if !s.isNext(p.event.id) {
 		s.logEvent("event missing", s.cur.to.ID, zap.Int64("event", p.event.id), zap.Int64("lastEvent", s.lastID))
@@ -483,35 +492,42 @@
 // handleEarlyEnd decides what follows a run that ended early. It returns false if the request
 // has ended.
 func (s *streamRun) handleEarlyEnd(p part) bool {
-	s.logEvent("run ended early", s.cur.to.ID, zap.Stringer("outcome", p.outcome), zap.Error(p.err), zap.Int64("lastEvent", s.lastID))
+	s.recordEnd(s.cur, p)
+	switch {
+	case p.outcome == NotRun:
+		s.tried = append(s.tried, s.cur.to.ID)
+		s.closeRun()
+		return s.start("refused", nil)
+	case p.outcome == Lost && s.ctx.Err() != nil:
+		s.endCancelled()
+		return false
+	}
+	return s.failOver("run ended early")
+}
+
+// recordEnd records that a run ended early.
+func (s *streamRun) recordEnd(r *run, p part) {
+	s.logEvent("run ended early", r.to.ID, zap.Stringer("outcome", p.outcome), zap.Error(p.err), zap.Int64("lastEvent", s.lastID))
 	switch p.outcome {
 	case NotRun:
 		s.runs--
 		s.refundRetry(p.err)
-		s.tried = append(s.tried, s.cur.to.ID)
-		s.closeRun()
-		return s.start("refused", nil)
 	case Answered:
-		s.reportAnswer(s.cur.to, true, 0, 0)
-		s.failure = &reply{server: s.cur.to, status: p.head.StatusCode, header: p.head.Header, body: p.event.raw}
+		s.reportAnswer(r.to, true, 0, 0)
+		s.failure = &reply{server: r.to, status: p.head.StatusCode, header: p.head.Header, body: p.event.raw}
 	case Lost:
-		if s.ctx.Err() != nil {
-			s.endCancelled() // the run ended with the request's context, not by a failure of its engine
-			return false
+		// A run that ended with the request's context shows no failure of its engine.
+		if s.ctx.Err() == nil {
+			s.relay.Pool.MarkFailed(r.to.ID, time.Now())
 		}
-		s.relay.Pool.MarkFailed(s.cur.to.ID, time.Now())
 	}
-	return s.failOver("run ended early")
 }
 
-// failOver continues the stream at another engine. It returns false if the request has ended.
+// failOver continues the stream at another engine after a run that can't go on. It returns false
+// if the request has ended.
 func (s *streamRun) failOver(why string) bool {
 	from := s.cur
-	if from.started {
-		s.emptyRuns = 0
-	} else {
-		s.emptyRuns++
-	}
+	s.countEmpty(from)
 	switch {
 	case !s.route.Resumable:
 		return s.giveUp("route does not resume")
@@ -523,6 +539,15 @@
 	return s.start(why, from)
 }
 
+// countEmpty counts a run that another one follows if it has sent no event.
+func (s *streamRun) countEmpty(r *run) {
+	if r.started {
+		s.emptyRuns = 0
+	} else {
+		s.emptyRuns++
+	}
+}
+
 // The rounds in which a stream waits for an engine that accepts it.
 const (
 	streamRetryDelay = 100 * time.Millisecond
@@ -593,17 +618,27 @@
 	panic(http.ErrAbortHandler)
 }
 
-// closeRun ends the current run; its engine stops when the connection closes.
+// closeRun closes the current run.
 func (s *streamRun) closeRun() {
-	if s.cur == nil {
-		return
+	if s.cur != nil {
+		s.close(s.cur)
+		s.cur = nil
 	}
-	s.cur.cancel()
-	s.relay.Pool.End(s.cur.to.ID, s.cur.work)
-	if s.cur.replica != nil {
-		s.relay.Pool.End(s.cur.replica.ID, backend.Load{Tokens: s.tokens})
+}
+
+// closeRuns closes all runs.
+func (s *streamRun) closeRuns() {
+	s.closeHeld()
+	s.closeRun()
+}
+
+// close ends a run; its engine stops when the connection closes.
+func (s *streamRun) close(r *run) {
+	r.cancel()
+	s.relay.Pool.End(r.to.ID, r.work)
+	if r.replica != nil {
+		s.relay.Pool.End(r.replica.ID, backend.Load{Tokens: s.tokens})
 	}
-	s.cur = nil
 }
 
 // probeResult is the outcome of a probe.
@@ -618,12 +653,13 @@
 	now := time.Now()
 	to, usual := s.cur.to, s.cur.to.DialTime
 	by := now.Add(usual + probeMargin)
-	s.state.ProbedAt, s.state.ProbeDue, s.state.ProbeOK = now, by, false
+	state := &s.cur.state
+	state.ProbedAt, state.ProbeDue, state.ProbeOK = now, by, false
 	if report = report && !s.refusesNow(&to, now); report {
-		s.state.ReportAt = now
+		state.ReportAt = now
 	}
 	answer := make(chan probeResult, 1)
-	s.probeResults = answer
+	s.cur.probeResults = answer
 	ctx := s.ctx
 	go func() {
 		answer <- s.relay.probe(ctx, to, by, usual+probeRetryDelay, report)
@@ -680,12 +716,12 @@
 func (s *streamRun) handleProbe(p probeResult) {
 	if p.err != nil {
 		// Nothing listens there any more, so the run has failed too.
-		s.state.ProbeDue = time.Now()
+		s.cur.state.ProbeDue = time.Now()
 		s.logEvent("probe failed", s.cur.to.ID, zap.Error(fmt.Errorf("probe: %w", p.err)))
 		return
 	}
-	s.state.ProbeOK = true
+	s.cur.state.ProbeOK = true
 	if p.idle {
-		s.state.IdleAt = time.Now()
+		s.cur.state.IdleAt = time.Now()
 	}
 }
