relay, gateway: log who closed a caller's connection

An answer that could not be written to the caller ended with code OK, so the logs could not tell a connection that the caller had closed from one that this entry VM had closed; idle connections were closed without a line or a counter.

TestWriteError failed before: code OK and no field.

--- a/gateway/conns.go
+++ b/gateway/conns.go
@@ -30,11 +30,12 @@
 }
 
 // closeExpired closes the connections that have been idle for longer than limit; 0
-// stands for no limit.
-func (i *idleConns) closeExpired(now time.Time, limit time.Duration) {
+// stands for no limit. It returns how many it has closed.
+func (i *idleConns) closeExpired(now time.Time, limit time.Duration) int {
 	if limit == 0 {
-		return
+		return 0
 	}
+	closed := 0
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	for c, at := range i.idleSince {
@@ -42,6 +43,8 @@
 			// The caller sees the connection closed, whatever Close returns.
 			_ = c.Close()
 			delete(i.idleSince, c)
+			closed++
 		}
 	}
+	return closed
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -361,6 +361,18 @@
 	return mux
 }
 
+// closeIdleConns closes callers' connections that have been idle for too long.
+func (d *Daemon) closeIdleConns(now time.Time) {
+	t := d.table.Load()
+	if t == nil {
+		return
+	}
+	if n := d.conns.closeExpired(now, t.Limits.IdleTimeout); n > 0 {
+		d.metrics.IdleClosed(n)
+		d.log.Info("idle connections closed", zap.Int("count", n), zap.Duration("limit", t.Limits.IdleTimeout), zap.Int64("configuration", int64(t.Version)))
+	}
+}
+
 // sweep expires servers and members, divides the retry budgets' slack again and closes
 // idle connections, periodically until ctx ends.
 func (d *Daemon) sweep(ctx context.Context) {
@@ -373,9 +385,7 @@
 			d.releaseHeldServers(now)
 			d.members.Expire(now)
 			d.updateSlack()
-			if table := d.table.Load(); table != nil {
-				d.conns.closeExpired(now, table.Limits.IdleTimeout)
-			}
+			d.closeIdleConns(now)
 		case <-ctx.Done():
 			return
 		}
--- a/relay/plain.go
+++ b/relay/plain.go
@@ -180,15 +180,47 @@
 		h.Set("Content-Length", strconv.Itoa(len(rep.body)))
 	}
 	w.WriteHeader(rep.status)
-	// The caller may have disconnected; there is nobody to report the error to.
-	_, err := w.Write(rep.body)
+	to := &callerWriter{w: w}
+	_, err := to.Write(rep.body)
 	if rep.rest != nil && err == nil {
-		if _, err = io.Copy(w, rep.rest); err != nil {
-			j.end(result.OutcomeUnknown, rep.server.ID, zap.String("why", "the rest of the answer was lost"), zap.Error(err))
-			panic(http.ErrAbortHandler)
-		}
+		_, err = io.Copy(to, rep.rest)
+	}
+	switch {
+	case to.flush() != nil:
+		j.end(result.CallerGone, rep.server.ID, zap.Int("status", rep.status), zap.NamedError("writeError", to.err))
+	case err != nil:
+		j.end(result.OutcomeUnknown, rep.server.ID, zap.String("why", "the rest of the answer was lost"), zap.Error(err))
+	default:
+		j.end(result.OK, rep.server.ID, zap.Int("status", rep.status))
+		return
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// callerWriter writes an answer to a caller and keeps the first error in doing so.
+type callerWriter struct {
+	w   http.ResponseWriter
+	err error
+}
+
+// Write implements io.Writer.
+func (c *callerWriter) Write(p []byte) (int, error) {
+	n, err := c.w.Write(p)
+	if c.err == nil && !errors.Is(err, http.ErrBodyNotAllowed) {
+		c.err = err
+	}
+	return n, err
+}
+
+// flush sends what net/http has buffered, and returns the first error of all writes.
+func (c *callerWriter) flush() error {
+	if c.err != nil {
+		return c.err
+	}
+	if err := http.NewResponseController(c.w).Flush(); !errors.Is(err, errors.ErrUnsupported) {
+		c.err = err
 	}
-	j.end(result.OK, rep.server.ID, zap.Int("status", rep.status))
+	return c.err
 }
 
 // choose picks a server for the request.
--- a/relay/plain_test.go
+++ b/relay/plain_test.go
@@ -1,17 +1,22 @@
 package relay_test
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"net/http"
+	"net/http/httptest"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 
 	"quetzalhold/platform/platformtest"
+	"quetzalhold/result"
 	"quetzalhold/routing"
+	"quetzalhold/telemetry"
 )
 
 // work is how long a plain call takes.
@@ -174,6 +179,33 @@
 	})
 }
 
+// brokenWriter is the ResponseWriter of a connection that the caller has closed.
+type brokenWriter struct{ *httptest.ResponseRecorder }
+
+// FlushError implements the method that [http.ResponseController] calls.
+func (brokenWriter) FlushError() error { return syscall.ECONNRESET }
+
+// TestWriteError checks that an answer which could not be written is not reported as delivered.
+func TestWriteError(t *testing.T) {
+	withHarness(t, "The line about the request's end tells", func(w *harness) {
+		var lines bytes.Buffer
+		w.relay.Log = telemetry.NewLog(&lines, "info")
+		w.add("a0", "app", 0, work)
+		serve := func(key string) {
+			req := httptest.NewRequest(http.MethodPost, "http://h.example/book/1", strings.NewReader("a pickup"))
+			req.Header.Set("X-Request-Id", "r1")
+			req.Header.Set("X-Api-Key", key)
+			w.relay.ServeHTTP(brokenWriter{httptest.NewRecorder()}, req)
+		}
+		So(func() { serve("key-1") }, ShouldPanicWith, http.ErrAbortHandler)
+		serve("wrong")
+		So(w.ended(), ShouldResemble, []result.Code{result.CallerGone, result.UnknownKey})
+		ends := strings.Split(strings.TrimSpace(lines.String()), "\n")
+		So(ends[len(ends)-2], ShouldContainSubstring, `"status":200,"writeError":"connection reset by peer"`)
+		So(ends[len(ends)-1], ShouldContainSubstring, `"writeError":"connection reset by peer"`)
+	})
+}
+
 // TestMatch checks that the longest prefix of the host wins.
 func TestMatch(t *testing.T) {
 	Convey("The longest prefix of the host wins", t, func() {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -346,8 +346,9 @@
 		}
 		platform.SetRetryAfter(w.Header(), delay+rand.N(retrySpread))
 	}
-	j.end(e.Code, "", zap.Bool("notRun", e.NotRun), zap.String("why", e.Error()))
+	to := &callerWriter{w: w}
 	result.Write(w, e)
+	j.end(e.Code, "", zap.Bool("notRun", e.NotRun), zap.String("why", e.Error()), zap.NamedError("writeError", to.flush()))
 }
 
 // ErrStopping is the cancellation cause of requests in flight when the entry VM has to stop.
--- a/result/result.go
+++ b/result/result.go
@@ -8,10 +8,12 @@
 package result
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"net/http"
+	"strconv"
 	"time"
 )
 
@@ -240,10 +242,15 @@
 // Write responds with err in an [Envelope], with the HTTP status of its code.
 func Write(w http.ResponseWriter, err error) {
 	e := FromError(err)
+	var body bytes.Buffer
+	if err := json.NewEncoder(&body).Encode(Envelope{Error: e}); err != nil {
+		panic(err) // an Error consists of types that can always be encoded
+	}
 	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(body.Len()))
 	w.WriteHeader(e.Code.Info().Status)
 	// If the connection is closed, there is no way to report the error.
-	_ = json.NewEncoder(w).Encode(Envelope{Error: e})
+	_, _ = w.Write(body.Bytes())
 }
 
 // maxErrorBodyBytes is the maximum size of a response's body that Read decodes.
--- a/telemetry/gateway.go
+++ b/telemetry/gateway.go
@@ -22,6 +22,7 @@
 	latency    metric.Float64Histogram
 	streams    metric.Int64Counter
 	storeCalls metric.Int64Counter
+	idleClosed metric.Int64Counter
 	storeTime  metric.Float64Histogram
 	handler    http.Handler
 }
@@ -73,6 +74,7 @@
 		{&t.requests, "quetzalhold.gateway.requests", "{request}", "Ended requests by service and result code."},
 		{&t.streams, "quetzalhold.gateway.takeovers", "{takeover}", "Streams sent to an engine, by reason."},
 		{&t.storeCalls, "quetzalhold.gateway.store.calls", "{call}", "Calls to the platform's store by result code, a watch as one."},
+		{&t.idleClosed, "quetzalhold.gateway.idle.closed", "{connection}", "Callers' connections closed because they were idle for too long."},
 	} {
 		if *c.into, err = m.Int64Counter(c.name, metric.WithUnit(c.unit), metric.WithDescription(c.text)); err != nil {
 			return nil, fmt.Errorf("instrument %s: %w", c.name, err)
@@ -138,3 +140,6 @@
 	t.storeCalls.Add(context.Background(), 1, code(c))
 	t.storeTime.Record(context.Background(), took.Seconds())
 }
+
+// IdleClosed counts callers' connections that were closed because they were idle.
+func (t *Gateway) IdleClosed(n int) { t.idleClosed.Add(context.Background(), int64(n)) }
