gateway: a lowered idle limit leaves connections that are idle already

Callers kept these by the limit that they knew, so their next requests met a closed connection.

A connection now expires by the limit under which it became idle, or by the limit in force if that is longer. One that became idle while there was no limit expires after the first limit has been in force for its whole length.

--- a/gateway/conns_test.go
+++ b/gateway/conns_test.go
@@ -24,6 +24,7 @@
 // connection.
 type connWorld struct {
 	conns idleConns
+	limit atomic.Int64 // in nanoseconds
 	// onActive is called when the server has read a head.
 	onActive atomic.Pointer[func()]
 	net      memnet.Network
@@ -34,6 +35,8 @@
 
 func newConnWorld() *connWorld {
 	w := &connWorld{}
+	w.limit.Store(int64(idleLimit))
+	w.conns.limit = func() time.Duration { return time.Duration(w.limit.Load()) }
 	w.server.ConnState = func(c net.Conn, s http.ConnState) {
 		if f := w.onActive.Load(); s == http.StateActive && f != nil {
 			(*f)()
@@ -108,6 +111,7 @@
 				answer, err := w.request("first", 0)
 				So(err, ShouldBeNil)
 				So(answer, ShouldEqual, "first")
+				synctest.Wait() // the connection is idle now
 				f(w)
 			})
 		})
@@ -120,7 +124,7 @@
 		time.Sleep(idleLimit + time.Second)
 		expired := make(chan int, 1)
 		expire := func() {
-			expired <- w.conns.closeExpired(time.Now(), idleLimit)
+			expired <- w.conns.closeExpired(time.Now())
 			time.Sleep(2 * lastRequestWait)
 		}
 		w.onActive.Store(&expire)
@@ -136,7 +140,7 @@
 	withConn(t, "A request that had arrived unread when its connection expired is answered", func(w *connWorld) {
 		time.Sleep(idleLimit + time.Second)
 		time.AfterFunc(lastRequestWait/2, func() { _, _ = io.WriteString(w.caller, "GET /status HTTP/1.1\r\nHost: h\r\n\r\n") })
-		So(w.conns.closeExpired(time.Now(), idleLimit), ShouldEqual, 1)
+		So(w.conns.closeExpired(time.Now()), ShouldEqual, 1)
 		resp, err := http.ReadResponse(w.answers, nil)
 		So(err, ShouldBeNil)
 		So(resp.StatusCode, ShouldEqual, http.StatusOK)
@@ -150,11 +154,13 @@
 func TestIdleClose(t *testing.T) {
 	withConn(t, "A connection ends once it has been idle for longer than the limit", func(w *connWorld) {
 		time.Sleep(idleLimit - time.Second)
-		So(w.conns.closeExpired(time.Now(), idleLimit), ShouldEqual, 0)
+		So(w.conns.closeExpired(time.Now()), ShouldEqual, 0)
 		So(w.closed(), ShouldBeFalse)
 		time.Sleep(2 * time.Second)
-		So(w.conns.closeExpired(time.Now(), 0), ShouldEqual, 0)
-		So(w.conns.closeExpired(time.Now(), idleLimit), ShouldEqual, 1)
+		w.limit.Store(0)
+		So(w.conns.closeExpired(time.Now()), ShouldEqual, 0)
+		w.limit.Store(int64(idleLimit))
+		So(w.conns.closeExpired(time.Now()), ShouldEqual, 1)
 		time.Sleep(2 * lastRequestWait)
 		So(w.closed(), ShouldBeTrue)
 		So(w.tracked(), ShouldEqual, 0)
@@ -162,7 +168,7 @@
 	withConn(t, "A connection to a caller that is silent for ever ends too", func(w *connWorld) {
 		w.net.Disconnect("10.9.0.1")
 		time.Sleep(idleLimit + time.Second)
-		So(w.conns.closeExpired(time.Now(), idleLimit), ShouldEqual, 1)
+		So(w.conns.closeExpired(time.Now()), ShouldEqual, 1)
 		time.Sleep(2 * lastRequestWait)
 		So(w.tracked(), ShouldEqual, 0)
 	})
@@ -171,9 +177,52 @@
 		So(err, ShouldBeNil)
 		for range 30 {
 			time.Sleep(time.Second)
-			w.conns.closeExpired(time.Now(), idleLimit)
+			w.conns.closeExpired(time.Now())
 		}
 		So(w.closed(), ShouldBeTrue)
 		So(w.tracked(), ShouldEqual, 0)
 	})
 }
+
+// TestLoweredIdleLimit lowers the limit while a caller keeps a connection by the old one.
+func TestLoweredIdleLimit(t *testing.T) {
+	sweep := func(w *connWorld, d time.Duration) {
+		for range d / time.Second {
+			time.Sleep(time.Second)
+			w.conns.closeExpired(time.Now())
+		}
+	}
+	withConn(t, "A connection stays for the limit under which it became idle", func(w *connWorld) {
+		w.limit.Store(int64(2 * time.Second))
+		sweep(w, idleLimit*4/5)
+		answer, err := w.request("second", 0)
+		So(err, ShouldBeNil)
+		So(answer, ShouldEqual, "second")
+		sweep(w, 4*time.Second)
+		So(w.closed(), ShouldBeTrue)
+	})
+	withConn(t, "It ends after that limit", func(w *connWorld) {
+		w.limit.Store(int64(2 * time.Second))
+		sweep(w, idleLimit+2*time.Second)
+		So(w.closed(), ShouldBeTrue)
+	})
+	withConn(t, "A higher limit applies to it", func(w *connWorld) {
+		w.limit.Store(int64(4 * idleLimit))
+		sweep(w, 3*idleLimit)
+		So(w.closed(), ShouldBeFalse)
+		sweep(w, 2*idleLimit)
+		So(w.closed(), ShouldBeTrue)
+	})
+	withConn(t, "A limit after none counts from its start", func(w *connWorld) {
+		w.limit.Store(0)
+		_, err := w.request("second", 0)
+		So(err, ShouldBeNil)
+		synctest.Wait()
+		sweep(w, 2*idleLimit)
+		w.limit.Store(int64(idleLimit))
+		sweep(w, idleLimit*4/5)
+		So(w.closed(), ShouldBeFalse)
+		sweep(w, 3*time.Second)
+		So(w.closed(), ShouldBeTrue)
+	})
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -103,6 +103,7 @@
 	if d.lines != nil {
 		d.log = telemetry.NewLog(d.lines, s.LogLevel).With(zap.String("entry", s.ID), zap.String("domain", string(s.Domain)))
 	}
+	d.conns.limit = d.idleLimit
 	d.store = platform.NewStore(s.Store, d.dial)
 	d.client = feed.NewClient(d.dial)
 	d.relay = relay.New(d.dial)
@@ -363,14 +364,19 @@
 
 // closeIdleConns closes callers' connections that have been idle for too long.
 func (d *Daemon) closeIdleConns(now time.Time) {
-	t := d.table.Load()
-	if t == nil {
-		return
-	}
-	if n := d.conns.closeExpired(now, t.Limits.IdleTimeout); n > 0 {
+	if n := d.conns.closeExpired(now); n > 0 {
 		d.metrics.IdleClosed(n)
-		d.log.Info("idle connections closed", zap.Int("count", n), zap.Duration("limit", t.Limits.IdleTimeout), zap.Int64("configuration", int64(t.Version)))
+		d.log.Info("idle connections closed", zap.Int("count", n), zap.Duration("limit", d.idleLimit()))
+	}
+}
+
+// idleLimit returns the limit of the configuration in force for callers' idle
+// connections; 0 for none.
+func (d *Daemon) idleLimit() time.Duration {
+	if t := d.table.Load(); t != nil {
+		return t.Limits.IdleTimeout
 	}
+	return 0
 }
 
 // sweep expires servers and members, divides the retry budgets' slack again and closes
