relay: a request that ends without an answer is not answered 200

A caller that closed its half of the connection after its request, and whose request had no answer yet, got an empty 200: a success that no server had sent. net/http reports the half-close as the end of the request's context, the relay took it that the caller had left and returned without writing, and net/http then sent its default answer.

The relay now closes the connection in that case, as it does with streams that have begun.

TestHalfClosed failed before: "HTTP/1.1 200 OK", Content-Length 0.

--- a/relay/plain_test.go
+++ b/relay/plain_test.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"context"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -206,6 +208,28 @@
 	})
 }
 
+// TestHalfClosed lets a caller close its half of a connection while it waits. To net/http it has
+// left; the 200 that net/http sends by default would be a false success.
+func TestHalfClosed(t *testing.T) {
+	Convey("Without an answer there is no success", t, func() {
+		w := newHarness()
+		defer w.close()
+		w.add("a0", "app", 0, 10*time.Second)
+		front := httptest.NewServer(w.relay)
+		defer front.Close()
+		c, err := net.Dial("tcp", front.Listener.Addr().String())
+		So(err, ShouldBeNil)
+		defer func() { _ = c.Close() }()
+		_, err = io.WriteString(c, "POST /book/1 HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: r1\r\nX-Api-Key: key-1\r\nContent-Length: 0\r\n\r\n")
+		So(err, ShouldBeNil)
+		So(c.(*net.TCPConn).CloseWrite(), ShouldBeNil)
+		got, err := io.ReadAll(c)
+		So(err, ShouldBeNil)
+		So(string(got), ShouldBeEmpty)
+		So(w.ended(), ShouldResemble, []result.Code{result.CallerGone})
+	})
+}
+
 // TestMatch checks that the longest prefix of the host wins.
 func TestMatch(t *testing.T) {
 	Convey("The longest prefix of the host wins", t, func() {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -374,7 +374,8 @@
 	switch {
 	case e.Code == result.CallerGone:
 		j.end(e.Code, "", zap.Bool("notRun", !ran))
-		return
+		// After a plain return net/http would answer 200.
+		panic(http.ErrAbortHandler)
 	case e.Code == result.Stopping && ran:
 		// The status of this code would promise that the request has not run.
 		j.end(e.Code, "", zap.Bool("notRun", false))
