gateway: a stop answers requests whose heads were partly read

When an entry VM stopped, a caller whose request was on its way at the end of the notice to the platform got neither an answer nor a refusal: http.Server.Shutdown closes idle connections at once, also those whose head is being read, and drops each request whose head is complete only after Shutdown was called.

New connections keep the 5 s for their first request that Shutdown gave them. Answers say "Connection: close" while it stops, as before.

TestStopWithinRequest failed before: "broken pipe".

--- a/gateway/conns.go
+++ b/gateway/conns.go
@@ -15,12 +15,15 @@
 	limit func() time.Duration
 
 	mu   sync.Mutex
+	open int // connections, idle or not
 	idle map[net.Conn]idleConn
 }
 
-// idleConn is the state of an idle connection.
+// idleConn is the state of a connection without a request.
 type idleConn struct {
 	since time.Time
+	// fresh connections have had no request yet.
+	fresh bool
 	// allowedUntil is when it expires by the limit at the time when it became idle. A lower
 	// limit does not apply to it: its caller could not know. It is zero if there was none.
 	allowedUntil time.Time
@@ -36,18 +39,26 @@
 func (i *idleConns) track(c net.Conn, s http.ConnState) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	if s != http.StateIdle {
-		if s == http.StateActive && !i.idle[c].endsAt.IsZero() {
+	switch s {
+	case http.StateNew:
+		i.open++
+	case http.StateIdle:
+	case http.StateActive:
+		if !i.idle[c].endsAt.IsZero() {
 			// It fails only on a closed connection, where the server's next read fails too.
 			_ = c.SetReadDeadline(time.Time{})
 		}
 		delete(i.idle, c)
 		return
+	default:
+		i.open--
+		delete(i.idle, c)
+		return
 	}
 	if i.idle == nil {
 		i.idle = make(map[net.Conn]idleConn)
 	}
-	state := idleConn{since: time.Now()}
+	state := idleConn{since: time.Now(), fresh: s == http.StateNew}
 	if limit := i.currentLimit(); limit > 0 {
 		state.allowedUntil = state.since.Add(limit)
 	}
@@ -74,6 +85,9 @@
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	for c, state := range i.idle {
+		if state.fresh {
+			continue // the server bounds the time to its first request
+		}
 		if state.allowedUntil.IsZero() {
 			state.allowedUntil = now.Add(limit)
 			i.idle[c] = state
@@ -86,10 +100,37 @@
 		if state.endsAt.IsZero() {
 			closed++
 		}
-		state.endsAt = now.Add(lastRequestWait)
-		i.idle[c] = state
-		// It fails only on a closed connection.
-		_ = c.SetReadDeadline(state.endsAt)
+		i.end(c, state, now.Add(lastRequestWait))
 	}
 	return closed
 }
+
+// end bounds the wait for a request on c. The caller holds i.mu.
+func (i *idleConns) end(c net.Conn, state idleConn, at time.Time) {
+	state.endsAt = at
+	i.idle[c] = state
+	// It fails only on a closed connection.
+	_ = c.SetReadDeadline(at)
+}
+
+// firstRequestWait is how long a new connection is kept for its first request while the
+// others are closed.
+const firstRequestWait = 5 * time.Second
+
+// closeIdle closes all idle connections, as closeExpired does, and returns how many
+// connections are open.
+func (i *idleConns) closeIdle(now time.Time) int {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	for c, state := range i.idle {
+		if now.Before(state.endsAt.Add(lastRequestWait)) {
+			continue
+		}
+		at := now.Add(lastRequestWait)
+		if first := state.since.Add(firstRequestWait); state.fresh && first.After(at) {
+			at = first
+		}
+		i.end(c, state, at)
+	}
+	return i.open
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -250,6 +250,7 @@
 	peers := &http.Server{Handler: d.peerHandler(), ReadHeaderTimeout: readHeaderTimeout}
 	metrics := &http.Server{Handler: d.metrics.Handler(), ReadHeaderTimeout: readHeaderTimeout}
 	failed := make(chan error, 4)
+	var callers net.Listener
 	for _, x := range []struct {
 		server  *http.Server
 		address string
@@ -258,6 +259,9 @@
 		if err != nil {
 			return fmt.Errorf("listen: %w", err)
 		}
+		if x.server == front {
+			callers = l
+		}
 		go func() { failed <- x.server.Serve(l) }()
 	}
 	defer front.Close()
@@ -274,7 +278,7 @@
 		return fmt.Errorf("serve: %w", err)
 	case <-ctx.Done():
 	}
-	d.shutDown(front, stopWork)
+	d.shutDown(callers, stopWork)
 	return nil
 }
 
@@ -311,8 +315,26 @@
 	killMargin = 700 * time.Millisecond
 )
 
+// drainInterval is how often drain looks for idle connections.
+const drainInterval = 20 * time.Millisecond
+
+// drain closes callers' connections once they are idle, until none is left or ctx ends.
+// http.Server.Shutdown drops requests whose heads it reads meanwhile.
+func (d *Daemon) drain(ctx context.Context) error {
+	t := time.NewTicker(drainInterval)
+	defer t.Stop()
+	for d.conns.closeIdle(time.Now()) > 0 {
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	return nil
+}
+
 // shutDown stops accepting callers and waits for the in-flight requests.
-func (d *Daemon) shutDown(front *http.Server, stopWork context.CancelCauseFunc) {
+func (d *Daemon) shutDown(callers net.Listener, stopWork context.CancelCauseFunc) {
 	start := time.Now()
 	killAt := start.Add(d.settings.Load().Bounds.GraceS.Duration())
 	d.stopping.Store(true)
@@ -320,7 +342,9 @@
 	time.Sleep(min(unreadyNotice, time.Until(killAt)/2))
 	ctx, cancel := context.WithDeadline(context.Background(), killAt.Add(-killMargin))
 	defer cancel()
-	err := front.Shutdown(ctx)
+	// The server fails to accept from here on, however Close ends.
+	_ = callers.Close()
+	err := d.drain(ctx)
 	stopWork(relay.ErrStopping)
 	if errors.Is(err, context.DeadlineExceeded) {
 		err = errors.New("in-flight requests were aborted at the end of the grace period")
--- a/gateway/trouble_test.go
+++ b/gateway/trouble_test.go
@@ -1,8 +1,10 @@
 package gateway_test
 
 import (
+	"bufio"
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -165,3 +167,44 @@
 		}
 	})
 }
+
+// TestStopWithinRequest stops an entry VM while the heads of requests are on their way.
+func TestStopWithinRequest(t *testing.T) {
+	const first, rest = "POST /book/1 HTTP/1.1\r\nHost: h.example\r\nX-Api-Key: key-1\r\nX-Request-Id: ", "\r\nContent-Length: 4\r\n\r\nbody"
+	inWorld(t, "Requests whose heads were partly read are answered", func(w *world) {
+		v := w.vm("e1", "cn-a", 1)
+		time.Sleep(settle)
+		dial := func() net.Conn {
+			return must(w.net.Dialer(callerHost)(context.Background(), "tcp", v.host+":80"))
+		}
+		write := func(c net.Conn, text string) {
+			_, err := io.WriteString(c, text)
+			So(err, ShouldBeNil)
+		}
+		read := func(c net.Conn) int {
+			resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+			So(err, ShouldBeNil)
+			_ = resp.Body.Close()
+			return resp.StatusCode
+		}
+		kept := dial()
+		defer func() { _ = kept.Close() }()
+		write(kept, first+"r1"+rest)
+		So(read(kept), ShouldEqual, 200)
+		v.stop()
+		time.Sleep(2200 * time.Millisecond)
+		opened := dial()
+		defer func() { _ = opened.Close() }()
+		time.Sleep(75 * time.Millisecond)
+		write(opened, first)
+		write(kept, first)
+		time.Sleep(50 * time.Millisecond) // the notice to the platform is over
+		write(opened, "r2"+rest)
+		write(kept, "r3"+rest)
+		So(read(opened), ShouldEqual, 200)
+		So(read(kept), ShouldEqual, 200)
+		start := time.Now()
+		<-v.done
+		So(time.Since(start), ShouldBeLessThan, time.Second)
+	})
+}
