--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -103,6 +103,7 @@
 	if d.lines != nil {
 		d.log = telemetry.NewLog(d.lines, s.LogLevel).With(zap.String("entry", s.ID), zap.String("domain", string(s.Domain)))
 	}
+	d.conns.limit = d.idleLimit
 	d.store = platform.NewStore(s.Store, d.dial)
 	d.client = feed.NewClient(d.dial)
 	d.relay = relay.New(d.dial)
@@ -249,6 +250,7 @@
 	peers := &http.Server{Handler: d.peerHandler(), ReadHeaderTimeout: readHeaderTimeout}
 	metrics := &http.Server{Handler: d.metrics.Handler(), ReadHeaderTimeout: readHeaderTimeout}
 	failed := make(chan error, 4)
+	var callers net.Listener
 	for _, x := range []struct {
 		server  *http.Server
 		address string
@@ -257,6 +259,9 @@
 		if err != nil {
 			return fmt.Errorf("listen: %w", err)
 		}
+		if x.server == front {
+			callers = l
+		}
 		go func() { failed <- x.server.Serve(l) }()
 	}
 	defer front.Close()
@@ -273,7 +278,7 @@
 		return fmt.Errorf("serve: %w", err)
 	case <-ctx.Done():
 	}
-	d.shutDown(front, stopWork)
+	d.shutDown(callers, stopWork)
 	return nil
 }
 
@@ -310,8 +315,26 @@
 	killMargin = 700 * time.Millisecond
 )
 
+// drainInterval is how often drain looks for idle connections.
+const drainInterval = 20 * time.Millisecond
+
+// drain closes callers' connections once they are idle, until none is left or ctx ends.
+// http.Server.Shutdown drops requests whose heads it reads meanwhile.
+func (d *Daemon) drain(ctx context.Context) error {
+	t := time.NewTicker(drainInterval)
+	defer t.Stop()
+	for d.conns.closeIdle(time.Now()) > 0 {
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	return nil
+}
+
 // shutDown stops accepting callers and waits for the in-flight requests.
-func (d *Daemon) shutDown(front *http.Server, stopWork context.CancelCauseFunc) {
+func (d *Daemon) shutDown(callers net.Listener, stopWork context.CancelCauseFunc) {
 	start := time.Now()
 	killAt := start.Add(d.settings.Load().Bounds.GraceS.Duration())
 	d.stopping.Store(true)
@@ -319,7 +342,9 @@
 	time.Sleep(min(unreadyNotice, time.Until(killAt)/2))
 	ctx, cancel := context.WithDeadline(context.Background(), killAt.Add(-killMargin))
 	defer cancel()
-	err := front.Shutdown(ctx)
+	// The server fails to accept from here on, however Close ends.
+	_ = callers.Close()
+	err := d.drain(ctx)
 	stopWork(relay.ErrStopping)
 	if errors.Is(err, context.DeadlineExceeded) {
 		err = errors.New("in-flight requests were aborted at the end of the grace period")
@@ -361,6 +386,23 @@
 	return mux
 }
 
+// closeIdleConns closes callers' connections that have been idle for too long.
+func (d *Daemon) closeIdleConns(now time.Time) {
+	if n := d.conns.closeExpired(now); n > 0 {
+		d.metrics.IdleClosed(n)
+		d.log.Info("idle connections closed", zap.Int("count", n), zap.Duration("limit", d.idleLimit()))
+	}
+}
+
+// idleLimit returns the limit of the configuration in force for callers' idle
+// connections; 0 for none.
+func (d *Daemon) idleLimit() time.Duration {
+	if t := d.table.Load(); t != nil {
+		return t.Limits.IdleTimeout
+	}
+	return 0
+}
+
 // sweep expires servers and members, divides the retry budgets' slack again and closes
 // idle connections, periodically until ctx ends.
 func (d *Daemon) sweep(ctx context.Context) {
@@ -373,9 +415,7 @@
 			d.releaseHeldServers(now)
 			d.members.Expire(now)
 			d.updateSlack()
-			if table := d.table.Load(); table != nil {
-				d.conns.closeExpired(now, table.Limits.IdleTimeout)
-			}
+			d.closeIdleConns(now)
 		case <-ctx.Done():
 			return
 		}
--- a/relay/plain_test.go
+++ b/relay/plain_test.go
@@ -1,17 +1,24 @@
 package relay_test
 
 import (
+	"bytes"
 	"context"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 
 	"quetzalhold/platform/platformtest"
+	"quetzalhold/result"
 	"quetzalhold/routing"
+	"quetzalhold/telemetry"
 )
 
 // work is how long a plain call takes.
@@ -174,6 +181,55 @@
 	})
 }
 
+// brokenWriter is the ResponseWriter of a connection that the caller has closed.
+type brokenWriter struct{ *httptest.ResponseRecorder }
+
+// FlushError implements the method that [http.ResponseController] calls.
+func (brokenWriter) FlushError() error { return syscall.ECONNRESET }
+
+// TestWriteError checks that an answer which could not be written is not reported as delivered.
+func TestWriteError(t *testing.T) {
+	withHarness(t, "The line about the request's end tells", func(w *harness) {
+		var lines bytes.Buffer
+		w.relay.Log = telemetry.NewLog(&lines, "info")
+		w.add("a0", "app", 0, work)
+		serve := func(key string) {
+			req := httptest.NewRequest(http.MethodPost, "http://h.example/book/1", strings.NewReader("a pickup"))
+			req.Header.Set("X-Request-Id", "r1")
+			req.Header.Set("X-Api-Key", key)
+			w.relay.ServeHTTP(brokenWriter{httptest.NewRecorder()}, req)
+		}
+		So(func() { serve("key-1") }, ShouldPanicWith, http.ErrAbortHandler)
+		serve("wrong")
+		So(w.ended(), ShouldResemble, []result.Code{result.CallerGone, result.UnknownKey})
+		ends := strings.Split(strings.TrimSpace(lines.String()), "\n")
+		So(ends[len(ends)-2], ShouldContainSubstring, `"status":200,"writeError":"connection reset by peer"`)
+		So(ends[len(ends)-1], ShouldContainSubstring, `"writeError":"connection reset by peer"`)
+	})
+}
+
+// TestHalfClosed lets a caller close its half of a connection while it waits. To net/http it has
+// left; the 200 that net/http sends by default would be a false success.
+func TestHalfClosed(t *testing.T) {
+	Convey("Without an answer there is no success", t, func() {
+		w := newHarness()
+		defer w.close()
+		w.add("a0", "app", 0, 10*time.Second)
+		front := httptest.NewServer(w.relay)
+		defer front.Close()
+		c, err := net.Dial("tcp", front.Listener.Addr().String())
+		So(err, ShouldBeNil)
+		defer func() { _ = c.Close() }()
+		_, err = io.WriteString(c, "POST /book/1 HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: r1\r\nX-Api-Key: key-1\r\nContent-Length: 0\r\n\r\n")
+		So(err, ShouldBeNil)
+		So(c.(*net.TCPConn).CloseWrite(), ShouldBeNil)
+		got, err := io.ReadAll(c)
+		So(err, ShouldBeNil)
+		So(string(got), ShouldBeEmpty)
+		So(w.ended(), ShouldResemble, []result.Code{result.CallerGone})
+	})
+}
+
 // TestMatch checks that the longest prefix of the host wins.
 func TestMatch(t *testing.T) {
 	Convey("The longest prefix of the host wins", t, func() {
