relay: the end of a run says how far its engine had come, and with which parts of the prompt

"run ended early" now has answered, events and parts, which tell a request that ends its engines from engines that are lost with whatever they run.

--- a/relay/stream.go
+++ b/relay/stream.go
@@ -30,6 +30,9 @@
 	parts   chan part
 	started bool // it has sent an event
 
+	answered bool // it has sent its head
+	events   int  // events sent, repeated ones included
+
 	repeated bool // it has sent an event again
 
 	checkpoints   chan checkpoint // outcomes of its checkpoints
@@ -388,6 +391,7 @@
 func (s *streamRun) handlePart(p part) bool {
 	switch {
 	case p.head != nil && !p.ended:
+		s.cur.answered = true
 		s.holdHead(p.head)
 		return true
 	case p.ended && p.err == nil:
@@ -396,6 +400,7 @@
 		return s.handleEarlyEnd(p)
 	}
 	now := time.Now()
+	s.cur.events++
 	if !s.cur.started {
 		s.cur.started = true
 		s.relay.Pool.End(s.cur.to.ID, backend.Load{Pending: s.cur.work.Pending})
@@ -483,7 +488,8 @@
 // handleEarlyEnd decides what follows a run that ended early. It returns false if the request
 // has ended.
 func (s *streamRun) handleEarlyEnd(p part) bool {
-	s.logEvent("run ended early", s.cur.to.ID, zap.Stringer("outcome", p.outcome), zap.Error(p.err), zap.Int64("lastEvent", s.lastID))
+	s.logEvent("run ended early", s.cur.to.ID, zap.Stringer("outcome", p.outcome), zap.Error(p.err), zap.Int64("lastEvent", s.lastID),
+		zap.Bool("answered", s.cur.answered), zap.Int("events", s.cur.events), zap.Strings("parts", s.msg.params.SharedParts()))
 	switch p.outcome {
 	case NotRun:
 		s.runs--
