quarantine, relay, gateway, feed: requests with a part that crashes engines are blocked by all entry VMs

Cause: a request whose engine is lost goes to the next one, up to the route's attempts, and nothing outside that request remembers what the engine was doing when it ended. Class of fault: retries of work that destroys the worker, without a circuit breaker for the work.

Fix: a run that ends after its head and before its third event is held against the shared parts of its prompt; any run with a part that gets further clears it. Three starts of engines block a part. Each crash is an object in the store, and the list of them goes through the change feed, so that all entry VMs know within about a second and those that start know it from the store. A part is not blocked while another part explains its crashes, which keeps requests served that share all but the part. Why this works: such a part never has a run that survives, so clearing never frees it, and every sound part that is in use is cleared by its next answer.

Looked for elsewhere: hedged calls to plain services run at most at two servers and MaxAttempts ends them; checkpoints and replicas of such a run end with it. The stand-alone daemon (package engine) retries a generation at other engines too, bounded by its attempts; its prompts have no parts that could be told apart.

--- a/feed/feed.go
+++ b/feed/feed.go
@@ -14,6 +14,7 @@
 	"quetzalhold/backend"
 	"quetzalhold/engine"
 	"quetzalhold/move"
+	"quetzalhold/quarantine"
 	"quetzalhold/result"
 	"quetzalhold/routing"
 )
@@ -65,6 +66,10 @@
 	// Moves lists all version moves; it is omitted if the requester already has MovesSeq.
 	Moves    []Move `json:"moves,omitempty"`
 	MovesSeq int64  `json:"movesSeq,omitempty"`
+	// Crashes lists all crashes held against parts of prompts; it is omitted if the requester
+	// already has CrashesSeq.
+	Crashes    []quarantine.Crash `json:"crashes,omitempty"`
+	CrashesSeq int64              `json:"crashesSeq,omitempty"`
 }
 
 // Move is the progress of moving a service to a version.
@@ -113,6 +118,11 @@
 			return result.New(result.OutOfRange, "move of service %q to %q", m.Service, m.To).WithField("moves")
 		}
 	}
+	for i := range a.Crashes {
+		if err := a.Crashes[i].Check(); err != nil {
+			return err
+		}
+	}
 	if a.Config != nil {
 		return a.Config.Check()
 	}
@@ -139,8 +149,13 @@
 	Leaving []ServerStart   // servers that have said to the requester that they are leaving
 	// Members is the digest of the list of members that the requester last received.
 	Members uint64
-	Moves   int64           // sequence number of the moves that the requester has
-	Counts  []ServiceCounts // what the requester has counted since its last request
+	Moves   int64 // sequence number of the moves that the requester has
+	Crashes int64 // sequence number of the crashes that the requester has
+	// NewCrashes and ClearedCrashes are the crashes that the requester has observed, or found all
+	// parts of to be sound, and that it has not seen in a response's list, or still sees there.
+	NewCrashes     []quarantine.Crash
+	ClearedCrashes []quarantine.Name
+	Counts         []ServiceCounts // what the requester has counted since its last request
 }
 
 // ServerStart identifies a start of a server.
@@ -173,7 +188,9 @@
 	freshAt      time.Time
 	disconnected bool
 	moves        func(now time.Time) []Move
-	movesSeq     int64         // number of changes of the moves so far
+	movesSeq     int64 // number of changes of the moves so far
+	crashes      func() []quarantine.Crash
+	crashesSeq   int64         // number of changes of the crashes so far
 	changed      chan struct{} // closed on the next change
 }
 
@@ -254,6 +271,17 @@
 	l.notify()
 }
 
+// SetCrashes records that the crashes held against parts of prompts have changed, and sets the
+// function that returns them.
+func (l *Log) SetCrashes(crashes func() []quarantine.Crash) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.init()
+	l.crashes = crashes
+	l.crashesSeq++
+	l.notify()
+}
+
 // SetFreshAt records that this entry VM was up to date with the store at an instant.
 func (l *Log) SetFreshAt(at time.Time) {
 	l.mu.Lock()
@@ -287,7 +315,8 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.init()
-	if l.disconnected || q.Epoch != l.epoch || q.Seq != l.seq || q.Moves != l.movesSeq || l.config != nil && l.config.Version > q.Config {
+	if l.disconnected || q.Epoch != l.epoch || q.Seq != l.seq || q.Moves != l.movesSeq || q.Crashes != l.crashesSeq ||
+		l.config != nil && l.config.Version > q.Config {
 		return nil
 	}
 	return l.changed
@@ -318,6 +347,9 @@
 	if l.moves != nil && (q.Epoch != l.epoch || q.Moves != l.movesSeq) {
 		a.Moves, a.MovesSeq = l.moves(now), l.movesSeq
 	}
+	if l.crashes != nil && (q.Epoch != l.epoch || q.Crashes != l.crashesSeq) {
+		a.Crashes, a.CrashesSeq = l.crashes(), l.crashesSeq
+	}
 	missed := l.seq - q.Seq
 	if q.Epoch == l.epoch && missed >= 0 && missed <= int64(len(l.updates)) {
 		a.Updates = append(a.Updates, l.updates[int64(len(l.updates))-missed:]...)
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -20,6 +20,7 @@
 	"quetzalhold/feed"
 	"quetzalhold/memnet"
 	"quetzalhold/move"
+	"quetzalhold/quarantine"
 	"quetzalhold/routing"
 )
 
@@ -97,6 +98,30 @@
 				So(err, ShouldNotBeNil)
 			}
 		})
+		Convey("sends the crashes to requesters that do not have them, and takes reports of crashes", func() {
+			crashes := []quarantine.Crash{{Service: "models", Request: "r1", Server: "e1", Start: 3, Parts: []quarantine.PartID{"a", "b"}, Until: 5}}
+			l.SetCrashes(func() []quarantine.Crash { return crashes })
+			So(l.Changed(q), ShouldBeNil)
+			a := l.Respond(start, q, listServers)
+			So(a.Crashes, ShouldResemble, crashes)
+			So(a.Check(), ShouldBeNil)
+			So((&feed.Response{Epoch: "e", Crashes: []quarantine.Crash{{Service: "models", Server: "e1"}}}).Check(), ShouldNotBeNil)
+			q = q.Next(&a)
+			So(l.Changed(q), ShouldNotBeNil)
+			a = l.Respond(start, q, listServers)
+			So(a.Crashes, ShouldBeEmpty)
+			So(q.Next(&a).Crashes, ShouldEqual, q.Crashes)
+			q.NewCrashes, q.ClearedCrashes = crashes, []quarantine.Name{crashes[0].Name()}
+			again, err := feed.ParseRequest(q.Query())
+			So(err, ShouldBeNil)
+			So(again, ShouldResemble, q)
+			for name, bad := range map[string]string{"crashes": "x", "newCrashes": `[{"service":"models","server":"e1"}]`} {
+				v := q.Query()
+				v.Set(name, bad)
+				_, err := feed.ParseRequest(v)
+				So(err, ShouldNotBeNil)
+			}
+		})
 		Convey("reports at once that the connection to the store is lost", func() {
 			l.SetDisconnected(true)
 			So(l.Changed(q), ShouldBeNil)
--- a/feed/http.go
+++ b/feed/http.go
@@ -14,6 +14,7 @@
 	"quetzalhold/backend"
 	"quetzalhold/engine"
 	"quetzalhold/names"
+	"quetzalhold/quarantine"
 	"quetzalhold/result"
 )
 
@@ -42,11 +43,21 @@
 	if q.Moves > 0 {
 		v.Set("moves", strconv.FormatInt(q.Moves, 10))
 	}
+	if q.Crashes > 0 {
+		v.Set("crashes", strconv.FormatInt(q.Crashes, 10))
+	}
+	// Marshalling numbers and strings cannot fail.
 	if len(q.Counts) > 0 {
-		// Marshalling numbers and strings cannot fail.
 		b, _ := json.Marshal(q.Counts)
 		v.Set("ran", string(b))
 	}
+	if len(q.NewCrashes) > 0 {
+		b, _ := json.Marshal(q.NewCrashes)
+		v.Set("newCrashes", string(b))
+	}
+	for _, n := range q.ClearedCrashes {
+		v.Add("clearedCrash", string(n))
+	}
 	for _, u := range q.Usage {
 		v.Add("usage", fmt.Sprintf("%s %d %d", u.Service, u.Requests, u.Retries))
 	}
@@ -115,12 +126,19 @@
 		}
 		q.Members = n
 	}
-	if s := v.Get("moves"); s != "" {
+	for _, f := range []struct {
+		name string
+		into *int64
+	}{{"moves", &q.Moves}, {"crashes", &q.Crashes}} {
+		s := v.Get(f.name)
+		if s == "" {
+			continue
+		}
 		n, err := strconv.ParseInt(s, 10, 64)
 		if err != nil {
-			return q, result.Wrap(result.BadRequest, err, "moves").WithField("moves")
+			return q, result.Wrap(result.BadRequest, err, "%s", f.name).WithField(f.name)
 		}
-		q.Moves = n
+		*f.into = n
 	}
 	if s := v.Get("ran"); s != "" {
 		if err := json.Unmarshal([]byte(s), &q.Counts); err != nil {
@@ -135,6 +153,9 @@
 		q.Usage = append(q.Usage, u)
 	}
 	q.Wait = min(maxWait, max(0, q.Wait*time.Millisecond))
+	if err := q.parseCrashes(v); err != nil {
+		return q, err
+	}
 	var err error
 	if q.Hung, err = parseStarts(v, "hung"); err != nil {
 		return q, err
@@ -143,6 +164,27 @@
 	return q, err
 }
 
+// parseCrashes parses the crashes that the requester reports.
+func (q *Request) parseCrashes(v url.Values) error {
+	if s := v.Get("newCrashes"); s != "" {
+		if err := json.Unmarshal([]byte(s), &q.NewCrashes); err != nil {
+			return result.Wrap(result.BadRequest, err, "newCrashes").WithField("newCrashes")
+		}
+	}
+	if len(q.NewCrashes) == 0 {
+		q.NewCrashes = nil
+	}
+	for i := range q.NewCrashes {
+		if err := q.NewCrashes[i].Check(); err != nil {
+			return err
+		}
+	}
+	for _, n := range v["clearedCrash"] {
+		q.ClearedCrashes = append(q.ClearedCrashes, quarantine.Name(n))
+	}
+	return nil
+}
+
 // Server serves the feed to other entry VMs. All fields must be set.
 type Server struct {
 	Members *Members
@@ -155,6 +197,9 @@
 	OnNewerConfig func(Member)
 	// OnCounts receives what the requester has counted of services in moves.
 	OnCounts func([]ServiceCounts)
+	// OnCrashes receives the crashes that the requester has observed, and those of which it has
+	// found all parts to be sound.
+	OnCrashes func(observed []quarantine.Crash, cleared []quarantine.Name)
 	// Respond returns the changes for a request.
 	Respond func(Request) Response
 }
@@ -181,6 +226,9 @@
 	if len(q.Counts) > 0 {
 		s.OnCounts(q.Counts)
 	}
+	if len(q.NewCrashes)+len(q.ClearedCrashes) > 0 {
+		s.OnCrashes(q.NewCrashes, q.ClearedCrashes)
+	}
 	if s.Log.configVersion() < q.Config {
 		s.OnNewerConfig(q.From)
 	}
@@ -269,6 +317,9 @@
 	if a.MovesSeq != 0 || a.Epoch != q.Epoch {
 		q.Moves = a.MovesSeq
 	}
+	if a.CrashesSeq != 0 || a.Epoch != q.Epoch {
+		q.Crashes = a.CrashesSeq
+	}
 	q.Epoch, q.Seq, q.Members = a.Epoch, a.Seq, a.MembersDigest
 	if a.Config != nil {
 		q.Config = max(q.Config, a.Config.Version)
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -141,6 +141,11 @@
 		d.watchMoves(ctx)
 	}()
 	go d.decideMoves(ctx)
+	go func() {
+		d.awaitFirstCall(ctx, tried, orderWatchWait)
+		d.watchCrashes(ctx)
+	}()
+	go d.writeCrashes(ctx)
 }
 
 // awaitFirstCall waits until tried is closed, and then until the store is reachable or
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -24,6 +24,7 @@
 	"quetzalhold/feed"
 	"quetzalhold/names"
 	"quetzalhold/platform"
+	"quetzalhold/quarantine"
 	"quetzalhold/relay"
 	"quetzalhold/result"
 	"quetzalhold/routing"
@@ -50,13 +51,16 @@
 	changes feed.Log
 	client  *feed.Client
 
-	table       atomic.Pointer[routing.Table]
-	loaded      chan struct{} // closed once a configuration and servers are known
-	loadedOnce  sync.Once
-	stopping    atomic.Bool
-	health      storeHealth
-	conns       idleConns
-	moves       moves
+	table      atomic.Pointer[routing.Table]
+	loaded     chan struct{} // closed once a configuration and servers are known
+	loadedOnce sync.Once
+	stopping   atomic.Bool
+	health     storeHealth
+	conns      idleConns
+	moves      moves
+	quarantine quarantine.List
+	// unwritten wakes writeCrashes up.
+	unwritten   chan struct{}
 	identifying sync.Map // addresses of servers whose identity is being queried
 	// fetchingConfig is set while a newer configuration is fetched from another entry VM.
 	fetchingConfig atomic.Bool
@@ -90,10 +94,11 @@
 // New returns the daemon of the entry VM with settings s.
 func New(s *settings.Gateway, opts ...Option) (*Daemon, error) {
 	d := &Daemon{
-		listen:  listenTCP,
-		loaded:  make(chan struct{}),
-		log:     zap.NewNop(),
-		budgets: make(map[routing.ServiceName]*backend.RetryBudget),
+		listen:    listenTCP,
+		loaded:    make(chan struct{}),
+		unwritten: make(chan struct{}, 1),
+		log:       zap.NewNop(),
+		budgets:   make(map[routing.ServiceName]*backend.RetryBudget),
 	}
 	d.settings.Store(s)
 	d.members.Self = feed.Member{ID: feed.MemberID(s.ID), Address: s.Peers, Domain: s.Domain, LinkMbps: int(s.LinkMbps)}
@@ -117,6 +122,8 @@
 	d.relay.Leaving = d.reportLeaving
 	d.relay.Allowed = d.allowedVersions
 	d.relay.Answered = d.recordAnswer
+	d.relay.Quarantine = &d.quarantine
+	d.relay.QuarantineChanged = d.quarantineChanged
 	d.relay.Closing = d.stopping.Load
 	d.relay.Log = d.log
 	return d, d.initTelemetry()
@@ -350,7 +357,7 @@
 	mux := http.NewServeMux()
 	mux.Handle("GET "+feed.Path, &feed.Server{
 		Members: &d.members, Log: &d.changes,
-		OnHung: d.applyHung, OnLeaving: d.applyLeaving, OnCounts: d.applyPeerCounts, OnNewerConfig: d.fetchConfig,
+		OnHung: d.applyHung, OnLeaving: d.applyLeaving, OnCounts: d.applyPeerCounts, OnCrashes: d.applyCrashReports, OnNewerConfig: d.fetchConfig,
 		Respond: func(q feed.Request) feed.Response {
 			now := time.Now()
 			a := d.changes.Respond(now, q, d.pool.List)
@@ -371,6 +378,7 @@
 		case now := <-t.C:
 			d.pool.Expire(now)
 			d.releaseHeldServers(now)
+			d.expireCrashes(now)
 			d.members.Expire(now)
 			d.updateSlack()
 			if table := d.table.Load(); table != nil {
--- /dev/null
+++ b/gateway/quarantine.go
@@ -0,0 +1,209 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"go.uber.org/zap"
+
+	"quetzalhold/backend"
+	"quetzalhold/clock"
+	"quetzalhold/feed"
+	"quetzalhold/platform"
+	"quetzalhold/quarantine"
+	"quetzalhold/result"
+)
+
+const (
+	// crashWatchWait is how long a watch of crashes waits for a change: they are rare, and each
+	// call is priced.
+	crashWatchWait = 10 * time.Second
+	// maxCrashReports bounds the crashes in one poll.
+	maxCrashReports = 16
+)
+
+// quarantineChanged publishes the crashes to other entry VMs, and to the store if this one
+// watches it.
+func (d *Daemon) quarantineChanged() {
+	d.changes.SetCrashes(d.quarantine.All)
+	select {
+	case d.unwritten <- struct{}{}:
+	default:
+	}
+}
+
+// crashReports returns the crashes to report to another entry VM: those observed and those
+// cleared here that its list did not show yet.
+func (d *Daemon) crashReports() ([]quarantine.Crash, []quarantine.Name) {
+	observed, cleared := d.quarantine.Unshared(), d.quarantine.Cleared()
+	return observed[:min(len(observed), maxCrashReports)], cleared[:min(len(cleared), maxCrashReports)]
+}
+
+// applyCrashReports applies the crashes that another entry VM has observed and cleared.
+func (d *Daemon) applyCrashReports(observed []quarantine.Crash, cleared []quarantine.Name) {
+	changed := false
+	for _, c := range observed {
+		changed = d.quarantine.Add(c) || changed
+	}
+	for _, n := range cleared {
+		changed = d.quarantine.Clear(n) || changed
+	}
+	if changed {
+		d.log.Info("crashes reported", zap.Any("observed", observed), zap.Any("cleared", cleared))
+		d.quarantineChanged()
+	}
+}
+
+// applyCrashes applies the complete list of another entry VM. One of another failure domain may
+// lack what this failure domain has not written to the store yet.
+func (d *Daemon) applyCrashes(list []quarantine.Crash, from feed.Member) {
+	if from.Domain != d.members.Self.Domain {
+		d.applyCrashReports(list, nil)
+		return
+	}
+	if d.quarantine.Replace(list, false) {
+		d.log.Info("crashes listed", zap.Int("crashes", len(list)), zap.String("from", string(from.ID)))
+		d.changes.SetCrashes(d.quarantine.All)
+	}
+}
+
+// watchCrashes follows the crashes in the store until ctx ends.
+func (d *Daemon) watchCrashes(ctx context.Context) {
+	var era backend.Era
+	for ctx.Err() == nil {
+		page, err := d.store.List(ctx, platform.Crashes, false)
+		rev := page.Revision
+		if err == nil {
+			d.applyCrashPage(page, era != 0 && era < rev.Era)
+			era = rev.Era
+		}
+		for err == nil && ctx.Err() == nil {
+			start := time.Now()
+			var c platform.Changes
+			c, err = d.store.Watch(ctx, platform.Crashes, rev, crashWatchWait)
+			for i := range c.Changes {
+				d.applyCrashChange(&c.Changes[i])
+			}
+			rev = backend.Latest(rev, c.Revision)
+			if err == nil {
+				// A watch that ends at once must not be repeated at once.
+				_ = clock.Until(ctx, start.Add(watchInterval)) // the loop condition checks ctx
+			}
+		}
+		if ctx.Err() == nil && err != nil && result.CodeOf(err) != result.HistoryGone {
+			d.log.Info("crashes not received", zap.Error(err))
+			_ = clock.Sleep(ctx, maxBackoff) // the loop condition checks ctx
+			d.awaitStore(ctx, orderWatchWait)
+		}
+	}
+}
+
+func readCrash(o *platform.Object) (quarantine.Crash, error) {
+	var c quarantine.Crash
+	if err := json.Unmarshal(o.Spec, &c); err != nil {
+		return c, fmt.Errorf("decode crash %q: %w", o.Name(), err)
+	}
+	return c, c.Check()
+}
+
+// applyCrashPage applies the list of all crashes in the store. After the store was restored from
+// an older copy, those that it lacks are written again.
+func (d *Daemon) applyCrashPage(page platform.Page, restored bool) {
+	var list []quarantine.Crash
+	for i := range page.Objects {
+		c, err := readCrash(&page.Objects[i])
+		if err != nil {
+			d.log.Warn("malformed crash ignored", zap.String("name", page.Objects[i].Name()), zap.Error(err))
+			continue
+		}
+		list = append(list, c)
+	}
+	if d.quarantine.Replace(list, restored) || restored {
+		d.log.Info("crashes listed", zap.Int("crashes", len(list)), zap.Bool("restored", restored), zap.String("from", "store"))
+		d.quarantineChanged()
+	}
+}
+
+func (d *Daemon) applyCrashChange(ch *platform.Change) {
+	changed := false
+	if ch.Removed {
+		changed = d.quarantine.Remove(quarantine.Name(ch.Object.Name()))
+	} else {
+		c, err := readCrash(&ch.Object)
+		if err != nil {
+			d.log.Warn("malformed crash ignored", zap.String("name", ch.Object.Name()), zap.Error(err))
+			return
+		}
+		changed = d.quarantine.MarkShared(c)
+	}
+	if changed {
+		d.log.Info("crash", zap.String("name", ch.Object.Name()), zap.Bool("removed", ch.Removed), zap.String("from", "store"))
+		d.changes.SetCrashes(d.quarantine.All)
+	}
+}
+
+// writeCrashes writes the crashes that this failure domain has observed to the store, and deletes
+// those that it has cleared, until ctx ends.
+func (d *Daemon) writeCrashes(ctx context.Context) {
+	for {
+		for !d.writeCrashesOnce(ctx) && ctx.Err() == nil {
+			_ = clock.Sleep(ctx, maxBackoff) // the loop condition checks ctx
+			d.awaitStore(ctx, orderWatchWait)
+		}
+		select {
+		case <-d.unwritten:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// writeCrashesOnce reports whether the store has all crashes of this failure domain.
+func (d *Daemon) writeCrashesOnce(ctx context.Context) bool {
+	for _, c := range d.quarantine.Unshared() {
+		err := d.store.Create(ctx, platform.Crashes, string(c.Name()), c)
+		if err != nil && result.CodeOf(err) != result.VersionConflict { // exists already
+			d.log.Info("crash not written", zap.String("name", string(c.Name())), zap.Error(err))
+			return false
+		}
+		d.quarantine.MarkShared(c)
+	}
+	for _, n := range d.quarantine.Cleared() {
+		if err := d.deleteCrash(ctx, n); err != nil {
+			return false
+		}
+		d.quarantine.Remove(n)
+	}
+	return true
+}
+
+func (d *Daemon) deleteCrash(ctx context.Context, n quarantine.Name) error {
+	err := d.store.Delete(ctx, platform.Crashes, string(n))
+	if result.CodeOf(err) == result.ObjectMissing {
+		return nil
+	}
+	d.log.Info("crash deleted", zap.String("name", string(n)), zap.Error(err))
+	return err
+}
+
+// expireCrashes removes the crashes that are no longer held against parts of prompts.
+func (d *Daemon) expireCrashes(now time.Time) {
+	expired := d.quarantine.Expire(now)
+	if len(expired) == 0 {
+		return
+	}
+	d.log.Info("crashes expired", zap.Any("names", expired))
+	d.changes.SetCrashes(d.quarantine.All)
+	if !d.members.RanksFirst() {
+		return
+	}
+	go func() {
+		for _, n := range expired {
+			if err := d.deleteCrash(context.Background(), n); err != nil {
+				return // the next list shows it again
+			}
+		}
+	}()
+}
--- a/gateway/upstream.go
+++ b/gateway/upstream.go
@@ -119,6 +119,7 @@
 	}
 	q.Wait, q.Usage, q.Counts = wait, d.usage(time.Now()), d.drainCounts()
 	q.Hung, q.Leaving = d.drainReports()
+	q.NewCrashes, q.ClearedCrashes = d.crashReports()
 	a, err := d.client.Fetch(ctx, m, *q)
 	now := time.Now()
 	if err == nil && (a.Disconnected || a.Age() > maxAge || a.Revision.Era < d.changes.Revision().Era) {
@@ -136,6 +137,7 @@
 			d.applyConfig(*a.Config, string(a.Self.ID))
 		}
 		d.applyMoves(now, a.Moves, false, string(a.Self.ID))
+		d.applyCrashReports(a.Crashes, nil)
 		d.members.Add(now, a.Members...)
 		if !d.isLoaded() && a.Full {
 			// Servers that may have left meanwhile are better than none.
@@ -169,6 +171,9 @@
 	if a.MovesSeq > 0 {
 		d.applyMoves(now, a.Moves, true, string(a.Self.ID))
 	}
+	if a.CrashesSeq > 0 {
+		d.applyCrashes(a.Crashes, a.Self)
+	}
 	if a.Full {
 		servers := make([]backend.Server, 0, len(a.Updates))
 		for i := range a.Updates {
--- /dev/null
+++ b/quarantine/quarantine_test.go
@@ -0,0 +1,168 @@
+package quarantine_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"quetzalhold/engine"
+	"quetzalhold/quarantine"
+)
+
+var start = time.Date(2026, 3, 1, 12, 0, 0, 0, time.UTC)
+
+// blockedFrom is the number of engines that crash before a part is blocked.
+const blockedFrom = 3
+
+// crash returns the crash of server n, running for the first time, under parts.
+func crash(n int, parts ...quarantine.PartID) quarantine.Crash {
+	return quarantine.Crash{
+		Service: "models", Request: engine.RequestID(fmt.Sprintf("r%d", n)), Server: engine.ServerID(fmt.Sprintf("e%d", n)), Start: 1, Parts: parts,
+	}
+}
+
+func parts(ids ...quarantine.PartID) []quarantine.PartID { return ids }
+
+func blocked(l *quarantine.List, ids ...quarantine.PartID) bool {
+	_, ok := l.Blocked(start.Add(time.Second), "models", ids)
+	return ok
+}
+
+func observe(l *quarantine.List, list ...quarantine.Crash) {
+	for _, c := range list {
+		l.Observe(start, c)
+	}
+}
+
+func TestBlocked(t *testing.T) {
+	Convey("A part is blocked once three engines have crashed under it", t, func() {
+		var l quarantine.List
+		observe(&l, crash(1, "a", "bad"), crash(2, "b", "bad"))
+		So(blocked(&l, "a", "bad"), ShouldBeFalse)
+		observe(&l, crash(3, "c", "bad"))
+		b, ok := l.Blocked(start, "models", parts("d", "bad"))
+		So(ok, ShouldBeTrue)
+		So(b.Part, ShouldEqual, quarantine.PartID("bad"))
+		So(b.Crashes, ShouldEqual, blockedFrom)
+		So(b.Until, ShouldHappenAfter, start)
+		So(blocked(&l, "a"), ShouldBeFalse)
+		_, ok = l.Blocked(start, "other", parts("bad"))
+		So(ok, ShouldBeFalse)
+		_, ok = l.Blocked(b.Until, "models", parts("bad"))
+		So(ok, ShouldBeFalse)
+	})
+	Convey("Requests that one crash hit together count once", t, func() {
+		var l quarantine.List
+		for i := range 5 {
+			c := crash(1, "a")
+			c.Request = engine.RequestID(fmt.Sprintf("q%d", i))
+			observe(&l, c)
+		}
+		So(blocked(&l, "a"), ShouldBeFalse)
+	})
+	Convey("Parts shared with sound requests are not blocked", t, func() {
+		var l quarantine.List
+		observe(&l, crash(1, "first", "x", "bad"), crash(2, "first", "x", "bad"), crash(3, "first", "x", "bad"))
+		So(blocked(&l, "first", "x", "bad"), ShouldBeTrue)
+		So(blocked(&l, "first", "y", "bad"), ShouldBeFalse) // bad or x: not known yet
+		So(blocked(&l, "first"), ShouldBeFalse)
+		So(blocked(&l, "first", "x"), ShouldBeFalse)
+		l.MarkSound(start, "models", parts("first", "x"))
+		So(blocked(&l, "first", "y", "bad"), ShouldBeTrue)
+		So(blocked(&l, "first", "x"), ShouldBeFalse)
+	})
+	Convey("A fourth crash tells two parts apart that only occurred together", t, func() {
+		var l quarantine.List
+		observe(&l, crash(1, "x", "bad"), crash(2, "x", "bad"), crash(3, "x", "bad"), crash(4, "y", "bad"))
+		So(blocked(&l, "z", "bad"), ShouldBeTrue)
+		So(blocked(&l, "x"), ShouldBeFalse)
+	})
+}
+
+func TestSound(t *testing.T) {
+	Convey("An answer that gets past its beginning clears its parts", t, func() {
+		var l quarantine.List
+		observe(&l, crash(1, "a"), crash(2, "a"), crash(3, "a"))
+		So(blocked(&l, "a"), ShouldBeTrue)
+		So(l.MarkSound(start, "models", parts("a")), ShouldBeTrue)
+		So(blocked(&l, "a"), ShouldBeFalse)
+		So(l.All(), ShouldBeEmpty)
+	})
+	Convey("Engines that are lost under parts that were sound just before are not held against them", t, func() {
+		var l quarantine.List
+		l.MarkSound(start, "models", parts("a"))
+		for i := range 10 {
+			_, ok := l.Observe(start.Add(time.Duration(i)*time.Millisecond), crash(i, "a"))
+			So(ok, ShouldBeFalse)
+		}
+		c, ok := l.Observe(start, crash(20, "a", "b"))
+		So(ok, ShouldBeTrue)
+		So(c.Parts, ShouldResemble, parts("b"))
+	})
+	Convey("A crash that others know is kept without suspects until they have dropped it", t, func() {
+		var l quarantine.List
+		c, _ := l.Observe(start, crash(1, "a"))
+		l.Replace([]quarantine.Crash{c}, false)
+		l.MarkSound(start, "models", parts("a"))
+		So(l.Cleared(), ShouldResemble, []quarantine.Name{c.Name()})
+		l.Replace([]quarantine.Crash{c}, false)
+		So(l.All(), ShouldBeEmpty)
+		l.Replace(nil, false)
+		So(l.Cleared(), ShouldBeEmpty)
+	})
+}
+
+func TestReplace(t *testing.T) {
+	Convey("A list that lacks an observation does not remove it, one that lacks a shared crash does", t, func() {
+		var l quarantine.List
+		c, _ := l.Observe(start, crash(1, "a"))
+		So(l.Replace(nil, false), ShouldBeFalse)
+		So(l.Unshared(), ShouldHaveLength, 1)
+		So(l.Replace([]quarantine.Crash{c}, false), ShouldBeFalse)
+		So(l.Unshared(), ShouldBeEmpty)
+		So(l.Replace(nil, true), ShouldBeFalse)
+		So(l.Unshared(), ShouldHaveLength, 1)
+		l.MarkShared(c)
+		So(l.Replace(nil, false), ShouldBeTrue)
+		So(l.All(), ShouldBeEmpty)
+	})
+	Convey("Expired crashes are dropped, and the list stays bounded", t, func() {
+		var l quarantine.List
+		for i := range 2000 {
+			observe(&l, crash(i, quarantine.PartID(fmt.Sprintf("p%d", i))))
+		}
+		So(len(l.All()), ShouldBeLessThanOrEqualTo, 512)
+		So(l.Expire(start), ShouldBeEmpty)
+		So(len(l.Expire(start.Add(time.Hour))), ShouldEqual, 512)
+		So(l.All(), ShouldBeEmpty)
+	})
+}
+
+// TestOrder checks that lists agree that have heard the same crashes in any order.
+func TestOrder(t *testing.T) {
+	Convey("The order of reports does not matter", t, func() {
+		r := rand.New(rand.NewPCG(1, 2))
+		for range 200 {
+			var a, b quarantine.List
+			var all []quarantine.Crash
+			for i := range 12 {
+				c := crash(i, quarantine.PartID(fmt.Sprintf("p%d", r.IntN(4))), quarantine.PartID(fmt.Sprintf("q%d", r.IntN(3))))
+				c, _ = a.Observe(start, c)
+				all = append(all, c)
+			}
+			r.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+			for _, c := range all {
+				b.Add(c)
+			}
+			for p := range 4 {
+				for q := range 3 {
+					ids := parts(quarantine.PartID(fmt.Sprintf("p%d", p)), quarantine.PartID(fmt.Sprintf("q%d", q)))
+					So(blocked(&a, ids...), ShouldEqual, blocked(&b, ids...))
+				}
+			}
+		}
+	})
+}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -24,6 +24,7 @@
 	"quetzalhold/engine"
 	"quetzalhold/names"
 	"quetzalhold/platform"
+	"quetzalhold/quarantine"
 	"quetzalhold/result"
 	"quetzalhold/routing"
 )
@@ -56,6 +57,11 @@
 	// Leaving is called when a server's answer says for the first time that it is leaving; may
 	// be nil.
 	Leaving func(backend.Choice)
+	// Quarantine holds the parts of prompts that crash engines.
+	Quarantine *quarantine.List
+	// QuarantineChanged is called when a request has added a crash to Quarantine or cleared one;
+	// may be nil.
+	QuarantineChanged func()
 	// Closing reports whether callers' connections are closed after their next answer; may be
 	// nil.
 	Closing func() bool
@@ -104,7 +110,7 @@
 	if d == nil {
 		d = (&net.Dialer{}).DialContext
 	}
-	return &Relay{Log: zap.NewNop(), dial: d, transport: newTransport(d), controlTransport: newControlTransport(d)}
+	return &Relay{Quarantine: &quarantine.List{}, Log: zap.NewNop(), dial: d, transport: newTransport(d), controlTransport: newControlTransport(d)}
 }
 
 // CloseIdle closes idle connections.
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -15,6 +15,7 @@
 	"quetzalhold/backend"
 	"quetzalhold/engine"
 	"quetzalhold/platform"
+	"quetzalhold/quarantine"
 	"quetzalhold/result"
 	"quetzalhold/telemetry"
 )
@@ -69,6 +70,8 @@
 	runs         int   // sends, except those that were refused
 	rounds       int
 	failure      *reply // a failure that a server answered with
+	parts        []quarantine.PartID
+	sound        bool // an engine was past the beginning of the answer
 	// retryAt is when the first engine accepts requests again; zero unless all refuse them.
 	retryAt time.Time
 }
@@ -80,7 +83,7 @@
 func (r *Relay) serveStream(w http.ResponseWriter, j *job) {
 	ctx, cancel := context.WithDeadline(j.msg.Context(), j.deadline)
 	defer cancel()
-	s := &streamRun{job: j, w: w, ctx: ctx}
+	s := &streamRun{job: j, w: w, ctx: ctx, parts: partIDs(j.msg.params.SharedParts())}
 	if id, err := strconv.ParseInt(j.msg.params.LastEvent, 10, 64); err == nil {
 		s.lastID = id
 	}
@@ -91,6 +94,9 @@
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
 	for {
+		if s.rejectBlocked() {
+			return
+		}
 		v := s.decide()
 		switch v.Action {
 		case Probe:
@@ -202,6 +208,9 @@
 // cache, or to one that the pool chooses. It returns false if it has ended the request.
 func (s *streamRun) start(why string, from *run) bool {
 	for {
+		if s.rejectBlocked() {
+			return false
+		}
 		now := time.Now()
 		p, memory, ok := s.pick(now, from)
 		from = nil
@@ -400,7 +409,9 @@
 		return s.handleEarlyEnd(p)
 	}
 	now := time.Now()
-	s.cur.events++
+	if s.cur.events++; s.cur.events == beginEvents {
+		s.observeSound()
+	}
 	if !s.cur.started {
 		s.cur.started = true
 		s.relay.Pool.End(s.cur.to.ID, backend.Load{Pending: s.cur.work.Pending})
@@ -472,6 +483,9 @@
 
 // finish ends a stream that is complete.
 func (s *streamRun) finish() bool {
+	if s.cur.events > 0 {
+		s.observeSound()
+	}
 	if !s.headSent {
 		s.headSent = true
 		s.w.WriteHeader(http.StatusOK)
@@ -489,7 +503,7 @@
 // has ended.
 func (s *streamRun) handleEarlyEnd(p part) bool {
 	s.logEvent("run ended early", s.cur.to.ID, zap.Stringer("outcome", p.outcome), zap.Error(p.err), zap.Int64("lastEvent", s.lastID),
-		zap.Bool("answered", s.cur.answered), zap.Int("events", s.cur.events), zap.Strings("parts", s.msg.params.SharedParts()))
+		zap.Bool("answered", s.cur.answered), zap.Int("events", s.cur.events), zap.Any("parts", s.parts))
 	switch p.outcome {
 	case NotRun:
 		s.runs--
@@ -506,6 +520,10 @@
 			return false
 		}
 		s.relay.Pool.MarkFailed(s.cur.to.ID, time.Now())
+		s.observeCrash()
+		if s.rejectBlocked() {
+			return false
+		}
 	}
 	return s.failOver("run ended early")
 }
--- a/result/result.go
+++ b/result/result.go
@@ -59,6 +59,7 @@
 	EngineMalformed                     // 2012
 	VersionWithdrawn                    // 2013
 	TooLate                             // 2014
+	PromptBlocked                       // 2015
 )
 
 // Codes about plain services.
