relay: a stream without length that ends before its first event is not complete

What callers saw: an empty answer with status 200, for a request that had been read whole. Cause: an answer with neither a length nor chunks ends with its connection, and readParts took each end outside an event for the end of a whole answer, also before the first event: an engine that ended just after its head. Class of fault: a broken-off answer that looks complete. TestStreamWithoutLength fails before ("an answer that ends before its first event": the caller gets an empty body), and passes now: the stream goes on at another engine.

An answer without length that ends between two events, not within one, still counts as complete: nothing in it tells the two apart. A stream that is resumed may have no events left, and is not judged by this.

--- a/relay/events.go
+++ b/relay/events.go
@@ -15,8 +15,8 @@
 	id  int64 // 0 if it has none
 }
 
-// errTruncated reports that a stream ended in the middle of an event.
-var errTruncated = errors.New("the stream ended within an event")
+// errTruncated reports that a stream ended in the middle of an event or before the first.
+var errTruncated = errors.New("the stream ended within an event or without any")
 
 // maxEvent bounds one event, in bytes.
 const maxEvent = 256 << 10
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -363,8 +363,11 @@
 		return
 	}
 	events := newEventReader(resp.Body)
-	for {
+	for n := 0; ; n++ {
 		e, err := events.next()
+		if errors.Is(err, io.EOF) && n == 0 && send.LastEvent == "" && endsWithConnection(resp) {
+			err = errTruncated
+		}
 		if errors.Is(err, io.EOF) {
 			emit(part{ended: true, outcome: Answered})
 			return
@@ -380,6 +383,12 @@
 	}
 }
 
+// endsWithConnection reports whether a response has no length and is not chunked, so that one that
+// breaks off between two events looks complete.
+func endsWithConnection(resp *http.Response) bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+}
+
 // errTooLong reports that a response has no end within its limit.
 var errTooLong = errors.New("the response is too long")
 
--- a/relay/trouble_test.go
+++ b/relay/trouble_test.go
@@ -191,3 +191,34 @@
 		So(v.FailedAt.IsZero(), ShouldBeTrue)
 	})
 }
+
+// TestStreamWithoutLength guards against answers that end with their connection: one that ends
+// before its first event, or within one, must not reach the caller as complete.
+func TestStreamWithoutLength(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		fault platformtest.Fault
+	}{
+		{"a whole answer", platformtest.Fault{NoLength: true}},
+		{"an answer that ends before its first event", platformtest.Fault{NoLength: true, EndBefore: 1}},
+		{"an answer that ends within an event", platformtest.Fault{NoLength: true, TruncateEvent: 5}},
+	} {
+		withHarness(t, c.name, func(w *harness) {
+			w.addEngines()
+			for _, s := range w.servers {
+				s.SetFault(c.fault)
+			}
+			time.AfterFunc(200*time.Millisecond, func() {
+				for _, s := range w.servers {
+					if s.Running() == 0 {
+						s.SetFault(platformtest.Fault{NoLength: true})
+					}
+				}
+			})
+			a := w.resumableStream(context.Background())
+			So(a.err, ShouldBeNil)
+			So(a.status, ShouldEqual, 200)
+			So(a.body, ShouldEqual, events(1, numEvent))
+		})
+	}
+}
