gateway: crashes listed by another failure domain are not written to the store again

An entry VM that could not reach the store took over the list of another failure domain as reports of its own, and wrote a crash again after its failure domain had found all parts sound and deleted it. Only the failure domain that observed a crash writes it.

--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -56,14 +56,18 @@
 	}
 }
 
-// applyCrashes applies the complete list of another entry VM. One of another failure domain may
-// lack what this failure domain has not written to the store yet.
-func (d *Daemon) applyCrashes(list []quarantine.Crash, from feed.Member) {
-	if from.Domain != d.members.Self.Domain {
-		d.applyCrashReports(list, nil)
-		return
+// applyCrashes applies the list of another entry VM, which is complete if that one is fresh and of
+// this failure domain. The failure domain that observed a crash writes it to the store.
+func (d *Daemon) applyCrashes(list []quarantine.Crash, complete bool, from feed.Member) {
+	changed := false
+	if complete && from.Domain == d.members.Self.Domain {
+		changed = d.quarantine.Replace(list, false)
+	} else {
+		for _, c := range list {
+			changed = d.quarantine.MarkShared(c) || changed
+		}
 	}
-	if d.quarantine.Replace(list, false) {
+	if changed {
 		d.log.Info("crashes listed", zap.Int("crashes", len(list)), zap.String("from", string(from.ID)))
 		d.changes.SetCrashes(d.quarantine.All)
 	}
--- a/gateway/upstream.go
+++ b/gateway/upstream.go
@@ -137,7 +137,7 @@
 			d.applyConfig(*a.Config, string(a.Self.ID))
 		}
 		d.applyMoves(now, a.Moves, false, string(a.Self.ID))
-		d.applyCrashReports(a.Crashes, nil)
+		d.applyCrashes(a.Crashes, false, a.Self)
 		d.members.Add(now, a.Members...)
 		if !d.isLoaded() && a.Full {
 			// Servers that may have left meanwhile are better than none.
@@ -172,7 +172,7 @@
 		d.applyMoves(now, a.Moves, true, string(a.Self.ID))
 	}
 	if a.CrashesSeq > 0 {
-		d.applyCrashes(a.Crashes, a.Self)
+		d.applyCrashes(a.Crashes, true, a.Self)
 	}
 	if a.Full {
 		servers := make([]backend.Server, 0, len(a.Updates))
