--- a/relay/stream.go
+++ b/relay/stream.go
@@ -16,6 +16,7 @@
 	"quetzalhold/backend"
 	"quetzalhold/engine"
 	"quetzalhold/platform"
+	"quetzalhold/quarantine"
 	"quetzalhold/result"
 	"quetzalhold/telemetry"
 )
@@ -31,6 +32,9 @@
 	parts   chan part
 	started bool // it has sent an event
 
+	answered bool // it has sent its head
+	events   int  // events sent, repeated ones included
+
 	repeated bool // it has sent an event again
 
 	state        StreamState
@@ -73,6 +77,8 @@
 	runs      int   // sends, except those that were refused
 	rounds    int
 	failure   *reply // a failure that a server answered with
+	parts     []quarantine.PartID
+	sound     bool // an engine was past the beginning of the answer
 	// retryAt is when the first engine accepts requests again; zero unless all refuse them.
 	retryAt time.Time
 }
@@ -84,7 +90,7 @@
 func (r *Relay) serveStream(w http.ResponseWriter, j *job) {
 	ctx, cancel := context.WithDeadline(j.msg.Context(), j.deadline)
 	defer cancel()
-	s := &streamRun{job: j, w: w, ctx: ctx}
+	s := &streamRun{job: j, w: w, ctx: ctx, parts: partIDs(j.msg.params.SharedParts())}
 	if id, err := strconv.ParseInt(j.msg.params.LastEvent, 10, 64); err == nil {
 		s.lastID = id
 	}
@@ -95,6 +101,9 @@
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
 	for {
+		if s.rejectBlocked() {
+			return
+		}
 		v := s.decide()
 		switch v.Action {
 		case Probe:
@@ -204,6 +213,9 @@
 // cache, or to one that the pool chooses. It returns false if it has ended the request.
 func (s *streamRun) start(why string, from *run) bool {
 	for {
+		if s.rejectBlocked() {
+			return false
+		}
 		now := time.Now()
 		p, memory, ok := s.pick(now, from, s.tried)
 		from = nil
@@ -358,8 +370,11 @@
 		return
 	}
 	events := newEventReader(resp.Body)
-	for {
+	for n := 0; ; n++ {
 		e, err := events.next()
+		if errors.Is(err, io.EOF) && n == 0 && send.LastEvent == "" && endsWithConnection(resp) {
+			err = errTruncated
+		}
 		if errors.Is(err, io.EOF) {
 			emit(part{ended: true, outcome: Answered})
 			return
@@ -375,6 +390,12 @@
 	}
 }
 
+// endsWithConnection reports whether a response has no length and is not chunked, so that one that
+// breaks off between two events looks complete.
+func endsWithConnection(resp *http.Response) bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+}
+
 // errTooLong reports that a response has no end within its limit.
 var errTooLong = errors.New("the response is too long")
 
@@ -395,6 +416,7 @@
 func (s *streamRun) handlePart(p part) bool {
 	switch {
 	case p.head != nil && !p.ended:
+		s.cur.answered = true
 		s.holdHead(p.head)
 		return true
 	case p.ended && p.err == nil:
@@ -403,6 +425,9 @@
 		return s.handleEarlyEnd(p)
 	}
 	now := time.Now()
+	if s.cur.events++; s.cur.events == beginEvents {
+		s.observeSound()
+	}
 	if !s.cur.started {
 		s.cur.started = true
 		s.relay.Pool.End(s.cur.to.ID, backend.Load{Pending: s.cur.work.Pending})
@@ -476,6 +501,9 @@
 
 // finish ends a stream that is complete.
 func (s *streamRun) finish() bool {
+	if s.cur.events > 0 {
+		s.observeSound()
+	}
 	if !s.headSent {
 		s.headSent = true
 		s.w.WriteHeader(http.StatusOK)
@@ -501,13 +529,16 @@
 	case p.outcome == Lost && s.ctx.Err() != nil:
 		s.endCancelled()
 		return false
+	case p.outcome == Lost && s.rejectBlocked():
+		return false
 	}
 	return s.failOver("run ended early")
 }
 
 // recordEnd records that a run ended early.
 func (s *streamRun) recordEnd(r *run, p part) {
-	s.logEvent("run ended early", r.to.ID, zap.Stringer("outcome", p.outcome), zap.Error(p.err), zap.Int64("lastEvent", s.lastID))
+	s.logEvent("run ended early", r.to.ID, zap.Stringer("outcome", p.outcome), zap.Error(p.err), zap.Int64("lastEvent", s.lastID),
+		zap.Bool("answered", r.answered), zap.Int("events", r.events), zap.Any("parts", s.parts))
 	switch p.outcome {
 	case NotRun:
 		s.runs--
@@ -519,6 +550,7 @@
 		// A run that ended with the request's context shows no failure of its engine.
 		if s.ctx.Err() == nil {
 			s.relay.Pool.MarkFailed(r.to.ID, time.Now())
+			s.observeCrash(r)
 		}
 	}
 }
