move: a limited move is not finished in doubt

A version that answered several times slower to about half of its requests was completed and kept: a move with a bound on its exposure was raised and finished with 16 answers of the new version or more and no alarm. An alarm needs about 32 answers of which half are slow on one route, since it is tested for after each; with 8% of the traffic of three routes the new version had 35 in a minute.

The few decisions that give the new version a larger share now also ask whether its slow answers are improbable (1%) in a version as good as the old one, on any route or on all together, without the worst server. If so, the share isn't raised and the move is taken back at its end. A version with twice the times still passes.

The test failed before: the move was raised with 15 of 36 answers slow.

--- a/move/evidence.go
+++ b/move/evidence.go
@@ -51,6 +51,7 @@
 	slow        sums
 	newFailed   int
 	newSlow     int
+	newTallies  map[engine.ServerID]tally // by slowness
 	block       block
 }
 
@@ -109,6 +110,9 @@
 	// raise or finish a limited move. A higher number would be out of reach: with the
 	// bound on its share, a slow service gets few more in a minute.
 	minLimitedRequests = 16
+	// doubtLimit is the probability below which so many slow requests are not
+	// attributed to chance when a limited move is raised or finished.
+	doubtLimit = 0.01
 )
 
 var threshold = -math.Log(falseAlarm)
@@ -152,20 +156,22 @@
 	r.newRequests += c.N
 	r.newFailed += c.Failed
 	r.newSlow += c.Slow
-	r.block.add(c)
+	addTally(&r.newTallies, c)
+	addTally(&r.block.newTallies, c)
 	p0 := max(minFailRate, r.old.failRate())
 	r.failed.add(c.Server, 1, tally{c.N, c.Failed}, p0, max(badFailRate, 2*p0))
 	e.checkAlarm(route, "failures", r.failed, r)
 }
 
-func (b *block) add(c Count) {
-	if b.newTallies == nil {
-		b.newTallies = make(map[engine.ServerID]tally)
+// addTally adds the requests of c, and how many were slow, to the tally of its server.
+func addTally(all *map[engine.ServerID]tally, c Count) {
+	if *all == nil {
+		*all = make(map[engine.ServerID]tally)
 	}
-	t := b.newTallies[c.Server]
+	t := (*all)[c.Server]
 	t.n += c.N
 	t.hits += c.Slow
-	b.newTallies[c.Server] = t
+	(*all)[c.Server] = t
 }
 
 // closeBlock ends the current block and compares the slowness of both versions in
@@ -297,6 +303,68 @@
 	return total >= minLimitedRequests
 }
 
+// Doubt returns a description of the slowness of the new version, on all routes together
+// or on one of them, if it would be improbable in a version as good as the old one;
+// empty if it would not be. Alarms take many requests, since they are tested for after
+// each; Doubt is for the few decisions that give the new version a larger share.
+func (e *Evidence) Doubt() string {
+	all := make([]*routeEvidence, 0, len(e.routes))
+	for name, r := range e.routes {
+		if slowByChance(r) < doubtLimit {
+			return fmt.Sprintf("slowness on route %q: %d of %d requests", name, r.newSlow, r.newRequests)
+		}
+		all = append(all, r)
+	}
+	if slowByChance(all...) < doubtLimit {
+		return "slowness on all routes together: " + e.Summary()
+	}
+	return ""
+}
+
+// slowByChance returns the probability of as many slow requests as the new version had
+// on some routes if it were as good as the old one, without the server that has the most
+// slow ones if there are several: a fault of a single server is not attributed to the
+// version.
+func slowByChance(routes ...*routeEvidence) float64 {
+	type slowness struct {
+		hits     int
+		expected float64
+	}
+	servers := make(map[engine.ServerID]slowness)
+	var sum, worst slowness
+	for _, r := range routes {
+		p0 := max(minSlowRate, r.old.slowRate())
+		for id, t := range r.newTallies {
+			s := servers[id]
+			s.hits += t.hits
+			s.expected += p0 * float64(t.n)
+			servers[id] = s
+		}
+	}
+	for _, s := range servers {
+		sum.hits += s.hits
+		sum.expected += s.expected
+		if s.hits > worst.hits || s.hits == worst.hits && s.expected < worst.expected {
+			worst = s
+		}
+	}
+	if len(servers) >= minServers {
+		sum.hits -= worst.hits
+		sum.expected -= worst.expected
+	}
+	return poissonTail(sum.expected, sum.hits)
+}
+
+// poissonTail returns the probability that a Poisson variable is k or more.
+func poissonTail(mean float64, k int) float64 {
+	tail, p := 1.0, math.Exp(-mean)
+	for i := range k {
+		tail -= p
+		p *= mean / float64(i+1)
+	}
+	return max(0, tail)
+}
+
 // Summary returns a description of the evidence for operators.
 func (e *Evidence) Summary() string {
 	names := make([]Route, 0, len(e.routes))
--- a/move/move_test.go
+++ b/move/move_test.go
@@ -58,6 +58,43 @@
 		So(p.Decide(now.Add(-time.Second), &e).Action, ShouldEqual, Keep)
 		So(p.Decide(now, &e).Action, ShouldEqual, RollBack)
 	})
+	limitedEnd := func(e *Evidence) (raise, end Decision) {
+		p := Plan{Deployment: "s", To: "v@2", Start: begin, FinishBy: begin.Add(time.Minute), MaxExposure: 0.1, State: Started}
+		now := p.FinishBy.Add(-limitedEndMargin)
+		return p.Decide(now.Add(-100*time.Millisecond), e), p.Decide(now, e)
+	}
+	Convey("A limited move is rolled back if too many requests were slow, though too few for an alarm", t, func() {
+		for _, routes := range []int{1, 3} {
+			var e Evidence
+			for i := range 36 {
+				r := Route(fmt.Sprint(i % routes))
+				for range 10 {
+					e.Add(begin, []Count{{Route: r, Server: "old", N: 1}})
+				}
+				slow := 0
+				if i%5 < 2 {
+					slow = 1
+				}
+				e.Add(begin, []Count{{Route: r, Server: engine.ServerID(fmt.Sprint("new-", i%7)), New: true, N: 1, Slow: slow}})
+			}
+			So(e.Alarm().Raised, ShouldBeFalse)
+			raise, end := limitedEnd(&e)
+			So(raise.Action, ShouldEqual, Keep)
+			So(end.Action, ShouldEqual, RollBack)
+			So(end.Reason, ShouldEqual, WorseThanOld)
+		}
+	})
+	Convey("A limited move is finished though a single server is slow, or the old version is as slow", t, func() {
+		for _, tt := range []struct{ oldSlow, others, worst int }{{0, 1, 6}, {40, 6, 6}} {
+			var e Evidence
+			e.Add(begin, []Count{{Route: "r", Server: "old", N: 100, Slow: tt.oldSlow}})
+			e.Add(begin, []Count{{Route: "r", Server: "new-1", New: true, N: 15, Slow: tt.others}})
+			e.Add(begin, []Count{{Route: "r", Server: "new-2", New: true, N: 6, Slow: tt.worst}})
+			raise, end := limitedEnd(&e)
+			So(raise.Action, ShouldEqual, Raise)
+			So(end.Action, ShouldEqual, Finish)
+		}
+	})
 	Convey("A request that gets the new version keeps it as the share rises", t, func() {
 		p := testPlan()
 		newRequests := make([]int, lastStep+1)
--- a/move/plan.go
+++ b/move/plan.go
@@ -226,7 +226,13 @@
 		return Decision{Action: RollBack, Reason: WorseThanOld, Detail: v.String()}
 	}
 	late := !now.Before(p.FinishBy.Add(-p.endMargin()))
+	doubt := ""
+	if p.limited() {
+		doubt = e.Doubt()
+	}
 	switch {
+	case late && doubt != "":
+		return Decision{Action: RollBack, Reason: WorseThanOld, Detail: doubt}
 	case !now.Before(p.FinishBy):
 		// Every entry VM has already returned to the old version.
 		return Decision{Action: RollBack, Reason: TimedOut, Detail: e.Summary()}
@@ -238,7 +244,7 @@
 		return Decision{Reason: GoodSoFar}
 	case p.limited() && !p.mayRaise(now):
 		return Decision{Reason: TooSoon}
-	case p.limited() && !e.EnoughLimited():
+	case p.limited() && (!e.EnoughLimited() || doubt != ""):
 		return Decision{Reason: MoreEvidence}
 	case p.limited():
 		return Decision{Action: Raise, Reason: GoodSoFar, Detail: e.Summary()}
