relay, gateway: slow streams that end elsewhere or not at all count in a version move

Only streams that ended whole at their first engine were counted. A version that was slow at times was judged by its fast answers alone, and was completed.

A stream that is given up because its engine sends no event in time, or with the request's context, is now reported as partial: the time that it took so far is the least that the first event would have taken. It counts if that is slow already, for either version; otherwise it says nothing and isn't counted. Lost engines and unanswered probes are not reported: they are no evidence against a version.

TestSlowEngines failed before (completed with 163 answers, none slow), and TestPartialAnswers (no report).

--- a/gateway/moves.go
+++ b/gateway/moves.go
@@ -245,8 +245,10 @@
 		c.Failed = 1
 	case sm.speed.IsSlow(route, r.First, r.Gap):
 		c.Slow = 1
+	case r.Partial:
+		return // it might have become slow or not
 	}
-	if !r.Failed && !c.New {
+	if !r.Failed && !r.Partial && !c.New {
 		sm.speed.Observe(route, r.First, r.Gap)
 	}
 	sm.unreported.add(c)
--- a/gateway/moves_test.go
+++ b/gateway/moves_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"net/http"
 	"sync"
 	"testing"
 	"time"
@@ -190,3 +191,47 @@
 		So(len(m.newVersionRequests()), ShouldEqual, before)
 	})
 }
+
+// TestSlowEngines moves a service of model engines to a version that is at times so slow that
+// its streams go on at another engine or end with the caller's time: the answers that end whole
+// are all fast.
+func TestSlowEngines(t *testing.T) {
+	inWorld(t, "A version whose slow answers never end whole is found worse", func(w *world) {
+		var slow []*platformtest.Server
+		for i := range 8 {
+			s := w.server(fmt.Sprintf("m%d", i), "models", []string{"cn-a", "wv-a"}[i%2], 40+i)
+			if i >= 3 {
+				s.Version = "v2"
+				slow = append(slow, s)
+				w.store.Put("servers", s.ID, s.Entry("ready"))
+			}
+		}
+		for i, domain := range []string{"cn-a", "cn-a", "wv-a"} {
+			w.vm(fmt.Sprintf("e%d", i), namesID(domain), 1+i)
+		}
+		time.Sleep(3 * time.Second)
+		w.store.Put("rollouts", "models", map[string]any{"service": "models", "target": "v2", "duration_s": 60.0})
+		var wg sync.WaitGroup
+		for n := range 60 * moveRate {
+			if n%moveRate == 0 {
+				for i, s := range slow {
+					var f platformtest.Fault
+					if (n/moveRate+i)%3 == 0 {
+						f.Delay = 30 * time.Second
+					}
+					s.SetFault(f)
+				}
+			}
+			wg.Go(func() {
+				w.send(w.transport(), w.vms[n%len(w.vms)], "/brief/1", "key-1", fmt.Sprintf("s%d", n), http.Header{
+					"X-Prompt-Prefix": {fmt.Sprintf("p%d:200", n)}, "X-Token-Count": {"200,100"}, "X-Deadline-Ms": {"8000"},
+				})
+			})
+			time.Sleep(time.Second / moveRate)
+		}
+		wg.Wait()
+		raw, _ := w.store.Status("rollouts", "models")
+		So(string(raw), ShouldContainSubstring, "rolled_back")
+		So(string(raw), ShouldContainSubstring, "worse than the old version")
+	})
+}
--- a/relay/detector.go
+++ b/relay/detector.go
@@ -84,6 +84,10 @@
 // no work at all.
 const reasonIdle = "server does not work on it"
 
+// reasonSilent is the reason for a failover from a server that is reachable, as far as is known,
+// but sends no event in time.
+const reasonSilent = "silent though probes are answered"
+
 // Decide returns what to do about a stream. It is a pure function.
 func (d Detector) Decide(s StreamState) Decision {
 	probing := !s.ProbedAt.IsZero() && !s.ProbeOK
@@ -107,7 +111,7 @@
 	}
 	end := since.Add(limit)
 	if !s.Now.Before(end) {
-		return Decision{Action: FailOver, Reason: "silent though probes are answered"}
+		return Decision{Action: FailOver, Reason: reasonSilent}
 	}
 	probeAt := since.Add(probeAfter)
 	if s.ProbedAt.After(since) {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -89,6 +89,9 @@
 	// First is the time to the answer, or to a stream's first event. Gap is the mean time
 	// between events. Both are 0 for failures.
 	First, Gap time.Duration
+	// Partial reports whether the answer was given up before it ended. First is then the least
+	// that it would have been, and Gap is 0 if there were too few events.
+	Partial bool
 }
 
 // reportAnswer calls Answered for a server's answer.
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -94,6 +94,9 @@
 			s.probe(v.Report)
 			continue
 		case FailOver:
+			if v.Reason == reasonSilent {
+				s.reportPartial()
+			}
 			if s.state.ProbeOK {
 				s.relay.stopRun(s.cur, s.msg.params.ID)
 			}
@@ -480,6 +483,28 @@
 	return false
 }
 
+// minPartialEvents is the number of events from which on the mean gap of a partial answer is
+// reported.
+const minPartialEvents = 16
+
+// reportPartial reports the answer of the first run, which is given up though its engine may
+// be alive: a slow engine's answers would otherwise be missed.
+func (s *streamRun) reportPartial() {
+	if s.cur == nil || s.sends != 1 || s.msg.params.LastEvent != "" || s.relay.Answered == nil {
+		return
+	}
+	a := ServerAnswer{
+		Service: s.service, Route: s.route.Name, Server: s.cur.to.ID, Version: s.cur.to.Version, First: time.Since(s.startedAt), Partial: true,
+	}
+	if s.headSent {
+		a.First = s.firstAt.Sub(s.startedAt)
+	}
+	if s.lastID >= minPartialEvents {
+		a.Gap = s.state.LastEventAt.Sub(s.firstAt) / time.Duration(s.lastID-1)
+	}
+	s.relay.Answered(a)
+}
+
 // handleEarlyEnd decides what follows a run that ended early. It returns false if the request
 // has ended.
 func (s *streamRun) handleEarlyEnd(p part) bool {
@@ -579,6 +604,7 @@
 // when the entry VM stops. Whatever the cause, a partial stream must not look complete to the
 // caller.
 func (s *streamRun) endCancelled() {
+	s.reportPartial()
 	if !s.headSent {
 		s.clearHead()
 		s.relay.answerCancelled(s.w, s.job, s.mayHaveRun())
--- a/relay/stream_test.go
+++ b/relay/stream_test.go
@@ -487,3 +487,47 @@
 		So(w.resumableStream(context.Background()).body, ShouldEqual, events(1, numEvent))
 	})
 }
+
+// TestPartialAnswers checks that the answers of an engine that is too slow are reported though
+// they end elsewhere or not at all, and that those of a dead one are not.
+func TestPartialAnswers(t *testing.T) {
+	slow := platformtest.Fault{Delay: 15 * time.Second}
+	for _, x := range []struct {
+		name    string
+		fault   func(*harness, *platformtest.Server)
+		headers []string
+		partial bool
+		first   time.Duration // the least
+	}{
+		{"slow, the answer comes from another", func(_ *harness, s *platformtest.Server) { s.SetFault(slow) }, nil, true, 4500 * time.Millisecond},
+		{"slow, the time is up before", func(_ *harness, s *platformtest.Server) { s.SetFault(slow) }, []string{"X-Deadline-Ms", "2500"}, true, 2400 * time.Millisecond},
+		{"dead", func(w *harness, s *platformtest.Server) { time.AfterFunc(600*time.Millisecond, func() { w.kill(s) }) }, nil, false, 0},
+		{"unreachable", func(w *harness, s *platformtest.Server) {
+			time.AfterFunc(600*time.Millisecond, func() { w.blackhole(s) })
+		}, nil, false, 0},
+	} {
+		withHarness(t, "An engine is "+x.name, func(w *harness) {
+			var mu sync.Mutex
+			var answers []relay.ServerAnswer
+			w.relay.Answered = func(a relay.ServerAnswer) {
+				mu.Lock()
+				defer mu.Unlock()
+				answers = append(answers, a)
+			}
+			x.fault(w, w.add("first", "models", 0, 30*time.Millisecond))
+			time.AfterFunc(time.Second, func() { w.add("other", "models", 0, 30*time.Millisecond) })
+			w.resumableStream(context.Background(), x.headers...)
+			mu.Lock()
+			defer mu.Unlock()
+			if !x.partial {
+				So(answers, ShouldBeEmpty)
+				return
+			}
+			So(answers, ShouldHaveLength, 1)
+			So(answers[0].Server, ShouldEqual, engine.ServerID("first"))
+			So(answers[0].Version, ShouldEqual, engine.Version("v1"))
+			So(answers[0].Partial, ShouldBeTrue)
+			So(answers[0].First, ShouldBeGreaterThanOrEqualTo, x.first)
+		})
+	}
+}
