move: doubt at the end of a limited move starts from the old version's rate

A rate of 5% is now the least assumed, and the limit is 5%: the question is asked a few times in a move, not after each request. So that a small difference among hundreds of requests isn't taken for a fault, 12% must be slow.

A limit of gaps at 1.5 medians and first events in proportion to the prompt were tried and found no better.

The test with a quarter of 30 requests slow failed before (raised).

--- a/move/evidence.go
+++ b/move/evidence.go
@@ -111,8 +111,9 @@
 	// bound on its share, a slow service gets few more in a minute.
 	minLimitedRequests = 16
 	// doubtLimit is the probability below which so many slow requests are not
-	// attributed to chance when a limited move is raised or finished.
-	doubtLimit = 0.01
+	// attributed to chance when a limited move is raised or finished, and
+	// minDoubtRate the least rate assumed of the old version.
+	doubtLimit, minDoubtRate = 0.05, 0.05
 )
 
 var threshold = -math.Log(falseAlarm)
@@ -324,24 +325,27 @@
 // slowByChance returns the probability of as many slow requests as the new version had
 // on some routes if it were as good as the old one, without the server that has the most
 // slow ones if there are several: a fault of a single server is not attributed to the
-// version.
+// version. It is 1 if their part is below minSlowRate: with many requests, a small difference
+// is no chance but no fault either.
 func slowByChance(routes ...*routeEvidence) float64 {
 	type slowness struct {
-		hits     int
+		n, hits  int
 		expected float64
 	}
 	servers := make(map[engine.ServerID]slowness)
 	var sum, worst slowness
 	for _, r := range routes {
-		p0 := max(minSlowRate, r.old.slowRate())
+		p0 := max(minDoubtRate, r.old.slowRate())
 		for id, t := range r.newTallies {
 			s := servers[id]
+			s.n += t.n
 			s.hits += t.hits
 			s.expected += p0 * float64(t.n)
 			servers[id] = s
 		}
 	}
 	for _, s := range servers {
+		sum.n += s.n
 		sum.hits += s.hits
 		sum.expected += s.expected
 		if s.hits > worst.hits || s.hits == worst.hits && s.expected < worst.expected {
@@ -349,9 +353,13 @@
 		}
 	}
 	if len(servers) >= minServers {
+		sum.n -= worst.n
 		sum.hits -= worst.hits
 		sum.expected -= worst.expected
 	}
+	if float64(sum.hits) < minSlowRate*float64(sum.n) {
+		return 1
+	}
 	return poissonTail(sum.expected, sum.hits)
 }
 
--- a/move/move_test.go
+++ b/move/move_test.go
@@ -84,6 +84,31 @@
 			So(end.Reason, ShouldEqual, WorseThanOld)
 		}
 	})
+	Convey("A limited move is rolled back if a quarter of few requests were slow, and hardly any of the old version's", t, func() {
+		var e Evidence
+		for i := range 30 {
+			r := Route(fmt.Sprint(i % 3))
+			e.Add(begin, []Count{{Route: r, Server: "old", N: 10}})
+			slow := 0
+			if i%4 == 0 {
+				slow = 1
+			}
+			e.Add(begin, []Count{{Route: r, Server: engine.ServerID(fmt.Sprint("new-", i%11)), New: true, N: 1, Slow: slow}})
+		}
+		raise, end := limitedEnd(&e)
+		So(raise.Action, ShouldEqual, Keep)
+		So(end.Action, ShouldEqual, RollBack)
+	})
+	Convey("A limited move is finished if a small part of many requests was slow", t, func() {
+		var e Evidence
+		e.Add(begin, []Count{{Route: "r", Server: "old", N: 400, Slow: 8}})
+		for i := range 6 {
+			e.Add(begin, []Count{{Route: "r", Server: engine.ServerID(fmt.Sprint("new-", i)), New: true, N: 100, Slow: 10}})
+		}
+		raise, end := limitedEnd(&e)
+		So(raise.Action, ShouldEqual, Raise)
+		So(end.Action, ShouldEqual, Finish)
+	})
 	Convey("A limited move is finished though a single server is slow, or the old version is as slow", t, func() {
 		for _, tt := range []struct{ oldSlow, others, worst int }{{0, 1, 6}, {40, 6, 6}} {
 			var e Evidence
