move: a single slow answer is no doubt

At the end of a limited move one slow answer was enough to take it back, if it was the only one on its route: of one answer at a rate of 5%, that is improbable by the limit of 5%. Three slow answers are now needed, without the worst server.

The test failed before: the move was not raised.

--- a/move/evidence.go
+++ b/move/evidence.go
@@ -114,6 +114,8 @@
 	// attributed to chance when a limited move is raised or finished, and
 	// minDoubtRate the least rate assumed of the old version.
 	doubtLimit, minDoubtRate = 0.05, 0.05
+	// minDoubtSlow is the number of slow requests below which there is no doubt.
+	minDoubtSlow = 3
 )
 
 var threshold = -math.Log(falseAlarm)
@@ -325,8 +327,8 @@
 // slowByChance returns the probability of as many slow requests as the new version had
 // on some routes if it were as good as the old one, without the server that has the most
 // slow ones if there are several: a fault of a single server is not attributed to the
-// version. It is 1 if their part is below minSlowRate: with many requests, a small difference
-// is no chance but no fault either.
+// version. It is 1 if there are hardly any, or if their part is below minSlowRate: with many
+// requests, a small difference is no chance but no fault either.
 func slowByChance(routes ...*routeEvidence) float64 {
 	type slowness struct {
 		n, hits  int
@@ -357,7 +359,7 @@
 		sum.hits -= worst.hits
 		sum.expected -= worst.expected
 	}
-	if float64(sum.hits) < minSlowRate*float64(sum.n) {
+	if sum.hits < minDoubtSlow || float64(sum.hits) < minSlowRate*float64(sum.n) {
 		return 1
 	}
 	return poissonTail(sum.expected, sum.hits)
--- a/move/move_test.go
+++ b/move/move_test.go
@@ -109,6 +109,17 @@
 		So(raise.Action, ShouldEqual, Raise)
 		So(end.Action, ShouldEqual, Finish)
 	})
+	Convey("A limited move is finished though the only request on a route was slow", t, func() {
+		var e Evidence
+		for i := range 20 {
+			e.Add(begin, []Count{{Route: "r", Server: "old", N: 10}, {Route: "quiet", Server: "old", N: 1}})
+			e.Add(begin, []Count{{Route: "r", Server: engine.ServerID(fmt.Sprint("new-", i%7)), New: true, N: 1}})
+		}
+		e.Add(begin, []Count{{Route: "quiet", Server: "new-1", New: true, N: 1, Slow: 1}})
+		raise, end := limitedEnd(&e)
+		So(raise.Action, ShouldEqual, Raise)
+		So(end.Action, ShouldEqual, Finish)
+	})
 	Convey("A limited move is finished though a single server is slow, or the old version is as slow", t, func() {
 		for _, tt := range []struct{ oldSlow, others, worst int }{{0, 1, 6}, {40, 6, 6}} {
 			var e Evidence
