--- a/relay/handover.go
+++ b/relay/handover.go
@@ -110,6 +110,9 @@
 		s.keep("retry budget spent")
 		return
 	}
+	if why == reasonSilent {
+		s.reportPartial()
+	}
 	s.relay.markFailed(from.to, why == reasonIdle)
 	s.countEmpty(from)
 	s.sends++
