relay: silences do not use up a stream's attempts

At the limit, a silent run on a dead connection was awaited to the deadline, and a real loss ended the answer ("every permitted run was lost").

max_attempts is the number of servers to which a request may be sent. Now each start of a server counts once, however often the stream is sent there, and each run that ended by itself counts, so that engines that fail are not tried more often than before. At the limit a stream goes on at a server that ran it before, has not restarted and that has confirmed that its run was stopped. Copies of the KV cache go to such servers if the next attempt is the last. A stream that may not be resumed still runs once; sends and the retry budget are bounded as before.

--- a/backend/choice.go
+++ b/backend/choice.go
@@ -21,6 +21,8 @@
 	Region func(names.ID) names.ID
 	// Exclude lists servers that must not be chosen.
 	Exclude []engine.ServerID
+	// Only lists the servers that may be chosen; nil allows all.
+	Only []engine.ServerID
 	// Avoid is a failure domain whose servers are chosen only if there are no others; empty
 	// for none.
 	Avoid names.ID
@@ -118,7 +120,8 @@
 
 // eligible reports whether the server may take such requests at all.
 func (st *state) eligible(n *Criteria) bool {
-	return st.active(n.Now) && !st.Draining && (n.Allowed == nil || n.Allowed(st.Version))
+	return st.active(n.Now) && !st.Draining && (n.Allowed == nil || n.Allowed(st.Version)) &&
+		(n.Only == nil || slices.Contains(n.Only, st.ID))
 }
 
 // RetryAt returns the instant at which the first server accepts requests again, if all servers
--- a/relay/checkpoint.go
+++ b/relay/checkpoint.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net/http"
 	"slices"
@@ -138,19 +139,28 @@
 	if from.replica == nil {
 		return
 	}
-	at, target := from.to, from.replica.Address
+	at, target, started := from.to, from.replica.Address, from.started
 	go func() {
 		err := telemetry.Guard(r.Log, "stop of a run", func() error {
 			m, err := r.moveCache(context.Background(), at, platform.KVMove{Run: id, Target: target, StopRun: true})
+			var status statusError
+			// A run that has sent events and is unknown has ended.
+			stopped := err == nil || started && errors.As(err, &status) && status == http.StatusNotFound
 			if err == nil {
 				_, _, err = r.control(context.Background(), r.transport, at, http.MethodDelete, platform.KVHandlePath(m.Handle), nil)
 			}
+			from.ending.stopped.Store(stopped)
 			return err
 		})
 		r.Log.Info("silent run stopped", zap.String("request", string(id)), zap.String("server", string(at.ID)), zap.Error(err))
 	}()
 }
 
+// statusError is the status of a control call's answer that reports a failure.
+type statusError int
+
+func (e statusError) Error() string { return fmt.Sprintf("status %d", int(e)) }
+
 // controlTimeout bounds a control call: milliseconds of work and two round trips to another
 // region.
 const controlTimeout = time.Second
@@ -195,7 +205,7 @@
 	case err != nil:
 		return nil, nil, fmt.Errorf("read %s of %s: %w", path, at.ID, err)
 	case resp.StatusCode != http.StatusOK:
-		return nil, nil, fmt.Errorf("%s of %s: status %d", path, at.ID, resp.StatusCode)
+		return nil, nil, fmt.Errorf("%s of %s: %w", path, at.ID, statusError(resp.StatusCode))
 	}
 	return resp.Header, answer, nil
 }
--- a/relay/handover.go
+++ b/relay/handover.go
@@ -113,7 +113,6 @@
 	s.relay.markFailed(from.to, why == reasonIdle)
 	s.countEmpty(from)
 	s.sends++
-	s.runs++
 	s.handover = handover{held: from, until: time.Now().Add(dialTimeout(p.Run.DialTime) + holdTime)}
 	s.open(why, p, memory)
 }
--- a/relay/place.go
+++ b/relay/place.go
@@ -66,7 +66,14 @@
 
 // chooseCopy picks an engine for a copy of a run's KV cache without querying reports.
 func (r *Relay) chooseCopy(j *job, now time.Time, exclude []engine.ServerID, run engine.ServerID) (backend.Choice, bool) {
-	return r.Pool.Choose(r.need(j, now, append(slices.Clone(exclude), run), run))
+	n := r.need(j, now, []engine.ServerID{run}, run)
+	if n.Only = j.copyOnly; n.Only != nil {
+		if c, ok := r.Pool.Choose(n); ok {
+			return c, true
+		}
+	}
+	n.Only, n.Exclude = nil, append(slices.Clone(exclude), run)
+	return r.Pool.Choose(n)
 }
 
 // setCopy sets the engine for the replica of a placement whose engine for the run is known,
--- a/relay/plain.go
+++ b/relay/plain.go
@@ -232,7 +232,7 @@
 // are used only if there are no others.
 func (r *Relay) need(j *job, now time.Time, exclude []engine.ServerID, avoid engine.ServerID) backend.Criteria {
 	n := backend.Criteria{
-		Now: now, Service: j.service, Domain: r.Domain, Region: r.Region, Exclude: exclude,
+		Now: now, Service: j.service, Domain: r.Domain, Region: r.Region, Exclude: exclude, Only: j.only,
 		AffinityKey: j.msg.params.AffinityKey(), Tokens: j.tokens, Model: j.model,
 	}
 	if r.Allowed != nil {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -130,7 +130,9 @@
 	startedAt    time.Time
 	deadline     time.Time
 	sends        int
-	span         trace.Span // nil if requests are not traced
+	only         []engine.ServerID // servers to which it may be sent; nil for all
+	copyOnly     []engine.ServerID // servers preferred for copies of its KV cache; nil for all
+	span         trace.Span        // nil if requests are not traced
 }
 
 // trace starts the request's span, as a child of the caller's if it has one.
--- a/relay/silent_test.go
+++ b/relay/silent_test.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -271,7 +273,7 @@
 			random := rand.New(rand.NewPCG(seed, 1))
 			stop := make(chan struct{})
 			var wg sync.WaitGroup
-			wg.Go(func() { w.disturb(random, stop) })
+			wg.Go(func() { w.disturb(random, 2, stop) })
 			answers := make([]answer, 6)
 			var callers sync.WaitGroup
 			for i := range answers {
@@ -294,8 +296,8 @@
 }
 
 // disturb injects silences and refusals at random until stop is closed, and makes connections
-// silent for good twice.
-func (w *harness) disturb(random *rand.Rand, stop <-chan struct{}) {
+// silent for good, at most maxLosses times.
+func (w *harness) disturb(random *rand.Rand, maxLosses int, stop <-chan struct{}) {
 	for losses := 0; ; {
 		select {
 		case <-stop:
@@ -305,7 +307,7 @@
 		s := w.servers[fmt.Sprintf("e%d", random.IntN(len(w.servers)))]
 		silent := time.Duration(random.IntN(1500)) * time.Millisecond
 		s.SetFault(platformtest.Fault{SilentUntil: time.Now().Add(silent), Refuse: random.IntN(3) == 0})
-		if losses < 2 && random.IntN(8) == 0 {
+		if losses < maxLosses && random.IntN(8) == 0 {
 			losses++
 			w.net.Blackhole(entryHost, w.host(s))
 		}
@@ -325,3 +327,125 @@
 		}
 	}
 }
+
+// TestSilencesUseUpAttempts guards against streams that are broken off, or are silent until their
+// deadline, because replacing silent runs has used up the attempts that their route permits.
+func TestSilencesUseUpAttempts(t *testing.T) {
+	withHarness(t, "five connections are silent for good", func(w *harness) {
+		w.addEngines()
+		go w.silenceConnections(5)
+		a := w.longStream()
+		So(a.err, ShouldBeNil)
+		So(a.body, ShouldEqual, events(1, 2*numEvent))
+		So(a.gap, ShouldBeLessThan, 2500*time.Millisecond)
+		w.checkOverlap("r1")
+		w.checkServers("r1")
+	})
+	withHarness(t, "four connections are silent for good, then the engine dies", func(w *harness) {
+		w.addEngines()
+		go func() {
+			w.silenceConnections(4)
+			w.awaitEvents(5)
+			w.kill(w.serving("r1"))
+		}()
+		a := w.longStream()
+		So(a.err, ShouldBeNil)
+		So(a.body, ShouldEqual, events(1, 2*numEvent))
+		So(a.gap, ShouldBeLessThan, 2500*time.Millisecond)
+		w.checkOverlap("r1")
+		w.checkServers("r1")
+	})
+	withHarness(t, "two engines fail again and again", func(w *harness) {
+		w.budget.SetSlack(100)
+		for i := range 2 {
+			w.add(fmt.Sprintf("e%d", i), "models", i, 30*time.Millisecond).SetFault(platformtest.Fault{TruncateEvent: 1})
+		}
+		a := w.resumableStream(context.Background())
+		So(a.status, ShouldEqual, http.StatusBadGateway)
+		So(len(w.book.Runs("r1")), ShouldBeLessThanOrEqualTo, testConfig().Routes[0].MaxAttempts)
+	})
+	for _, seed := range slices.Concat(seedsBelow(30), []uint64{31, 74, 164, 200, 208, 221, 246, 257, 272, 275}) {
+		withHarness(t, fmt.Sprintf("seed %d", seed), func(w *harness) { w.playSilences(seed) })
+	}
+}
+
+// TestSilencesBeforeFirstEvent plays seeds at which connections are silent for good before the
+// first event: callers must get the answer before their deadline (67, 105, 137), and a run that was
+// dropped must not go on (230).
+func TestSilencesBeforeFirstEvent(t *testing.T) {
+	for _, seed := range []uint64{67, 105, 137, 230} {
+		withHarness(t, fmt.Sprintf("seed %d", seed), func(w *harness) { w.playSilences(seed) })
+	}
+}
+
+// seedsBelow returns the seeds from 0 to n-1.
+func seedsBelow(n uint64) []uint64 {
+	var list []uint64
+	for seed := range n {
+		list = append(list, seed)
+	}
+	return list
+}
+
+// playSilences disturbs six streams at random, with their route's own limit of attempts and with
+// any number of connections that are silent for good.
+func (w *harness) playSilences(seed uint64) {
+	w.addEngines()
+	w.budget.SetSlack(100)
+	random := rand.New(rand.NewPCG(seed, 1))
+	stop := make(chan struct{})
+	var wg sync.WaitGroup
+	wg.Go(func() { w.disturb(random, math.MaxInt, stop) })
+	answers := make([]answer, 6)
+	var callers sync.WaitGroup
+	for i := range answers {
+		callers.Go(func() { answers[i] = w.resumableStream(context.Background(), "X-Request-Id", fmt.Sprintf("r%d", i)) })
+	}
+	callers.Wait()
+	close(stop)
+	wg.Wait()
+	time.Sleep(time.Second)
+	for i, a := range answers {
+		id := fmt.Sprintf("r%d", i)
+		So(a.err, ShouldBeNil)
+		So(a.body, ShouldEqual, events(1, numEvent))
+		w.checkOverlap(id)
+		w.checkServers(id)
+	}
+	for _, s := range w.servers {
+		So(s.Running(), ShouldEqual, 0)
+	}
+}
+
+// longStream requests a stream that is twice as long as the others.
+func (w *harness) longStream() answer {
+	return w.resumableStream(context.Background(), "X-Token-Count", fmt.Sprintf("8200,%d", 2*5*numEvent))
+}
+
+// awaitEvents waits until the nth run of request r1 has sent a few events.
+func (w *harness) awaitEvents(n int) {
+	for {
+		time.Sleep(50 * time.Millisecond)
+		if runs := w.book.Runs("r1"); len(runs) >= n && runs[n-1].Events >= 10 {
+			return
+		}
+	}
+}
+
+// silenceConnections makes the connections of the first n runs of request r1 silent for good, one
+// after another. Their engines stay reachable on new ones.
+func (w *harness) silenceConnections(n int) {
+	for i := range n {
+		w.awaitEvents(i + 1)
+		w.net.Blackhole(entryHost, w.host(w.serving("r1")))
+	}
+}
+
+// checkServers checks that a request ran at no more servers than its route permits.
+func (w *harness) checkServers(id string) {
+	servers := make(map[string]bool)
+	for _, r := range w.book.Runs(id) {
+		servers[r.Server] = true
+	}
+	So(len(servers), ShouldBeLessThanOrEqualTo, testConfig().Routes[0].MaxAttempts)
+}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -47,6 +47,8 @@
 	checkpointing bool
 	triedAt       time.Time
 	noCheckpoint  []engine.ServerID // servers at which a checkpoint failed
+
+	ending ending
 }
 
 // part is a part of a run's output: that its connection is open, the response head, an event, or
@@ -74,7 +76,7 @@
 	emptyRuns int   // consecutive runs without an event
 	lastID    int64 // id of the last event sent to the caller, or received by it before it resumed
 	idStep    int64 // difference between the ids of two events; 0 if unknown
-	runs      int   // sends, except those that were refused
+	ran       attempts
 	rounds    int
 	failure   *reply // a failure that a server answered with
 	parts     []quarantine.PartID
@@ -144,7 +146,7 @@
 		s.takeOver()
 	}
 	v := Decision{Action: Await, CheckAt: s.deadline}
-	if s.route.Resumable && s.runs < s.route.MaxAttempts {
+	if s.mayReplace() {
 		v = s.relay.Detector.Decide(s.currentState())
 	}
 	if v.Action == FailOver && now.Before(s.cur.recheckAt) {
@@ -154,7 +156,7 @@
 }
 
 // mayHaveRun reports whether some server may have run the request.
-func (s *streamRun) mayHaveRun() bool { return s.runs > 0 }
+func (s *streamRun) mayHaveRun() bool { return len(s.ran) > 0 }
 
 // rejectTooLate refuses a request that has less time left than such a stream needs, so that no
 // engine wastes work on its prompt. It reports whether it did.
@@ -201,14 +203,19 @@
 func (s *streamRun) liveCopy(from *run, now time.Time) (backend.Choice, *platform.KVCopy, bool) {
 	switch {
 	case from == nil || !from.started:
-	case s.replicaAlive(from, now) && !slices.Contains(s.tried, from.replica.ID):
+	case s.replicaAlive(from, now) && s.accepts(from.replica.ID, now):
 		return *from.replica, &platform.KVCopy{Address: from.replica.Address, Name: string(s.msg.params.ID)}, true
-	case from.checkpoint != nil && s.serverAlive(&from.checkpoint.server, from.sentAt, now) && !slices.Contains(s.tried, from.checkpoint.server.ID):
+	case from.checkpoint != nil && s.serverAlive(&from.checkpoint.server, from.sentAt, now) && s.accepts(from.checkpoint.server.ID, now):
 		return from.checkpoint.server, &platform.KVCopy{Address: from.to.Address, Name: from.checkpoint.handle}, true
 	}
 	return backend.Choice{}, nil, false
 }
 
+// accepts reports whether the stream may be sent to a server that has not refused it.
+func (s *streamRun) accepts(id engine.ServerID, now time.Time) bool {
+	return !slices.Contains(s.tried, id) && s.permits(id, now)
+}
+
 // start sends the stream to an engine: to one that holds a copy of the previous run's KV
 // cache, or to one that the pool chooses. It returns false if it has ended the request.
 func (s *streamRun) start(why string, from *run) bool {
@@ -230,7 +237,6 @@
 			return s.giveUp("retry budget spent")
 		}
 		s.sends++
-		s.runs++
 		s.open(why, p, memory)
 		return true
 	}
@@ -239,6 +245,7 @@
 // pick returns the engines for the next run and its replica. A copy exists only of a run that
 // has begun to generate.
 func (s *streamRun) pick(now time.Time, from *run, exclude []engine.ServerID) (backend.Placement, *platform.KVCopy, bool) {
+	s.only, s.copyOnly = s.permitted(now), s.preferredForCopy(now)
 	if c, memory, ok := s.liveCopy(from, now); ok {
 		return s.placementAt(c, now, exclude), memory, true
 	}
@@ -252,6 +259,9 @@
 		avoid = from.to.ID
 	}
 	p, ok := s.relay.place(s.ctx, s.job, now, exclude, avoid)
+	if ok && s.copyOnly != nil {
+		s.relay.setCopy(&p, s.job, now, exclude)
+	}
 	return p, nil, ok
 }
 
@@ -281,6 +291,7 @@
 		send.ReplicateTo = p.Replica.Address
 		s.relay.Pool.Begin(copyID, backend.Load{Tokens: s.tokens})
 	}
+	s.addAttempt(s.cur)
 	s.relay.Pool.Begin(to.ID, s.cur.work)
 	s.logEvent("stream sent", to.ID, zap.String("why", why), zap.Bool("fromCopy", memory != nil), zap.Int64("lastEvent", s.lastID),
 		zap.String("copyAt", string(copyID)), zap.Any("report", p.Run.Report), zap.Int("rank", p.Run.Rank), zap.Int("heard", p.Reports), zap.Int("asked", p.Polled))
@@ -539,9 +550,10 @@
 func (s *streamRun) recordEnd(r *run, p part) {
 	s.logEvent("run ended early", r.to.ID, zap.Stringer("outcome", p.outcome), zap.Error(p.err), zap.Int64("lastEvent", s.lastID),
 		zap.Bool("answered", r.answered), zap.Int("events", r.events), zap.Any("parts", s.parts))
+	r.ending.failed = true
 	switch p.outcome {
 	case NotRun:
-		s.runs--
+		s.ran.remove(r)
 		s.refundRetry(p.err)
 	case Answered:
 		s.reportAnswer(r.to, true, 0, 0)
@@ -559,11 +571,12 @@
 // if the request has ended.
 func (s *streamRun) failOver(why string) bool {
 	from := s.cur
+	from.ending.failed = true
 	s.countEmpty(from)
 	switch {
 	case !s.route.Resumable:
 		return s.giveUp("route does not resume")
-	case s.runs >= s.route.MaxAttempts:
+	case s.atLimit(0) && len(s.permitted(time.Now())) == 0:
 		return s.giveUp("every permitted run was lost")
 	}
 	s.tried = append(s.tried, from.to.ID)
@@ -613,13 +626,13 @@
 func (s *streamRun) giveUp(why string) bool {
 	switch {
 	case s.headSent:
-		s.abort(result.New(result.AttemptsSpent, "%s after %d runs", why, s.runs))
+		s.abort(result.New(result.AttemptsSpent, "%s after %d runs", why, len(s.ran)))
 	case s.failure != nil:
 		s.clearHead()
 		s.relay.deliver(s.w, s.job, s.failure)
 	case s.mayHaveRun():
 		s.clearHead()
-		s.relay.refuse(s.w, s.job, result.New(result.EngineLost, "%s after %d runs", why, s.runs))
+		s.relay.refuse(s.w, s.job, result.New(result.EngineLost, "%s after %d runs", why, len(s.ran)))
 	default:
 		s.clearHead()
 		s.relay.refuse(s.w, s.job, result.New(result.NoServer, "%s of service %s", why, s.service).AsNotRun().WithRetryAt(s.retryAt))
