relay: a run that is dropped for the silent one is told to stop

Where the other engine had begun on the stream and its connection was silent for good when the silent run went on, that engine did not see the connection close: it worked on, beside the first one, to the end of the answer.

The dropped run is now stopped as a replaced one is.

--- a/relay/handover.go
+++ b/relay/handover.go
@@ -163,6 +163,8 @@
 	switch s.handover.onHeld(p, s.lastID) {
 	case turnGoBack:
 		s.logEvent("silent run goes on", s.handover.held.to.ID, zap.Int64("lastEvent", s.lastID))
+		// The dropped run's connection may be silent too, so that its engine does not see it close.
+		s.relay.stopRun(s.cur, s.msg.params.ID)
 		s.goBack()
 		return s.handlePart(p)
 	case turnDrop:
--- a/relay/silent_test.go
+++ b/relay/silent_test.go
@@ -194,6 +194,35 @@
 	})
 }
 
+// TestDroppedRunGoesOn guards against an engine that works on to the end, on a silent connection,
+// after the stream went back to the run that it was to replace.
+func TestDroppedRunGoesOn(t *testing.T) {
+	withHarness(t, "its connection is silent for good", func(w *harness) {
+		w.addEngines()
+		time.AfterFunc(2*time.Second, func() {
+			first := w.serving("r1")
+			silence(first, 600*time.Millisecond)
+			var other *platformtest.Server
+			for other == nil {
+				time.Sleep(time.Millisecond)
+				for _, s := range w.servers {
+					if s != first && s.Running() > 0 {
+						other = s
+					}
+				}
+			}
+			w.net.Blackhole(entryHost, w.host(other))
+		})
+		a := w.resumableStream(context.Background())
+		So(a.err, ShouldBeNil)
+		So(a.body, ShouldEqual, events(1, numEvent))
+		runs := w.book.Runs("r1")
+		So(runs, ShouldHaveLength, 2)
+		So(runs[0].Events, ShouldEqual, numEvent) // the stream went back
+		w.checkOverlap("r1")
+	})
+}
+
 // TestSilentConnectionKept guards against a run that is kept although its connection is silent
 // for good: another engine takes the stream within the gap that callers accept, also if the first
 // one that is tried refuses, and the run before stops.
