--- a/relay/handover.go
+++ b/relay/handover.go
@@ -116,7 +116,6 @@
 	s.relay.markFailed(from.to, why == reasonIdle)
 	s.countEmpty(from)
 	s.sends++
-	s.runs++
 	s.handover = handover{held: from, until: time.Now().Add(dialTimeout(p.Run.DialTime) + holdTime)}
 	s.open(why, p, memory)
 }
@@ -167,6 +166,8 @@
 	switch s.handover.onHeld(p, s.lastID) {
 	case turnGoBack:
 		s.logEvent("silent run goes on", s.handover.held.to.ID, zap.Int64("lastEvent", s.lastID))
+		// The dropped run's connection may be silent too, so that its engine does not see it close.
+		s.relay.stopRun(s.cur, s.msg.params.ID)
 		s.goBack()
 		return s.handlePart(p)
 	case turnDrop:
