gateway: requests cancelled at the end of the grace period are answered

What callers saw: when an entry VM stopped while requests waited for an engine until the end of the grace period, these got neither an answer nor a refusal, though nothing had run.

Cause: shutDown cancelled them and then closed the log and all connections at once, while the handlers were about to answer. The first that logged its end panicked on the closed queue of the log, with the logger locked, and hung there together with all others.

Evidence: TestStopDropsRefusals hung before, without an answer to any of its 20 requests; the handlers waited for the logger's lock, whose holder had panicked in AsyncWriter.Write.

Fix: after the cancellation the entry VM waits until callers' connections are closed, at most for 300 ms of the 700 ms before the kill.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -320,6 +320,9 @@
 	// killMargin is the time left before the kill for callers to see their connections
 	// closed.
 	killMargin = 700 * time.Millisecond
+	// lastAnswersWait is how long the requests that are cancelled at the end may take to be
+	// answered. It is a part of killMargin.
+	lastAnswersWait = 300 * time.Millisecond
 )
 
 // drainInterval is how often drain looks for idle connections.
@@ -354,6 +357,10 @@
 	err := d.drain(ctx)
 	stopWork(relay.ErrStopping)
 	if errors.Is(err, context.DeadlineExceeded) {
+		last, cancel := context.WithTimeout(context.Background(), lastAnswersWait)
+		defer cancel()
+		// What is still open then is closed without an answer.
+		_ = d.drain(last)
 		err = errors.New("in-flight requests were aborted at the end of the grace period")
 	}
 	d.log.Info("stopped", zap.Duration("after", time.Since(start)), zap.Error(err))
--- a/gateway/trouble_test.go
+++ b/gateway/trouble_test.go
@@ -208,3 +208,35 @@
 		So(time.Since(start), ShouldBeLessThan, time.Second)
 	})
 }
+
+// TestStopDropsRefusals lets the grace period end while requests wait for an engine.
+func TestStopDropsRefusals(t *testing.T) {
+	inWorld(t, "Requests that no server has run are refused", func(w *world) {
+		w.server("m0", "models", "cn-a", 20).SetFault(platformtest.Fault{Refuse: true})
+		v := w.vm("e1", "cn-a", 1)
+		time.Sleep(settle)
+		v.stop()
+		time.Sleep(2200 * time.Millisecond)
+		callers := make([]net.Conn, 20)
+		for i := range callers {
+			callers[i] = must(w.net.Dialer(callerHost)(context.Background(), "tcp", v.host+":80"))
+			defer func() { _ = callers[i].Close() }()
+		}
+		time.Sleep(4800 * time.Millisecond)
+		for i, c := range callers {
+			_, err := fmt.Fprintf(c, "POST /brief/1 HTTP/1.1\r\nHost: h.example\r\nX-Api-Key: key-1\r\nX-Request-Id: r%d\r\n"+
+				"X-Token-Count: 100,100\r\nContent-Length: 4\r\n\r\nbody", i)
+			So(err, ShouldBeNil)
+		}
+		for _, c := range callers {
+			So(c.SetReadDeadline(time.Now().Add(5*time.Second)), ShouldBeNil)
+			resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+			So(err, ShouldBeNil)
+			_ = resp.Body.Close()
+			So(resp.StatusCode, ShouldEqual, http.StatusServiceUnavailable)
+		}
+		start := time.Now()
+		<-v.done
+		So(time.Since(start), ShouldBeLessThan, time.Second)
+	})
+}
