telemetry: lines written after the log is closed are dropped

What callers saw: a request that was still in flight when an entry VM closed its log at the end of a stop hung without an answer, with all others that logged after it.

Cause: AsyncWriter.Write panicked on its closed queue while zap held the lock of the writer; net/http logs panics of handlers to the same logger, which waits for that lock for ever.

TestLogAfterCloseDeadlocks failed before: "send on closed channel".

Fix: Write counts such lines as dropped.

--- a/telemetry/lines.go
+++ b/telemetry/lines.go
@@ -15,7 +15,9 @@
 	queue   chan []byte
 	dropped atomic.Int64
 	done    chan struct{}
-	once    sync.Once
+
+	mu     sync.RWMutex
+	closed bool
 }
 
 // maxQueued is the capacity of the queue in lines, about 1 MB.
@@ -34,8 +36,14 @@
 	return l
 }
 
-// Write implements io.Writer. It never blocks and never fails.
+// Write implements io.Writer. It never blocks and never fails. Lines after Close are dropped.
 func (l *AsyncWriter) Write(p []byte) (int, error) {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	if l.closed {
+		l.dropped.Add(1)
+		return len(p), nil
+	}
 	select {
 	case l.queue <- append([]byte(nil), p...):
 	default:
@@ -47,9 +55,14 @@
 // Dropped returns the number of dropped lines.
 func (l *AsyncWriter) Dropped() int64 { return l.dropped.Load() }
 
-// Close waits until the queued lines are written. Write must not be called after it.
+// Close waits until the queued lines are written.
 func (l *AsyncWriter) Close() {
-	l.once.Do(func() { close(l.queue) })
+	l.mu.Lock()
+	if !l.closed {
+		l.closed = true
+		close(l.queue)
+	}
+	l.mu.Unlock()
 	<-l.done
 }
 
--- a/telemetry/telemetry_test.go
+++ b/telemetry/telemetry_test.go
@@ -69,3 +69,27 @@
 		So(h.Steps("c"), ShouldHaveLength, maxSteps)
 	})
 }
+
+// TestLogAfterCloseDeadlocks guards against requests that hang since the log is closed while they
+// write to it.
+func TestLogAfterCloseDeadlocks(t *testing.T) {
+	Convey("Lines after Close are dropped", t, func() {
+		var out strings.Builder
+		w := NewAsyncWriter(&out)
+		l := NewLog(w, "")
+		var writers sync.WaitGroup
+		for range 4 {
+			writers.Go(func() {
+				for range 100 {
+					l.Info("while it closes")
+				}
+			})
+		}
+		w.Close()
+		writers.Wait()
+		l.Info("too late")
+		w.Close()
+		So(out.String(), ShouldNotContainSubstring, "too late")
+		So(w.Dropped(), ShouldBeGreaterThan, 0)
+	})
+}
