relay: a stop answers requests that may have run

What callers saw: a call, or a stream before its first event, whose server was still at work when the grace period of an entry VM ended, got a closed connection instead of an answer.

Cause: the status of Stopping promises that the request has not run, so such requests were aborted. But only partial streams need that.

Fix: they are answered with OutcomeUnknown, whose status promises nothing.

--- a/relay/relay.go
+++ b/relay/relay.go
@@ -383,9 +383,8 @@
 		// After a plain return net/http would answer 200.
 		panic(http.ErrAbortHandler)
 	case e.Code == result.Stopping && ran:
-		// The status of this code would promise that the request has not run.
-		j.end(e.Code, "", zap.Bool("notRun", false))
-		panic(http.ErrAbortHandler)
+		// The status of Stopping would promise that the request has not run.
+		e = result.New(result.OutcomeUnknown, "entry VM stops")
 	case e.Code == result.Stopping:
 		e = e.AsNotRun()
 	}
