relay, backend: a silent run is replaced only while a retry is left for a late refusal

What callers saw: a stream whose sound engine was silent for a second was broken off, if the engine that was to take it accepted the connection, refused after more than 200 ms, and the retry budget was spent by then: the silent run was closed already, and nothing was left to go on with (found by a review).

Cause: the handover assumed that engines refuse at once.

Evidence: TestSilentRunGivenUpForLateRefusal failed in both cases before ("unexpected EOF").

Fix: a reachable engine's run is replaced only if the budget allows a further retry after that one, and an answer under way waits up to 2 s for a retry instead of being broken off at once. New requests earn retries all the time, and a caller waits longer than that for the next event.

--- a/backend/budget.go
+++ b/backend/budget.go
@@ -110,7 +110,19 @@
 func (b *RetryBudget) Allow(now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if !b.canRetry(now) {
+	return b.allow(now, 1)
+}
+
+// AllowSpare is like Allow, but only allows a retry that leaves another one.
+func (b *RetryBudget) AllowSpare(now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.allow(now, 2)
+}
+
+// allow counts a retry if the budget allows n.
+func (b *RetryBudget) allow(now time.Time, n int) bool {
+	if !b.canRetry(now, n) {
 		return false
 	}
 	b.retries.n[b.bucket(now)%buckets]++
@@ -121,10 +133,10 @@
 func (b *RetryBudget) Available(now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.canRetry(now)
+	return b.canRetry(now, 1)
 }
 
-func (b *RetryBudget) canRetry(now time.Time) bool {
+func (b *RetryBudget) canRetry(now time.Time, n int) bool {
 	at := b.bucket(now)
 	b.requests.advance(at)
 	b.retries.advance(at)
@@ -134,7 +146,7 @@
 		retries += b.peers.Retries
 		slack = b.pooledSlack
 	}
-	return float64(retries+1) <= b.Ratio*float64(requests)+slack
+	return float64(retries+n) <= b.Ratio*float64(requests)+slack
 }
 
 // Refund returns the most recent retry to the budget, for one that did not reach a server.
--- a/relay/handover.go
+++ b/relay/handover.go
@@ -105,8 +105,13 @@
 		s.keep("no other engine")
 		return
 	}
+	allow := budget.Allow
+	if why == reasonSilent {
+		// The engine is reachable and may be sound, and the other one may refuse late.
+		allow = budget.AllowSpare
+	}
 	// Other streams may have used the budget meanwhile.
-	if !budget.Allow(time.Now()) {
+	if !allow(time.Now()) {
 		s.keep("retry budget spent")
 		return
 	}
--- a/relay/silent_test.go
+++ b/relay/silent_test.go
@@ -146,6 +146,41 @@
 	})
 }
 
+// TestSilentRunGivenUpForLateRefusal guards against a stream that is broken off because the engine
+// that was to replace its silent run refuses only after the silent run was closed.
+func TestSilentRunGivenUpForLateRefusal(t *testing.T) {
+	withHarness(t, "one retry left", func(w *harness) {
+		w.addEngines()
+		w.budget.Ratio = 0
+		w.budget.SetSlack(1)
+		time.AfterFunc(2*time.Second, func() {
+			s := w.serving("r1")
+			s.SetFault(platformtest.Fault{SilentUntil: time.Now().Add(time.Second), Refuse: true})
+			w.faultOthers(s, platformtest.Fault{Refuse: true, RefuseAfter: 600 * time.Millisecond})
+		})
+		a := w.resumableStream(context.Background())
+		So(a.err, ShouldBeNil)
+		So(a.body, ShouldEqual, events(1, numEvent))
+	})
+	withHarness(t, "the retries come back within a second", func(w *harness) {
+		w.addEngines()
+		w.budget.Ratio = 0
+		w.budget.SetSlack(2)
+		time.AfterFunc(2*time.Second, func() {
+			s := w.serving("r1")
+			s.SetFault(platformtest.Fault{SilentUntil: time.Now().Add(time.Second), Refuse: true})
+			w.faultOthers(s, platformtest.Fault{Refuse: true, RefuseAfter: 600 * time.Millisecond})
+		})
+		time.AfterFunc(5*time.Second, func() {
+			w.faultOthers(nil, platformtest.Fault{})
+			w.budget.SetSlack(10)
+		})
+		a := w.resumableStream(context.Background())
+		So(a.err, ShouldBeNil)
+		So(a.body, ShouldEqual, events(1, numEvent))
+	})
+}
+
 // TestSilentRunResumes checks that a silent run which goes on while another engine is about to
 // take its stream continues, and that the other engine stops.
 func TestSilentRunResumes(t *testing.T) {
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -223,7 +223,14 @@
 		if s.rejectBlocked() {
 			return false
 		}
-		now := time.Now()
+		now, budget := time.Now(), s.relay.Budget(s.service)
+		if s.headSent && s.sends > 0 && !budget.Available(now) {
+			// An answer under way waits for a retry, which new requests earn.
+			if !s.pause() {
+				return false
+			}
+			continue
+		}
 		p, memory, ok := s.pick(now, from, s.tried)
 		from = nil
 		if !ok || s.sends >= maxSends {
@@ -232,7 +239,10 @@
 			}
 			continue
 		}
-		if s.sends > 0 && !s.relay.Budget(s.service).Allow(now) {
+		if s.sends > 0 && !budget.Allow(now) {
+			if s.headSent {
+				continue
+			}
 			s.logEvent("retry budget spent", p.Run.ID)
 			return s.giveUp("retry budget spent")
 		}
