relay: an answer under way is not cut when a part of its prompt is blocked

Callers could see an answer broken off after its first or second event, if a part of its prompt was blocked at that moment; a part that is blamed wrongly would cut sound answers (found by a review). Only requests whose answer has not begun are cancelled now; one that has lost its engine is still not sent again. TestBlockedPartCutsAnswer failed before (unexpected EOF).

--- a/relay/stream.go
+++ b/relay/stream.go
@@ -103,7 +103,7 @@
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
 	for {
-		if s.rejectBlocked() {
+		if !s.headSent && s.rejectBlocked() {
 			return
 		}
 		v := s.decide()
