relay, gateway: new streams are refused once a stop drains callers' connections

Cause: since the daemon drains connections itself, requests that come on open ones are served, also streams that take longer than the entry VM has left. http.Server.Shutdown dropped them without an answer.

Evidence: TestStopTakesStream failed before (200 instead of 503).

Fix: from the moment at which connections are drained, new streams are refused with 9002 and when to come back; nothing has run. Plain calls are short and are still answered.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -55,6 +55,7 @@
 	loaded     chan struct{} // closed once a configuration and servers are known
 	loadedOnce sync.Once
 	stopping   atomic.Bool
+	draining   atomic.Bool // callers' connections are being closed
 	health     storeHealth
 	conns      idleConns
 	moves      moves
@@ -126,6 +127,7 @@
 	d.relay.Quarantine = &d.quarantine
 	d.relay.QuarantineChanged = d.quarantineChanged
 	d.relay.Closing = d.stopping.Load
+	d.relay.Draining = d.draining.Load
 	d.relay.Log = d.log
 	return d, d.initTelemetry()
 }
@@ -352,6 +354,7 @@
 	time.Sleep(min(unreadyNotice, time.Until(killAt)/2))
 	ctx, cancel := context.WithDeadline(context.Background(), killAt.Add(-killMargin))
 	defer cancel()
+	d.draining.Store(true)
 	// The server fails to accept from here on, however Close ends.
 	_ = callers.Close()
 	err := d.drain(ctx)
--- a/gateway/trouble_test.go
+++ b/gateway/trouble_test.go
@@ -168,6 +168,32 @@
 	})
 }
 
+// TestStopTakesStream guards against a stream that is taken long after a stop has begun, on a
+// connection that was open by then, and broken off by its end.
+func TestStopTakesStream(t *testing.T) {
+	inWorld(t, "It is refused", func(w *world) {
+		e := w.server("m0", "models", "cn-a", 40)
+		e.Work = 100 * time.Millisecond
+		v := w.vm("e1", "cn-a", 1)
+		time.Sleep(settle)
+		v.stop()
+		time.Sleep(2200 * time.Millisecond)
+		c := must(w.net.Dialer(callerHost)(context.Background(), "tcp", v.host+":80"))
+		defer func() { _ = c.Close() }()
+		time.Sleep(2900 * time.Millisecond)
+		_, err := io.WriteString(c, "POST /brief/1 HTTP/1.1\r\nHost: h.example\r\nX-Api-Key: key-1\r\nX-Request-Id: r1\r\n"+
+			"X-Token-Count: 800,500\r\nX-Prompt-Prefix: a:200,b:600\r\nX-Deadline-Ms: 25000\r\nContent-Length: 0\r\n\r\n")
+		So(err, ShouldBeNil)
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		So(err, ShouldBeNil)
+		_ = resp.Body.Close()
+		So(resp.StatusCode, ShouldEqual, http.StatusServiceUnavailable)
+		So(resp.Header.Get("Retry-After"), ShouldNotBeEmpty)
+		So(w.book.Runs("r1"), ShouldBeEmpty)
+		<-v.done
+	})
+}
+
 // TestStopWithinRequest stops an entry VM while the heads of requests are on their way.
 func TestStopWithinRequest(t *testing.T) {
 	const first, rest = "POST /book/1 HTTP/1.1\r\nHost: h.example\r\nX-Api-Key: key-1\r\nX-Request-Id: ", "\r\nContent-Length: 4\r\n\r\nbody"
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -65,6 +65,8 @@
 	// Closing reports whether callers' connections are closed after their next answer; may be
 	// nil.
 	Closing func() bool
+	// Draining reports whether the entry VM ends so soon that new streams are refused; may be nil.
+	Draining func() bool
 	// Ended is called for each request that ended; may be nil.
 	Ended func(service routing.ServiceName, c result.Code, took time.Duration)
 	// StreamSent is called for each stream sent to an engine, with the reason; may be nil.
@@ -203,6 +205,10 @@
 		r.refuse(w, j, err)
 		return
 	}
+	if j.route.Kind == routing.Stream && r.Draining != nil && r.Draining() {
+		r.refuse(w, j, result.New(result.Stopping, "no time for a new stream").AsNotRun().WithRetryAt(time.Now().Add(retryDelay)))
+		return
+	}
 	r.Budget(j.service).Request(j.startedAt)
 	if j.route.Kind == routing.Stream {
 		r.serveStream(w, j)
