relay: lost attempts name the request's fingerprint

The ids in the logs are those of a caller's attempts, so that servers which are lost under one request that comes again cannot be told from servers which are lost under different ones. The lines 'attempt lost' and 'run ended early' now have a fingerprint of organisation, method, path with query, and body.

--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -19,6 +19,19 @@
 // PartID identifies a part of a prompt that several requests may share.
 type PartID string
 
+// Fingerprint identifies a request by what a caller repeats when it sends the request again.
+type Fingerprint string
+
+// NewFingerprint returns the fingerprint of a request. Requests of different organisations never
+// share one, since a hash of 64 bits can be made to collide.
+func NewFingerprint(o routing.Organisation, method, uri string, body []byte) Fingerprint {
+	h := xxhash.New()
+	// Write never fails.
+	_, _ = fmt.Fprintf(h, "%s %s\n", method, uri)
+	_, _ = h.Write(body)
+	return Fingerprint(fmt.Sprintf("%016x%016x", xxhash.Sum64String(string(o)), h.Sum64()))
+}
+
 // Name identifies a crash among all entry VMs.
 type Name string
 
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -166,3 +166,19 @@
 		}
 	})
 }
+
+func TestFingerprint(t *testing.T) {
+	Convey("A fingerprint tells requests apart by organisation, method, path with query, and body", t, func() {
+		f := quarantine.NewFingerprint("barkline", "POST", "/brief/1?page=2", []byte("log"))
+		So(quarantine.NewFingerprint("barkline", "POST", "/brief/1?page=2", []byte("log")), ShouldEqual, f)
+		for _, other := range []quarantine.Fingerprint{
+			quarantine.NewFingerprint("other", "POST", "/brief/1?page=2", []byte("log")),
+			quarantine.NewFingerprint("barkline", "GET", "/brief/1?page=2", []byte("log")),
+			quarantine.NewFingerprint("barkline", "POST", "/brief/1?page=3", []byte("log")),
+			quarantine.NewFingerprint("barkline", "POST", "/brief/1?page=2", []byte("logs")),
+			quarantine.NewFingerprint("barkline", "POST", "/brief/1", []byte("page=2\nlog")),
+		} {
+			So(other, ShouldNotEqual, f)
+		}
+	})
+}
--- a/relay/plain.go
+++ b/relay/plain.go
@@ -156,7 +156,7 @@
 		}
 	} else {
 		p.refundRetry(rep.err)
-		p.logEvent("attempt "+rep.outcome.String(), rep.server.ID, zap.Error(rep.err))
+		p.logEvent("attempt "+rep.outcome.String(), rep.server.ID, zap.String("fingerprint", string(p.fingerprint)), zap.Error(rep.err))
 	}
 	return p.retrier.Replied(rep.outcome, rep.status)
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -132,6 +132,7 @@
 	priority     routing.Priority
 	version      routing.Version // of the configuration in use when it was admitted
 	tokens       engine.Tokens   // KV cache that it takes at an engine
+	fingerprint  quarantine.Fingerprint
 	startedAt    time.Time
 	deadline     time.Time
 	sends        int
@@ -250,7 +251,11 @@
 			j.deadline = at
 		}
 	}
-	return j.readBody(w, t.Limits)
+	if err := j.readBody(w, t.Limits); err != nil {
+		return err
+	}
+	j.fingerprint = quarantine.NewFingerprint(j.organisation, j.msg.Method, j.msg.URL.RequestURI(), j.msg.body)
+	return nil
 }
 
 // How long requests wait after the start for a configuration and servers: for a share of the time
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -581,7 +581,7 @@
 // recordEnd records that a run ended early.
 func (s *streamRun) recordEnd(r *run, p part) {
 	s.logEvent("run ended early", r.to.ID, zap.Stringer("outcome", p.outcome), zap.Error(p.err), zap.Int64("lastEvent", s.lastID),
-		zap.Bool("answered", r.answered), zap.Int("events", r.events), zap.Any("parts", s.parts))
+		zap.Bool("answered", r.answered), zap.Int("events", r.events), zap.Any("parts", s.parts), zap.String("fingerprint", string(s.fingerprint)))
 	r.ending.failed = true
 	switch p.outcome {
 	case NotRun:
