--- /dev/null
+++ b/gateway/crashing_test.go
@@ -0,0 +1,214 @@
+package gateway_test
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"quetzalhold/memnet"
+	"quetzalhold/platform/platformtest"
+)
+
+const (
+	// crashesAllowed is the number of crashes after which contactBound begins.
+	crashesAllowed = 3
+	crashBody      = "the request that crashes servers"
+	soundInterval  = 120 * time.Millisecond
+)
+
+// requestKind is a kind of request that crashes servers.
+type requestKind struct {
+	name, path string
+	headers    http.Header
+}
+
+var requestKinds = []requestKind{
+	{"a stream", "/brief/1", http.Header{"X-Token-Count": {"1600,50"}, "X-Prompt-Prefix": {"own:1600"}}},
+	{"a stream with shared parts", "/brief/1", http.Header{"X-Token-Count": {"1600,50"}, "X-Prompt-Prefix": {"first:200,second:400,own:1000"}}},
+	{"a stream without a prompt", "/brief/1", http.Header{"X-Token-Count": {"1600,50"}}},
+	{"an idempotent call", "/status/1", nil},
+	{"a call that may not be repeated", "/book/1", nil},
+}
+
+// crashingTest is a fleet of servers that crash when they run one request.
+type crashingTest struct {
+	*world
+	kind    requestKind
+	servers []*platformtest.Server
+	entries []*vm
+
+	mu      sync.Mutex
+	crashes []time.Time
+	sound   []soundCall
+	wg      sync.WaitGroup
+}
+
+// soundCall is a sound request and how it ended.
+type soundCall struct {
+	at       time.Time
+	answered bool
+}
+
+func newCrashingTest(w *world, kind requestKind) *crashingTest {
+	c := &crashingTest{world: w, kind: kind}
+	for i := range 14 {
+		for j, service := range []string{"app", "models"} {
+			s := c.server(fmt.Sprintf("%s-%d", service, i), service, string(domainOf(i)), 20+2*i+j)
+			s.SetFault(platformtest.Fault{CrashBody: crashBody})
+			s.Crashed = func() { c.crashed(s) }
+			c.servers = append(c.servers, s)
+		}
+	}
+	c.store.Remove("servers", c.app.ID)
+	for i := range 4 {
+		c.entries = append(c.entries, w.vm(fmt.Sprintf("vm-%d", i), domainOf(i), 10+i))
+	}
+	time.Sleep(3 * time.Second)
+	return c
+}
+
+// crashed resets a server's connections. It starts again some seconds later.
+func (c *crashingTest) crashed(s *platformtest.Server) {
+	c.mu.Lock()
+	c.crashes = append(c.crashes, time.Now())
+	c.mu.Unlock()
+	c.stopServer(s)
+	c.wg.Go(func() {
+		time.Sleep(restartDelay)
+		c.startServer(s)
+	})
+}
+
+func (c *crashingTest) stopServer(s *platformtest.Server) {
+	s.Stop("")
+	c.net.Crash(memnet.Host(s.Address[:len(s.Address)-len(":80")]))
+}
+
+func (c *crashingTest) startServer(s *platformtest.Server) {
+	s.Restart(time.Now().UnixMilli())
+	c.serve(s.Address, s)
+	c.store.Put("servers", s.ID, s.Entry("ready"))
+}
+
+// playCrashing sends the request that crashes servers at an interval, to one entry VM after the
+// other.
+func (c *crashingTest) playCrashing(d, interval time.Duration) {
+	c.each(d, interval, func(i int) {
+		c.sendBody(c.transport(), c.entries[i%len(c.entries)], c.kind.path, "key-1", fmt.Sprintf("crashing-%d-%d", time.Now().UnixNano(), i), crashBody, c.headers())
+	})
+}
+
+// playSound sends sound requests that have all but the body in common with the one that crashes
+// servers.
+func (c *crashingTest) playSound(d time.Duration) {
+	c.each(d, soundInterval, func(i int) {
+		id := fmt.Sprintf("sound-%d-%d", time.Now().UnixNano(), i)
+		at := time.Now()
+		a := c.sendBody(c.transport(), c.entries[i%len(c.entries)], c.kind.path, "key-1", id, id, c.headers())
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.sound = append(c.sound, soundCall{at: at, answered: a.err == nil && a.status == http.StatusOK})
+	})
+}
+
+// each calls f at an interval for a time, without waiting for it.
+func (c *crashingTest) each(d, interval time.Duration, f func(i int)) {
+	end := time.Now().Add(d)
+	c.wg.Go(func() {
+		for i := 0; time.Now().Before(end); i++ {
+			c.wg.Go(func() { f(i) })
+			time.Sleep(interval)
+		}
+	})
+}
+
+func (c *crashingTest) headers() http.Header {
+	h := c.kind.headers.Clone()
+	if h == nil {
+		h = make(http.Header)
+	}
+	h.Set("X-Deadline-Ms", "25000")
+	return h
+}
+
+// boundStart returns when no more than maxSentAfter requests may follow.
+func (c *crashingTest) boundStart() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	sortTimes(c.crashes)
+	return c.crashes[crashesAllowed-1].Add(contactBound)
+}
+
+// sentSince returns how often the request reached servers from an instant on.
+func (c *crashingTest) sentSince(at time.Time) int {
+	n := 0
+	for _, s := range c.servers {
+		n += len(slices.DeleteFunc(s.AskedWith(crashBody), at.After))
+	}
+	return n
+}
+
+// unanswered returns how many sound requests were sent since an instant, and how many of them
+// got no answer.
+func (c *crashingTest) unanswered(since time.Time) (sent, lost int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, s := range c.sound {
+		if s.at.Before(since) {
+			continue
+		}
+		sent++
+		if !s.answered {
+			lost++
+		}
+	}
+	return sent, lost
+}
+
+// TestRequestCrashesServers guards against one request that crashes one server after the other.
+func TestRequestCrashesServers(t *testing.T) {
+	for _, kind := range requestKinds {
+		inWorld(t, kind.name, func(w *world) {
+			c := newCrashingTest(w, kind)
+			c.playCrashing(40*time.Second, 500*time.Millisecond)
+			c.playSound(40 * time.Second)
+			c.wg.Wait()
+			from := c.boundStart()
+			So(c.sentSince(from), ShouldBeLessThanOrEqualTo, maxSentAfter)
+			// Each request that crashes a server may take a sound one with it.
+			sent, lost := c.unanswered(from)
+			So(sent, ShouldBeGreaterThan, 200)
+			So(lost, ShouldBeLessThanOrEqualTo, maxSentAfter)
+		})
+		inWorld(t, kind.name+", at long intervals", func(w *world) {
+			c := newCrashingTest(w, kind)
+			c.playCrashing(100*time.Second, 7*time.Second)
+			c.wg.Wait()
+			So(c.sentSince(c.boundStart()), ShouldBeLessThanOrEqualTo, maxSentAfter)
+		})
+	}
+	inWorld(t, "entry VMs that start later know it from the store", func(w *world) {
+		c := newCrashingTest(w, requestKinds[3])
+		c.playCrashing(15*time.Second, 500*time.Millisecond)
+		c.wg.Wait()
+		from := c.boundStart()
+		for _, v := range c.entries {
+			v.stop()
+			<-v.done
+		}
+		time.Sleep(time.Second)
+		for i, v := range c.entries {
+			v.host = fmt.Sprintf("10.1.0.%d", 30+i)
+			w.run(v)
+		}
+		time.Sleep(contactBound)
+		c.playCrashing(40*time.Second, 500*time.Millisecond)
+		c.wg.Wait()
+		So(c.sentSince(from), ShouldBeLessThanOrEqualTo, maxSentAfter)
+	})
+}
--- a/gateway/world_test.go
+++ b/gateway/world_test.go
@@ -118,6 +118,10 @@
 				"name": "book", "host": "h.example", "path_prefix": "/book/", "kind": "non_idempotent", "timeout_ms": 1000,
 				"target_latency_ms": 200, "priority": 2, "service": "app", "max_attempts": 1,
 			},
+			map[string]any{
+				"name": "status", "host": "h.example", "path_prefix": "/status/", "kind": "idempotent", "timeout_ms": 1000,
+				"target_latency_ms": 200, "priority": 2, "service": "app", "max_attempts": 3,
+			},
 			map[string]any{
 				"name": "brief", "host": "h.example", "path_prefix": "/brief/", "kind": "streaming", "timeout_ms": 25000,
 				"target_latency_ms": 4500, "target_gap_ms": 700, "priority": 1, "service": "models", "max_attempts": 5, "stream_resume": true,
@@ -208,7 +212,11 @@
 }
 
 func (w *world) send(t *http.Transport, v *vm, path, key, id string, headers http.Header) answer {
-	req, err := http.NewRequest(http.MethodPost, "http://"+v.host+":80"+path, strings.NewReader("body"))
+	return w.sendBody(t, v, path, key, id, "body", headers)
+}
+
+func (w *world) sendBody(t *http.Transport, v *vm, path, key, id, body string, headers http.Header) answer {
+	req, err := http.NewRequest(http.MethodPost, "http://"+v.host+":80"+path, strings.NewReader(body))
 	if err != nil {
 		panic(err)
 	}
