quarantine, relay, gateway: requests that crash the servers which run them are blocked

Cause: what was remembered of a lost server were shared parts of prompts, of streams whose engine had sent its head. A request as a whole, plain calls, streams without shared parts and servers lost before their head left nothing, so that each attempt and each repeat began afresh, at any entry VM.

Now a crash is also held against the request (organisation, method, path with query, body), for streams and plain calls, whether or not a head came. Three servers lost under it block it, at every entry VM: the same list, store objects and feed carry it, as one more kind of suspect. An answer clears it. A request that waits before its first event is taken back when it becomes blocked, a retry that is already chosen is not sent, a silent run is not replaced. Since each server that is lost takes many sound requests along, a crash that is the only one of its suspects is listed for others only after 1.5 s; by then most are found sound elsewhere. A crash that was reported and is found sound is reported as cleared also if it was in no list yet; it came back for ten minutes before.

Why this works: the decision depends on the request alone, so that neither the entry VM, nor the attempt's id, nor the phase in which the server dies matters.

Tests changed: TestReplace marked nothing as shared and expected all names of expired crashes; now only those that are in another list are returned (there is nothing to delete for the others), so it marks them.

--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -99,7 +99,7 @@
 			}
 		})
 		Convey("sends the crashes to requesters that do not have them, and takes reports of crashes", func() {
-			crashes := []quarantine.Crash{{Service: "models", Request: "r1", Server: "e1", Start: 3, Parts: []quarantine.PartID{"a", "b"}, Until: 5}}
+			crashes := []quarantine.Crash{{Service: "models", Request: "r1", Server: "e1", Start: 3, Suspects: []quarantine.Suspect{"a", "b"}, Until: 5}}
 			l.SetCrashes(func() []quarantine.Crash { return crashes })
 			So(l.Changed(q), ShouldBeNil)
 			a := l.Respond(start, q, listServers)
--- a/gateway/crashing_test.go
+++ b/gateway/crashing_test.go
@@ -91,7 +91,9 @@
 
 func (c *crashingTest) startServer(s *platformtest.Server) {
 	s.Restart(time.Now().UnixMilli())
+	c.mu.Lock()
 	c.serve(s.Address, s)
+	c.mu.Unlock()
 	c.store.Put("servers", s.ID, s.Entry("ready"))
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -60,8 +60,9 @@
 	conns      idleConns
 	moves      moves
 	quarantine quarantine.List
-	// unwritten wakes writeCrashes up.
-	unwritten   chan struct{}
+	// crashesChanged wakes publishCrashes up, and unwritten writeCrashes.
+	crashesChanged, unwritten chan struct{}
+
 	identifying sync.Map // addresses of servers whose identity is being queried
 	// fetchingConfig is set while a newer configuration is fetched from another entry VM.
 	fetchingConfig atomic.Bool
@@ -95,11 +96,12 @@
 // New returns the daemon of the entry VM with settings s.
 func New(s *settings.Gateway, opts ...Option) (*Daemon, error) {
 	d := &Daemon{
-		listen:    listenTCP,
-		loaded:    make(chan struct{}),
-		unwritten: make(chan struct{}, 1),
-		log:       zap.NewNop(),
-		budgets:   make(map[routing.ServiceName]*backend.RetryBudget),
+		listen:         listenTCP,
+		loaded:         make(chan struct{}),
+		crashesChanged: make(chan struct{}, 1),
+		unwritten:      make(chan struct{}, 1),
+		log:            zap.NewNop(),
+		budgets:        make(map[routing.ServiceName]*backend.RetryBudget),
 	}
 	d.settings.Store(s)
 	d.members.Self = feed.Member{ID: feed.MemberID(s.ID), Address: s.Peers, Domain: s.Domain, LinkMbps: int(s.LinkMbps)}
@@ -281,6 +283,7 @@
 	defer stop()
 	go d.follow(background)
 	go d.sweep(background)
+	go d.publishCrashes(background)
 	d.log.Info("started", zap.Duration("after", time.Since(start)), zap.String("listen", s.Listen))
 	select {
 	case err := <-failed:
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -22,33 +23,60 @@
 	crashWatchWait = 10 * time.Second
 	// maxCrashReports bounds the crashes in one poll.
 	maxCrashReports = 16
+	// crashPublishDelay is how long changes of the list are gathered before it is published, and
+	// crashSettleInterval how often it is looked through for crashes that have become old enough
+	// to be listed.
+	crashPublishDelay   = 50 * time.Millisecond
+	crashSettleInterval = 500 * time.Millisecond
 )
 
-// quarantineChanged publishes the crashes to other entry VMs, and to the store if this one
-// watches it.
+// quarantineChanged wakes publishCrashes up.
 func (d *Daemon) quarantineChanged() {
-	d.changes.SetCrashes(d.quarantine.All)
 	select {
-	case d.unwritten <- struct{}{}:
+	case d.crashesChanged <- struct{}{}:
 	default:
 	}
 }
 
-// crashReports returns the crashes to report to another entry VM: those observed and those
-// cleared here that its list did not show yet.
-func (d *Daemon) crashReports() ([]quarantine.Crash, []quarantine.Name) {
-	observed, cleared := d.quarantine.Unshared(), d.quarantine.Cleared()
-	return observed[:min(len(observed), maxCrashReports)], cleared[:min(len(cleared), maxCrashReports)]
+// publishCrashes lists the crashes for other entry VMs, and for the store if this one watches it,
+// whenever the list has changed, until ctx ends.
+func (d *Daemon) publishCrashes(ctx context.Context) {
+	var listed []quarantine.Name
+	settled := time.NewTicker(crashSettleInterval)
+	defer settled.Stop()
+	for {
+		select {
+		case <-d.crashesChanged:
+			// One server that is lost may be lost to many requests.
+			_ = clock.Sleep(ctx, crashPublishDelay) // the next select checks ctx
+		case <-settled.C:
+		case <-ctx.Done():
+			return
+		}
+		list := d.quarantine.Listed(time.Now())
+		names := make([]quarantine.Name, len(list))
+		for i := range list {
+			names[i] = list[i].Name()
+		}
+		if !slices.Equal(names, listed) {
+			listed = names
+			d.changes.SetCrashes(func() []quarantine.Crash { return list })
+		}
+		select {
+		case d.unwritten <- struct{}{}:
+		default:
+		}
+	}
 }
 
 // applyCrashReports applies the crashes that another entry VM has observed and cleared.
 func (d *Daemon) applyCrashReports(observed []quarantine.Crash, cleared []quarantine.Name) {
-	changed := false
+	now, changed := time.Now(), false
 	for _, c := range observed {
-		changed = d.quarantine.Add(c) || changed
+		changed = d.quarantine.Add(now, c) || changed
 	}
 	for _, n := range cleared {
-		changed = d.quarantine.Clear(n) || changed
+		changed = d.quarantine.Clear(now, n) || changed
 	}
 	if changed {
 		d.log.Info("crashes reported", zap.Any("observed", observed), zap.Any("cleared", cleared))
@@ -59,17 +87,17 @@
 // applyCrashes applies the list of another entry VM, which is complete if that one is fresh and of
 // this failure domain. The failure domain that observed a crash writes it to the store.
 func (d *Daemon) applyCrashes(list []quarantine.Crash, complete bool, from feed.Member) {
-	changed := false
+	now, changed := time.Now(), false
 	if complete && from.Domain == d.members.Self.Domain {
-		changed = d.quarantine.Replace(list, false)
+		changed = d.quarantine.Replace(now, list, false)
 	} else {
 		for _, c := range list {
-			changed = d.quarantine.MarkShared(c) || changed
+			changed = d.quarantine.MarkShared(now, c) || changed
 		}
 	}
 	if changed {
 		d.log.Info("crashes listed", zap.Int("crashes", len(list)), zap.String("from", string(from.ID)))
-		d.changes.SetCrashes(d.quarantine.All)
+		d.quarantineChanged()
 	}
 }
 
@@ -124,7 +152,7 @@
 		}
 		list = append(list, c)
 	}
-	if d.quarantine.Replace(list, restored) || restored {
+	if d.quarantine.Replace(time.Now(), list, restored) || restored {
 		d.log.Info("crashes listed", zap.Int("crashes", len(list)), zap.Bool("restored", restored), zap.String("from", "store"))
 		d.quarantineChanged()
 	}
@@ -140,11 +168,11 @@
 			d.log.Warn("malformed crash ignored", zap.String("name", ch.Object.Name()), zap.Error(err))
 			return
 		}
-		changed = d.quarantine.MarkShared(c)
+		changed = d.quarantine.MarkShared(time.Now(), c)
 	}
 	if changed {
 		d.log.Info("crash", zap.String("name", ch.Object.Name()), zap.Bool("removed", ch.Removed), zap.String("from", "store"))
-		d.changes.SetCrashes(d.quarantine.All)
+		d.quarantineChanged()
 	}
 }
 
@@ -166,13 +194,13 @@
 
 // writeCrashesOnce reports whether the store has all crashes of this failure domain.
 func (d *Daemon) writeCrashesOnce(ctx context.Context) bool {
-	for _, c := range d.quarantine.Unshared() {
+	for _, c := range d.quarantine.Unwritten(time.Now()) {
 		err := d.store.Create(ctx, platform.Crashes, string(c.Name()), c)
 		if err != nil && result.CodeOf(err) != result.VersionConflict { // exists already
 			d.log.Info("crash not written", zap.String("name", string(c.Name())), zap.Error(err))
 			return false
 		}
-		d.quarantine.MarkShared(c)
+		d.quarantine.MarkShared(time.Now(), c)
 	}
 	for _, n := range d.quarantine.Cleared() {
 		if err := d.deleteCrash(ctx, n); err != nil {
@@ -192,14 +220,14 @@
 	return err
 }
 
-// expireCrashes removes the crashes that are no longer held against parts of prompts.
+// expireCrashes removes the crashes that are no longer held against requests and parts of prompts.
 func (d *Daemon) expireCrashes(now time.Time) {
 	expired := d.quarantine.Expire(now)
 	if len(expired) == 0 {
 		return
 	}
 	d.log.Info("crashes expired", zap.Any("names", expired))
-	d.changes.SetCrashes(d.quarantine.All)
+	d.quarantineChanged()
 	if !d.members.RanksFirst() {
 		return
 	}
--- a/gateway/upstream.go
+++ b/gateway/upstream.go
@@ -119,7 +119,7 @@
 	}
 	q.Wait, q.Usage, q.Counts = wait, d.usage(time.Now()), d.drainCounts()
 	q.Hung, q.Leaving = d.drainReports()
-	q.NewCrashes, q.ClearedCrashes = d.crashReports()
+	q.NewCrashes, q.ClearedCrashes = d.quarantine.Report(maxCrashReports)
 	a, err := d.client.Fetch(ctx, m, *q)
 	now := time.Now()
 	if err == nil && (a.Disconnected || a.Age() > maxAge || a.Revision.Era < d.changes.Revision().Era) {
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -1,11 +1,12 @@
-// Package quarantine finds the parts of prompts that crash the engines which begin to answer
-// them, so that requests with such a part are not sent to further engines. It does no I/O.
+// Package quarantine finds the requests, and the parts of prompts, that crash the servers which
+// begin to answer them, so that they are not sent to further servers. It does no I/O.
 package quarantine
 
 import (
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -16,12 +17,33 @@
 	"quetzalhold/routing"
 )
 
-// PartID identifies a part of a prompt that several requests may share.
-type PartID string
+// Suspect identifies what may crash servers: a part of a prompt, or a whole request.
+type Suspect string
+
+// requestPrefix is the prefix of suspects that are whole requests.
+const requestPrefix = "request:"
+
+// Parts returns the suspects for the parts of a prompt with the given IDs. An ID that could be
+// mistaken for a request is left out: callers choose them.
+func Parts(ids []string) []Suspect {
+	parts := make([]Suspect, 0, len(ids))
+	for _, id := range ids {
+		if !Suspect(id).IsRequest() {
+			parts = append(parts, Suspect(id))
+		}
+	}
+	return parts
+}
+
+// IsRequest reports whether the suspect is a whole request.
+func (s Suspect) IsRequest() bool { return strings.HasPrefix(string(s), requestPrefix) }
 
 // Fingerprint identifies a request by what a caller repeats when it sends the request again.
 type Fingerprint string
 
+// Suspect returns the suspect for the request.
+func (f Fingerprint) Suspect() Suspect { return Suspect(requestPrefix + f) }
+
 // NewFingerprint returns the fingerprint of a request. Requests of different organisations never
 // share one, since a hash of 64 bits can be made to collide.
 func NewFingerprint(o routing.Organisation, method, uri string, body []byte) Fingerprint {
@@ -38,35 +60,35 @@
 // UnixMilli is an instant in Unix milliseconds. It outlives the process that recorded it.
 type UnixMilli int64
 
-// Crash is the loss of an engine while it began to answer a request.
+// Crash is the loss of a server while it began to answer a request.
 type Crash struct {
 	Service routing.ServiceName `json:"service"`
 	Request engine.RequestID    `json:"request"`
 	Server  engine.ServerID     `json:"server"`
 	Start   engine.Incarnation  `json:"start"`
-	// Parts are the parts of the prompt that may have caused it.
-	Parts []PartID `json:"parts"`
-	// Until is when the crash is no longer held against its parts.
+	// Suspects are what may have caused it: the request, and parts of its prompt.
+	Suspects []Suspect `json:"parts"`
+	// Until is when the crash is no longer held against its suspects.
 	Until UnixMilli `json:"untilMs"`
 }
 
 // Limits of one crash, which other processes report.
 const (
-	maxParts  = 32
-	maxIDSize = 256 // bytes
+	maxSuspects = 32
+	maxIDSize   = 256 // bytes
 )
 
 // Check returns the first reason why the crash is invalid, or nil.
 func (c *Crash) Check() error {
 	switch {
-	case c.Service == "" || c.Server == "" || len(c.Parts) == 0:
-		return result.New(result.MissingField, "crash of server %q of service %q with %d parts", c.Server, c.Service, len(c.Parts))
-	case len(c.Parts) > maxParts:
-		return result.New(result.OutOfRange, "%d parts", len(c.Parts)).WithField("parts")
+	case c.Service == "" || c.Server == "" || len(c.Suspects) == 0:
+		return result.New(result.MissingField, "crash of server %q of service %q with %d suspects", c.Server, c.Service, len(c.Suspects))
+	case len(c.Suspects) > maxSuspects:
+		return result.New(result.OutOfRange, "%d suspects", len(c.Suspects)).WithField("parts")
 	}
-	for _, p := range c.Parts {
-		if len(p) > maxIDSize {
-			return result.New(result.OutOfRange, "a part's id of %d bytes", len(p)).WithField("parts")
+	for _, s := range c.Suspects {
+		if len(s) > maxIDSize {
+			return result.New(result.OutOfRange, "a suspect's id of %d bytes", len(s)).WithField("parts")
 		}
 	}
 	return nil
@@ -85,34 +107,47 @@
 
 func (c *Crash) incarnation() incarnation { return incarnation{c.Server, c.Start} }
 
-// partKey identifies a part of the prompts of a service.
-type partKey struct {
+// key identifies a suspect. Parts of prompts are those of a service; a request may crash the
+// servers of each service that it is sent to.
+type key struct {
 	service routing.ServiceName
-	part    PartID
+	suspect Suspect
+}
+
+func keyOf(service routing.ServiceName, s Suspect) key {
+	if s.IsRequest() {
+		return key{suspect: s}
+	}
+	return key{service, s}
 }
 
 // record is a crash with what this entry VM knows about it.
 type record struct {
 	Crash
-	// suspects are the parts under which no engine has begun an answer since. A record without
+	// suspects are those under which no server has begun an answer since. A record without
 	// suspects is kept until the other entry VMs have dropped the crash too.
-	suspects []PartID
-	// shared is set once the crash was in the list of the store or of another entry VM.
-	shared bool
+	suspects []Suspect
+	addedAt  time.Time
+	// reported is set once the crash was reported to another entry VM, and shared once it was in
+	// the list of the store or of another entry VM.
+	reported, shared bool
 }
 
 // The thresholds of the quarantine.
 const (
-	// blockAfter is the number of engines that may crash under a part before it is blocked. One
-	// or two may have crashed for another reason at that moment.
+	// blockAfter is the number of servers that may crash under a suspect before it is blocked.
+	// One or two may have crashed for another reason at that moment.
 	blockAfter = 3
-	// holdFor is how long a crash is held against its parts.
+	// holdFor is how long a crash is held against its suspects.
 	holdFor = 10 * time.Minute
-	// soundFor is how long after an answer began under a part a crash is not attributed to it.
+	// soundFor is how long after an answer began under a suspect a crash is not attributed to it.
 	soundFor = time.Second
-	// maxCrashes and maxSound bound what is remembered.
+	// settleFor is how long the only crash of its suspects is not listed for others: most are
+	// found sound by then, when the request runs at another server.
+	settleFor = 1500 * time.Millisecond
+	// clearedFor is how long a crash that is in no list is still reported as cleared.
+	clearedFor = 10 * time.Second
 	maxCrashes = 512
-	maxSound   = 8192
 )
 
 // List holds the crashes and decides which requests are blocked. Its zero value is an empty
@@ -120,37 +155,48 @@
 type List struct {
 	mu      sync.RWMutex
 	records map[Name]*record
-	soundAt map[partKey]time.Time // when an engine last got past the beginning of an answer
+	// sound holds the suspects that servers got past the beginning of an answer to, in the
+	// current period of soundFor and in the one before.
+	sound, soundBefore map[key]time.Time
+	soundSince         time.Time
+	changed            chan struct{} // closed when a suspect becomes blocked
 }
 
 // Observe returns the crash of a server that was lost while it began to answer a request with
-// the given parts, and adds it to the list. It returns false if all parts were found sound just
-// before: then the server crashed for another reason.
+// the given suspects, and adds it to the list. It returns false if all of them were found sound
+// just before: then the server crashed for another reason.
 func (l *List) Observe(now time.Time, c Crash) (Crash, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	var suspects []PartID
-	for _, p := range c.Parts {
-		at, ok := l.soundAt[partKey{c.Service, p}]
-		if (!ok || now.Sub(at) >= soundFor) && !slices.Contains(suspects, p) {
-			suspects = append(suspects, p)
+	var suspects []Suspect
+	for _, s := range c.Suspects {
+		if !l.soundLately(now, keyOf(c.Service, s)) && !slices.Contains(suspects, s) {
+			suspects = append(suspects, s)
 		}
 	}
-	c.Parts, c.Until = suspects, UnixMilli(now.Add(holdFor).UnixMilli())
-	if c.Check() != nil || !l.add(c, false) {
+	c.Suspects, c.Until = suspects, UnixMilli(now.Add(holdFor).UnixMilli())
+	if c.Check() != nil || !l.add(now, c, false) {
 		return c, false
 	}
 	return c, true
 }
 
+func (l *List) soundLately(now time.Time, k key) bool {
+	at, ok := l.sound[k]
+	if !ok {
+		at, ok = l.soundBefore[k]
+	}
+	return ok && now.Sub(at) < soundFor
+}
+
 // Add adds a crash that another entry VM has observed. It reports whether it is new.
-func (l *List) Add(c Crash) bool {
+func (l *List) Add(now time.Time, c Crash) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.add(c, false)
+	return l.add(now, c, false)
 }
 
-func (l *List) add(c Crash, shared bool) bool {
+func (l *List) add(now time.Time, c Crash, shared bool) bool {
 	if r := l.records[c.Name()]; r != nil {
 		r.shared = r.shared || shared
 		return false
@@ -161,10 +207,24 @@
 	if len(l.records) >= maxCrashes {
 		l.dropOldest()
 	}
-	l.records[c.Name()] = &record{Crash: c, suspects: slices.Clone(c.Parts), shared: shared}
+	l.records[c.Name()] = &record{Crash: c, suspects: slices.Clone(c.Suspects), addedAt: now, shared: shared}
+	if l.changed != nil && slices.ContainsFunc(c.Suspects, func(s Suspect) bool { return len(l.starts(now, c.Service, s)) >= blockAfter }) {
+		close(l.changed)
+		l.changed = nil
+	}
 	return true
 }
 
+// Changed returns a channel that is closed when a suspect becomes blocked.
+func (l *List) Changed() <-chan struct{} {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.changed == nil {
+		l.changed = make(chan struct{})
+	}
+	return l.changed
+}
+
 func (l *List) dropOldest() {
 	var oldest Name
 	for n, r := range l.records {
@@ -176,10 +236,10 @@
 }
 
 // MarkShared adds a crash that the store, or another entry VM's list, holds.
-func (l *List) MarkShared(c Crash) bool {
+func (l *List) MarkShared(now time.Time, c Crash) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.add(c, true)
+	return l.add(now, c, true)
 }
 
 // Remove removes a crash that the store no longer holds. It reports whether it was known.
@@ -195,13 +255,13 @@
 // that changed anything. Crashes that the list lacks are removed unless they have not been in
 // one before. With keep, as after the store was restored from an older copy, they are kept, to be
 // shared again.
-func (l *List) Replace(list []Crash, keep bool) (changed bool) {
+func (l *List) Replace(now time.Time, list []Crash, keep bool) (changed bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	listed := make(map[Name]bool, len(list))
 	for i := range list {
 		listed[list[i].Name()] = true
-		changed = l.add(list[i], true) || changed
+		changed = l.add(now, list[i], true) || changed
 	}
 	for n, r := range l.records {
 		switch {
@@ -216,36 +276,47 @@
 	return changed
 }
 
-// MarkSound records that an engine got past the beginning of an answer to a request with the
-// given parts: none of them crashes engines. It reports whether that clears a crash.
-func (l *List) MarkSound(now time.Time, service routing.ServiceName, parts []PartID) (cleared bool) {
+// MarkSound records that a server got past the beginning of an answer to a request with the
+// given suspects: none of them crashes servers. It reports whether that clears a crash.
+func (l *List) MarkSound(now time.Time, service routing.ServiceName, suspects []Suspect) (cleared bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.soundAt == nil || len(l.soundAt) >= maxSound {
-		l.soundAt = make(map[partKey]time.Time)
+	if l.sound == nil || now.Sub(l.soundSince) >= soundFor {
+		l.sound, l.soundBefore, l.soundSince = make(map[key]time.Time), l.sound, now
 	}
-	for _, p := range parts {
-		l.soundAt[partKey{service, p}] = now
+	for _, s := range suspects {
+		l.sound[keyOf(service, s)] = now
 	}
 	for n, r := range l.records {
-		if r.Service != service || len(r.suspects) == 0 {
+		if len(r.suspects) == 0 {
 			continue
 		}
-		r.suspects = slices.DeleteFunc(r.suspects, func(p PartID) bool { return slices.Contains(parts, p) })
+		r.suspects = slices.DeleteFunc(r.suspects, func(s Suspect) bool {
+			return (r.Service == service || s.IsRequest()) && slices.Contains(suspects, s)
+		})
 		if len(r.suspects) > 0 {
 			continue
 		}
 		cleared = true
-		if !r.shared {
-			delete(l.records, n)
-		}
+		l.clear(now, n, r)
 	}
 	return cleared
 }
 
-// Clear records that another entry VM has found all parts of a crash sound. It reports whether
+// clear drops a record without suspects, unless other entry VMs may hold the crash.
+func (l *List) clear(now time.Time, n Name, r *record) {
+	switch {
+	case r.shared:
+	case r.reported:
+		r.Until = UnixMilli(now.Add(clearedFor).UnixMilli())
+	default:
+		delete(l.records, n)
+	}
+}
+
+// Clear records that another entry VM has found all suspects of a crash sound. It reports whether
 // that was not known.
-func (l *List) Clear(n Name) bool {
+func (l *List) Clear(now time.Time, n Name) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	r := l.records[n]
@@ -253,38 +324,68 @@
 		return false
 	}
 	r.suspects = nil
+	l.clear(now, n, r)
 	return true
 }
 
-// Expire removes the crashes that are no longer held against their parts, and returns their
-// names.
+// Expire removes the crashes that are no longer held against their suspects, and returns the names
+// of those that are in another list.
 func (l *List) Expire(now time.Time) []Name {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var expired []Name
 	for n, r := range l.records {
-		if r.Until <= UnixMilli(now.UnixMilli()) {
-			delete(l.records, n)
+		if r.Until > UnixMilli(now.UnixMilli()) {
+			continue
+		}
+		delete(l.records, n)
+		if r.shared {
 			expired = append(expired, n)
 		}
 	}
 	return expired
 }
 
-// All returns the crashes that have suspects, to be sent to other entry VMs.
-func (l *List) All() []Crash {
-	return l.selected(func(r *record) bool { return len(r.suspects) > 0 })
+// Listed returns the crashes to be listed for other entry VMs: those that have suspects, unless
+// one is the only crash of its suspects and settleFor has not passed.
+func (l *List) Listed(now time.Time) []Crash {
+	return l.selected(func(r *record) bool { return l.listed(now, r) })
+}
+
+// Unwritten returns the crashes to be listed that are in no other list as far as is known.
+func (l *List) Unwritten(now time.Time) []Crash {
+	return l.selected(func(r *record) bool { return !r.shared && l.listed(now, r) })
 }
 
-// Unshared returns the crashes that are in no other list as far as is known.
-func (l *List) Unshared() []Crash {
-	return l.selected(func(r *record) bool { return !r.shared && len(r.suspects) > 0 })
+func (l *List) listed(now time.Time, r *record) bool {
+	if len(r.suspects) == 0 {
+		return false
+	}
+	return r.shared || now.Sub(r.addedAt) >= settleFor ||
+		slices.ContainsFunc(r.suspects, func(s Suspect) bool { return len(l.starts(now, r.Service, s)) > 1 })
 }
 
-// Cleared returns the names of the crashes without suspects.
+// Report returns crashes that are in no other list as far as is known, and the names of crashes
+// that were found sound, to be reported to another entry VM; of each, most at most.
+func (l *List) Report(most int) (observed []Crash, cleared []Name) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, n := range slices.Sorted(maps.Keys(l.records)) {
+		switch r := l.records[n]; {
+		case len(r.suspects) == 0:
+			cleared = append(cleared, n)
+		case !r.shared:
+			r.reported = true
+			observed = append(observed, r.Crash)
+		}
+	}
+	return observed[:min(len(observed), most)], cleared[:min(len(cleared), most)]
+}
+
+// Cleared returns the names of the crashes without suspects that are in another list.
 func (l *List) Cleared() []Name {
 	var names []Name
-	for _, c := range l.selected(func(r *record) bool { return len(r.suspects) == 0 }) {
+	for _, c := range l.selected(func(r *record) bool { return r.shared && len(r.suspects) == 0 }) {
 		names = append(names, c.Name())
 	}
 	return names
@@ -304,72 +405,72 @@
 
 // Block is the reason why a request is blocked.
 type Block struct {
-	Part    PartID
-	Crashes int       // engines that crashed under the part
+	Suspect Suspect
+	Crashes int       // servers that crashed under the suspect
 	Until   time.Time // when the request may be sent again
 }
 
-// Blocked reports whether a request with the given parts is not to be sent, since one of them
-// has crashed blockAfter engines. A part is not blocked while each of its crashes is explained by
-// another part that has crashed as many engines and that the request lacks: requests that share
+// Blocked reports whether a request with the given suspects is not to be sent, since one of them
+// has crashed blockAfter servers. A suspect is not blocked while each of its crashes is explained
+// by another one that has crashed as many servers and that the request lacks: requests that share
 // the other parts of those that crash engines remain served.
-func (l *List) Blocked(now time.Time, service routing.ServiceName, parts []PartID) (Block, bool) {
+func (l *List) Blocked(now time.Time, service routing.ServiceName, suspects []Suspect) (Block, bool) {
 	l.mu.RLock()
 	defer l.mu.RUnlock()
-	if len(l.records) < blockAfter || len(parts) == 0 {
+	if len(l.records) < blockAfter {
 		return Block{}, false
 	}
-	counts := make(map[PartID]int)
-	for _, p := range parts {
-		n := l.count(counts, now, service, p)
-		if n < blockAfter || l.explained(counts, now, service, p, parts) {
+	for _, s := range suspects {
+		n := len(l.starts(now, service, s))
+		if n < blockAfter || l.explained(now, service, s, suspects) {
 			continue
 		}
-		return Block{Part: p, Crashes: n, Until: l.blockedUntil(now, service, p)}, true
+		return Block{Suspect: s, Crashes: n, Until: l.blockedUntil(now, service, s)}, true
 	}
 	return Block{}, false
 }
 
-// each calls f for the crashes held against a part, until f returns false.
-func (l *List) each(now time.Time, service routing.ServiceName, p PartID, f func(*record) bool) {
+// each calls f for the crashes held against a suspect, until f returns false.
+func (l *List) each(now time.Time, service routing.ServiceName, s Suspect, f func(*record) bool) {
 	at := UnixMilli(now.UnixMilli())
 	for _, r := range l.records {
-		if r.Service == service && at < r.Until && slices.Contains(r.suspects, p) && !f(r) {
+		if (r.Service == service || s.IsRequest()) && at < r.Until && slices.Contains(r.suspects, s) && !f(r) {
 			return
 		}
 	}
 }
 
-// count returns how many starts of servers crashed under a part.
-func (l *List) count(counts map[PartID]int, now time.Time, service routing.ServiceName, p PartID) int {
-	if n, ok := counts[p]; ok {
-		return n
-	}
+// starts returns the starts of servers that crashed under a suspect.
+func (l *List) starts(now time.Time, service routing.ServiceName, s Suspect) map[incarnation]bool {
 	starts := make(map[incarnation]bool)
-	l.each(now, service, p, func(r *record) bool {
+	l.each(now, service, s, func(r *record) bool {
 		starts[r.incarnation()] = true
 		return true
 	})
-	counts[p] = len(starts)
-	return len(starts)
+	return starts
 }
 
-// explained reports whether all crashes of part p are explained by parts that the request lacks.
-func (l *List) explained(counts map[PartID]int, now time.Time, service routing.ServiceName, p PartID, parts []PartID) bool {
-	all := true
-	l.each(now, service, p, func(r *record) bool {
-		all = slices.ContainsFunc(r.suspects, func(o PartID) bool {
-			return !slices.Contains(parts, o) && l.count(counts, now, service, o) >= l.count(counts, now, service, p)
+// explained reports whether all crashes of a suspect are explained by others that the request
+// lacks.
+func (l *List) explained(now time.Time, service routing.ServiceName, s Suspect, suspects []Suspect) bool {
+	if s.IsRequest() {
+		return false
+	}
+	all, n := true, len(l.starts(now, service, s))
+	l.each(now, service, s, func(r *record) bool {
+		all = slices.ContainsFunc(r.suspects, func(o Suspect) bool {
+			return !slices.Contains(suspects, o) && len(l.starts(now, service, o)) >= n
 		})
 		return all
 	})
 	return all
 }
 
-// blockedUntil returns when so many crashes of a part have expired that it is no longer blocked.
-func (l *List) blockedUntil(now time.Time, service routing.ServiceName, p PartID) time.Time {
+// blockedUntil returns when so many crashes of a suspect have expired that it is no longer
+// blocked.
+func (l *List) blockedUntil(now time.Time, service routing.ServiceName, s Suspect) time.Time {
 	var until []UnixMilli
-	l.each(now, service, p, func(r *record) bool {
+	l.each(now, service, s, func(r *record) bool {
 		until = append(until, r.Until)
 		return true
 	})
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -14,19 +14,22 @@
 
 var start = time.Date(2026, 3, 1, 12, 0, 0, 0, time.UTC)
 
+// settled is late enough that each crash is listed.
+var settled = start.Add(time.Minute)
+
 // blockedFrom is the number of engines that crash before a part is blocked.
 const blockedFrom = 3
 
 // crash returns the crash of server n, running for the first time, under parts.
-func crash(n int, parts ...quarantine.PartID) quarantine.Crash {
+func crash(n int, parts ...quarantine.Suspect) quarantine.Crash {
 	return quarantine.Crash{
-		Service: "models", Request: engine.RequestID(fmt.Sprintf("r%d", n)), Server: engine.ServerID(fmt.Sprintf("e%d", n)), Start: 1, Parts: parts,
+		Service: "models", Request: engine.RequestID(fmt.Sprintf("r%d", n)), Server: engine.ServerID(fmt.Sprintf("e%d", n)), Start: 1, Suspects: parts,
 	}
 }
 
-func parts(ids ...quarantine.PartID) []quarantine.PartID { return ids }
+func parts(ids ...quarantine.Suspect) []quarantine.Suspect { return ids }
 
-func blocked(l *quarantine.List, ids ...quarantine.PartID) bool {
+func blocked(l *quarantine.List, ids ...quarantine.Suspect) bool {
 	_, ok := l.Blocked(start.Add(time.Second), "models", ids)
 	return ok
 }
@@ -45,7 +48,7 @@
 		observe(&l, crash(3, "c", "bad"))
 		b, ok := l.Blocked(start, "models", parts("d", "bad"))
 		So(ok, ShouldBeTrue)
-		So(b.Part, ShouldEqual, quarantine.PartID("bad"))
+		So(b.Suspect, ShouldEqual, quarantine.Suspect("bad"))
 		So(b.Crashes, ShouldEqual, blockedFrom)
 		So(b.Until, ShouldHappenAfter, start)
 		So(blocked(&l, "a"), ShouldBeFalse)
@@ -89,7 +92,7 @@
 		So(blocked(&l, "a"), ShouldBeTrue)
 		So(l.MarkSound(start, "models", parts("a")), ShouldBeTrue)
 		So(blocked(&l, "a"), ShouldBeFalse)
-		So(l.All(), ShouldBeEmpty)
+		So(l.Listed(settled), ShouldBeEmpty)
 	})
 	Convey("Engines that are lost under parts that were sound just before are not held against them", t, func() {
 		var l quarantine.List
@@ -100,17 +103,17 @@
 		}
 		c, ok := l.Observe(start, crash(20, "a", "b"))
 		So(ok, ShouldBeTrue)
-		So(c.Parts, ShouldResemble, parts("b"))
+		So(c.Suspects, ShouldResemble, parts("b"))
 	})
 	Convey("A crash that others know is kept without suspects until they have dropped it", t, func() {
 		var l quarantine.List
 		c, _ := l.Observe(start, crash(1, "a"))
-		l.Replace([]quarantine.Crash{c}, false)
+		l.Replace(start, []quarantine.Crash{c}, false)
 		l.MarkSound(start, "models", parts("a"))
 		So(l.Cleared(), ShouldResemble, []quarantine.Name{c.Name()})
-		l.Replace([]quarantine.Crash{c}, false)
-		So(l.All(), ShouldBeEmpty)
-		l.Replace(nil, false)
+		l.Replace(start, []quarantine.Crash{c}, false)
+		So(l.Listed(settled), ShouldBeEmpty)
+		l.Replace(start, nil, false)
 		So(l.Cleared(), ShouldBeEmpty)
 	})
 }
@@ -119,25 +122,28 @@
 	Convey("A list that lacks an observation does not remove it, one that lacks a shared crash does", t, func() {
 		var l quarantine.List
 		c, _ := l.Observe(start, crash(1, "a"))
-		So(l.Replace(nil, false), ShouldBeFalse)
-		So(l.Unshared(), ShouldHaveLength, 1)
-		So(l.Replace([]quarantine.Crash{c}, false), ShouldBeFalse)
-		So(l.Unshared(), ShouldBeEmpty)
-		So(l.Replace(nil, true), ShouldBeFalse)
-		So(l.Unshared(), ShouldHaveLength, 1)
-		l.MarkShared(c)
-		So(l.Replace(nil, false), ShouldBeTrue)
-		So(l.All(), ShouldBeEmpty)
+		So(l.Replace(start, nil, false), ShouldBeFalse)
+		So(l.Unwritten(settled), ShouldHaveLength, 1)
+		So(l.Replace(start, []quarantine.Crash{c}, false), ShouldBeFalse)
+		So(l.Unwritten(settled), ShouldBeEmpty)
+		So(l.Replace(start, nil, true), ShouldBeFalse)
+		So(l.Unwritten(settled), ShouldHaveLength, 1)
+		l.MarkShared(start, c)
+		So(l.Replace(start, nil, false), ShouldBeTrue)
+		So(l.Listed(settled), ShouldBeEmpty)
 	})
 	Convey("Expired crashes are dropped, and the list stays bounded", t, func() {
 		var l quarantine.List
 		for i := range 2000 {
-			observe(&l, crash(i, quarantine.PartID(fmt.Sprintf("p%d", i))))
+			observe(&l, crash(i, quarantine.Suspect(fmt.Sprintf("p%d", i))))
+		}
+		So(len(l.Listed(settled)), ShouldBeLessThanOrEqualTo, 512)
+		for _, c := range l.Listed(settled) {
+			l.MarkShared(start, c)
 		}
-		So(len(l.All()), ShouldBeLessThanOrEqualTo, 512)
 		So(l.Expire(start), ShouldBeEmpty)
 		So(len(l.Expire(start.Add(time.Hour))), ShouldEqual, 512)
-		So(l.All(), ShouldBeEmpty)
+		So(l.Listed(settled), ShouldBeEmpty)
 	})
 }
 
@@ -149,17 +155,17 @@
 			var a, b quarantine.List
 			var all []quarantine.Crash
 			for i := range 12 {
-				c := crash(i, quarantine.PartID(fmt.Sprintf("p%d", r.IntN(4))), quarantine.PartID(fmt.Sprintf("q%d", r.IntN(3))))
+				c := crash(i, quarantine.Suspect(fmt.Sprintf("p%d", r.IntN(4))), quarantine.Suspect(fmt.Sprintf("q%d", r.IntN(3))))
 				c, _ = a.Observe(start, c)
 				all = append(all, c)
 			}
 			r.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
 			for _, c := range all {
-				b.Add(c)
+				b.Add(start, c)
 			}
 			for p := range 4 {
 				for q := range 3 {
-					ids := parts(quarantine.PartID(fmt.Sprintf("p%d", p)), quarantine.PartID(fmt.Sprintf("q%d", q)))
+					ids := parts(quarantine.Suspect(fmt.Sprintf("p%d", p)), quarantine.Suspect(fmt.Sprintf("q%d", q)))
 					So(blocked(&a, ids...), ShouldEqual, blocked(&b, ids...))
 				}
 			}
--- a/relay/handover.go
+++ b/relay/handover.go
@@ -91,6 +91,13 @@
 // Where no other engine or no retry is left, the run continues.
 func (s *streamRun) replace(why string) {
 	from, budget := s.cur, s.relay.Budget(s.service)
+	if why != reasonSilent && why != reasonIdle {
+		s.observeCrash(from)
+	}
+	if _, ok := s.blocked(); ok {
+		s.keep("request blocked")
+		return
+	}
 	if s.sends >= maxSends {
 		s.keep("too many sends")
 		return
--- a/relay/plain.go
+++ b/relay/plain.go
@@ -15,6 +15,7 @@
 	"quetzalhold/backend"
 	"quetzalhold/engine"
 	"quetzalhold/platform"
+	"quetzalhold/quarantine"
 	"quetzalhold/result"
 	"quetzalhold/telemetry"
 )
@@ -34,6 +35,7 @@
 	best    *reply   // an error status, delivered if no better answer comes
 	// retryAt is when the first server accepts requests again; zero unless all refuse them.
 	retryAt time.Time
+	block   *quarantine.Block // why it must not be sent; nil if it may
 }
 
 // sentTo is an attempt: a server and when the request was sent to it.
@@ -76,6 +78,10 @@
 			r.deliver(w, j, p.best)
 			return
 		case Refuse:
+			if p.block != nil {
+				r.refuse(w, j, blockError(*p.block, false))
+				return
+			}
 			r.refuse(w, j, result.New(result.NoServer, "no server of %s took the call", j.service).AsNotRun().WithRetryAt(p.retryAt))
 			return
 		case Fail:
@@ -116,6 +122,10 @@
 		p.logEvent("retry budget spent", to.ID)
 		return p.retrier.Conclude()
 	}
+	if b, ok := p.blocked(); ok {
+		p.block = &b
+		return p.retrier.Conclude()
+	}
 	p.sends++
 	p.tried = append(p.tried, to.ID)
 	p.retrier.Sent()
@@ -145,7 +155,9 @@
 // handleReply handles the outcome of one attempt.
 func (p *plainRequest) handleReply(rep reply) Action {
 	p.sentTo = slices.DeleteFunc(p.sentTo, func(s sentTo) bool { return s.server == rep.server.ID })
-	if rep.outcome == Answered {
+	switch rep.outcome {
+	case Answered:
+		p.observeSound()
 		if rep.status >= http.StatusInternalServerError {
 			p.reportAnswer(rep.server, true, 0, 0)
 		} else {
@@ -154,7 +166,10 @@
 		if p.best == nil || rep.status < p.best.status {
 			p.best = &rep
 		}
-	} else {
+	default:
+		if rep.outcome == Lost {
+			p.observeCrash(rep.server, nil)
+		}
 		p.refundRetry(rep.err)
 		p.logEvent("attempt "+rep.outcome.String(), rep.server.ID, zap.String("fingerprint", string(p.fingerprint)), zap.Error(rep.err))
 	}
--- a/relay/quarantine.go
+++ b/relay/quarantine.go
@@ -5,68 +5,98 @@
 
 	"go.uber.org/zap"
 
+	"quetzalhold/backend"
 	"quetzalhold/quarantine"
 	"quetzalhold/result"
 )
 
-// beginEvents is the number of events after which an engine is past the beginning of an answer: a
-// part of the prompt that crashes engines does so before.
+// beginEvents is the number of events after which an engine is past the beginning of an answer: what
+// crashes engines does so before.
 const beginEvents = 3
 
-func partIDs(ids []string) []quarantine.PartID {
-	parts := make([]quarantine.PartID, len(ids))
-	for i, id := range ids {
-		parts[i] = quarantine.PartID(id)
-	}
-	return parts
+// suspects returns what may crash servers that run the request.
+func (j *job) suspects() []quarantine.Suspect {
+	return append([]quarantine.Suspect{j.fingerprint.Suspect()}, j.parts...)
+}
+
+// observeSound records that the request, and the parts of its prompt, crash no servers.
+func (j *job) observeSound() {
+	j.sound = true
+	j.markSound(j.suspects())
 }
 
-// observeSound records that no part of the prompt crashes engines.
-func (s *streamRun) observeSound() {
-	s.sound = true
-	if s.relay.Quarantine.MarkSound(time.Now(), s.service, s.parts) && s.relay.QuarantineChanged != nil {
-		s.relay.QuarantineChanged()
+func (j *job) markSound(suspects []quarantine.Suspect) {
+	if j.relay.Quarantine.MarkSound(time.Now(), j.service, suspects) && j.relay.QuarantineChanged != nil {
+		j.relay.QuarantineChanged()
 	}
 }
 
-// observeCrash records that a run's engine was lost while it began to answer, which a part of the
-// prompt may have caused.
-func (s *streamRun) observeCrash(r *run) {
-	if s.sound || !r.answered || r.events >= beginEvents {
+// observeCrash records that a server was lost while it began to answer, which the request or one of
+// the parts may have caused.
+func (j *job) observeCrash(to backend.Choice, parts []quarantine.Suspect) {
+	if j.sound || j.msg.Context().Err() != nil {
 		return
 	}
-	c, ok := s.relay.Quarantine.Observe(time.Now(), quarantine.Crash{
-		Service: s.service, Request: s.msg.params.ID, Server: r.to.ID, Start: r.to.Start, Parts: s.parts,
+	c, ok := j.relay.Quarantine.Observe(time.Now(), quarantine.Crash{
+		Service: j.service, Request: j.msg.params.ID, Server: to.ID, Start: to.Start,
+		Suspects: append([]quarantine.Suspect{j.fingerprint.Suspect()}, parts...),
 	})
 	if !ok {
 		return
 	}
-	s.logEvent("engine lost at the beginning of an answer", r.to.ID, zap.Any("parts", c.Parts), zap.Int("events", r.events))
-	if s.relay.QuarantineChanged != nil {
-		s.relay.QuarantineChanged()
+	j.logEvent("server lost at the beginning of an answer", to.ID, zap.Any("suspects", c.Suspects))
+	if j.relay.QuarantineChanged != nil {
+		j.relay.QuarantineChanged()
 	}
 }
 
-// rejectBlocked ends a request with a part that crashes engines, unless an engine is past the
-// beginning of its answer. It reports whether it did.
-func (s *streamRun) rejectBlocked() bool {
-	if s.sound {
-		return false
-	}
-	b, ok := s.relay.Quarantine.Blocked(time.Now(), s.service, s.parts)
-	if !ok {
-		return false
+// blocked reports whether the request must not be sent to a server now, unless one is past the
+// beginning of its answer.
+func (j *job) blocked() (quarantine.Block, bool) {
+	if j.sound {
+		return quarantine.Block{}, false
 	}
+	return j.relay.Quarantine.Blocked(time.Now(), j.service, j.suspects())
+}
+
+// blockError returns the error that ends a blocked request; ran is whether some server may have
+// run it.
+func blockError(b quarantine.Block, ran bool) *result.Error {
 	code := result.PromptBlocked
-	if s.mayHaveRun() {
-		code = result.EngineLost // the status of PromptBlocked promises that the request has not run
+	switch {
+	case ran:
+		code = result.EngineLost // the status of the others promises that the request has not run
+	case b.Suspect.IsRequest():
+		code = result.RequestBlocked
 	}
-	err := result.New(code, "part %s crashed %d engines", b.Part, b.Crashes).WithRetryAt(b.Until)
+	err := result.New(code, "%s crashed %d servers", b.Suspect, b.Crashes).WithRetryAt(b.Until)
+	if !ran {
+		err = err.AsNotRun()
+	}
+	return err
+}
+
+// observeCrash records that a run's engine was lost while it began to answer. Before its head, it
+// may not have read the prompt.
+func (s *streamRun) observeCrash(r *run) {
 	switch {
-	case s.headSent:
+	case r.events >= beginEvents:
+	case r.answered:
+		s.job.observeCrash(r.to, s.parts)
+	default:
+		s.job.observeCrash(r.to, nil)
+	}
+}
+
+// rejectBlocked ends a blocked request. It reports whether it did.
+func (s *streamRun) rejectBlocked() bool {
+	b, ok := s.blocked()
+	if !ok {
+		return false
+	}
+	err := blockError(b, s.mayHaveRun())
+	if s.headSent {
 		s.abort(err)
-	case !s.mayHaveRun():
-		err = err.AsNotRun()
 	}
 	s.clearHead()
 	s.relay.refuse(s.w, s.job, err)
--- a/relay/quarantine_test.go
+++ b/relay/quarantine_test.go
@@ -23,9 +23,9 @@
 			once.Do(func() {
 				time.AfterFunc(1070*time.Millisecond, func() {
 					for i := range 3 {
-						w.relay.Quarantine.Add(quarantine.Crash{
+						w.relay.Quarantine.Add(time.Now(), quarantine.Crash{
 							Service: "models", Request: "other", Server: engine.ServerID(fmt.Sprintf("x%d", i)), Start: 1,
-							Parts: []quarantine.PartID{"aa"}, Until: quarantine.UnixMilli(time.Now().Add(time.Hour).UnixMilli()),
+							Suspects: []quarantine.Suspect{"aa"}, Until: quarantine.UnixMilli(time.Now().Add(time.Hour).UnixMilli()),
 						})
 					}
 				})
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -57,7 +57,7 @@
 	// Leaving is called when a server's answer says for the first time that it is leaving; may
 	// be nil.
 	Leaving func(backend.Choice)
-	// Quarantine holds the parts of prompts that crash engines.
+	// Quarantine holds what crashes servers.
 	Quarantine *quarantine.List
 	// QuarantineChanged is called when a request has added a crash to Quarantine or cleared one;
 	// may be nil.
@@ -133,6 +133,8 @@
 	version      routing.Version // of the configuration in use when it was admitted
 	tokens       engine.Tokens   // KV cache that it takes at an engine
 	fingerprint  quarantine.Fingerprint
+	parts        []quarantine.Suspect // parts of its prompt that other requests may have too
+	sound        bool                 // a server was past the beginning of the answer
 	startedAt    time.Time
 	deadline     time.Time
 	sends        int
@@ -254,6 +256,7 @@
 	if err := j.readBody(w, t.Limits); err != nil {
 		return err
 	}
+	j.parts = quarantine.Parts(params.SharedParts())
 	j.fingerprint = quarantine.NewFingerprint(j.organisation, j.msg.Method, j.msg.URL.RequestURI(), j.msg.body)
 	return nil
 }
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -79,8 +79,6 @@
 	ran       attempts
 	rounds    int
 	failure   *reply // a failure that a server answered with
-	parts     []quarantine.PartID
-	sound     bool // an engine was past the beginning of the answer
 	// retryAt is when the first engine accepts requests again; zero unless all refuse them.
 	retryAt time.Time
 }
@@ -92,7 +90,7 @@
 func (r *Relay) serveStream(w http.ResponseWriter, j *job) {
 	ctx, cancel := context.WithDeadline(j.msg.Context(), j.deadline)
 	defer cancel()
-	s := &streamRun{job: j, w: w, ctx: ctx, parts: partIDs(j.msg.params.SharedParts())}
+	s := &streamRun{job: j, w: w, ctx: ctx}
 	if id, err := strconv.ParseInt(j.msg.params.LastEvent, 10, 64); err == nil {
 		s.lastID = id
 	}
@@ -103,8 +101,12 @@
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
 	for {
-		if !s.headSent && s.rejectBlocked() {
-			return
+		var blocks <-chan struct{}
+		if !s.headSent {
+			blocks = r.Quarantine.Changed()
+			if s.rejectBlocked() {
+				return
+			}
 		}
 		v := s.decide()
 		switch v.Action {
@@ -130,6 +132,7 @@
 			s.handleProbe(p)
 		case o := <-s.cur.checkpoints:
 			s.checkpointDone(o)
+		case <-blocks:
 		case <-timer.C:
 		case <-ctx.Done():
 			s.endCancelled()
@@ -246,6 +249,10 @@
 			s.logEvent("retry budget spent", p.Run.ID)
 			return s.giveUp("retry budget spent")
 		}
+		// The choice may have taken a while.
+		if s.rejectBlocked() {
+			return false
+		}
 		s.sends++
 		s.open(why, p, memory)
 		return true
@@ -588,6 +595,7 @@
 		s.ran.remove(r)
 		s.refundRetry(p.err)
 	case Answered:
+		s.markSound([]quarantine.Suspect{s.fingerprint.Suspect()})
 		s.reportAnswer(r.to, true, 0, 0)
 		s.failure = &reply{server: r.to, status: p.head.StatusCode, header: p.head.Header, body: p.event.raw}
 	case Lost:
--- a/result/info.go
+++ b/result/info.go
@@ -57,6 +57,7 @@
 	{VersionWithdrawn, http.StatusConflict, "The version that began the answer is gone.", "ask again from the start"},
 	{TooLate, http.StatusServiceUnavailable, "Less time is left than the answer needs.", "ask again with a later deadline"},
 	{PromptBlocked, http.StatusServiceUnavailable, "A part of the prompt crashes engines.", "leave out the part named in the message"},
+	{RequestBlocked, http.StatusServiceUnavailable, "The request crashes the servers that run it.", "change the request"},
 
 	{UnknownService, http.StatusNotFound, "There is no such plain service.", "check the service's name"},
 	{ServiceNotReached, http.StatusBadGateway, "No server of the service was reached; the call did not run.", retryLater},
--- a/result/result.go
+++ b/result/result.go
@@ -62,6 +62,7 @@
 	VersionWithdrawn                    // 2013
 	TooLate                             // 2014
 	PromptBlocked                       // 2015
+	RequestBlocked                      // 2016
 )
 
 // Codes about plain services.
