quarantine: a part is blocked only on crashes of several different requests

Cause: crashes of a part were counted by servers, whoever's requests these were lost under; one request that comes again, or sound ones that were lost together with its servers, were enough.

A part is blocked only if at least three different requests are needed to explain its crashes; each request on a lost server may be the one to blame, so that a request which crashed several servers explains all of them.

TestPartBlamedForRequest: the part was blocked for sound requests with one such request and bystanders, with two such requests, and with three crashes of two; not now.

--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -133,6 +133,17 @@
 	reported, shared bool
 }
 
+// request returns the request that was lost with the server: its suspect, or the caller's name
+// for it if it is not known as a suspect; "" if it was found sound.
+func (r *record) request() Suspect {
+	if i := slices.IndexFunc(r.Suspects, Suspect.IsRequest); i < 0 {
+		return Suspect(r.Request)
+	} else if slices.Contains(r.suspects, r.Suspects[i]) {
+		return r.Suspects[i]
+	}
+	return ""
+}
+
 // The thresholds of the quarantine.
 const (
 	// blockAfter is the number of servers that may crash under a suspect before it is blocked.
@@ -411,9 +422,10 @@
 }
 
 // Blocked reports whether a request with the given suspects is not to be sent, since one of them
-// has crashed blockAfter servers. A suspect is not blocked while each of its crashes is explained
-// by another one that has crashed as many servers and that the request lacks: requests that share
-// the other parts of those that crash engines remain served.
+// has crashed blockAfter servers. Requests that share parts with those that crash engines remain
+// served: a part is not blocked unless blockAfter different requests are needed to explain its
+// crashes, nor while each of these is explained by another part that has crashed as many servers
+// and that the request lacks.
 func (l *List) Blocked(now time.Time, service routing.ServiceName, suspects []Suspect) (Block, bool) {
 	l.mu.RLock()
 	defer l.mu.RUnlock()
@@ -422,7 +434,7 @@
 	}
 	for _, s := range suspects {
 		n := len(l.starts(now, service, s))
-		if n < blockAfter || l.explained(now, service, s, suspects) {
+		if n < blockAfter || !s.IsRequest() && (l.requests(now, service, s) < blockAfter || l.explained(now, service, s, suspects)) {
 			continue
 		}
 		return Block{Suspect: s, Crashes: n, Until: l.blockedUntil(now, service, s)}, true
@@ -450,16 +462,57 @@
 	return starts
 }
 
-// explained reports whether all crashes of a suspect are explained by others that the request
-// lacks.
-func (l *List) explained(now time.Time, service routing.ServiceName, s Suspect, suspects []Suspect) bool {
-	if s.IsRequest() {
-		return false
+// requests returns how many different requests it takes to explain all crashes of a part. A server
+// that crashes takes all requests on it along, so that not each of them has to be to blame.
+func (l *List) requests(now time.Time, service routing.ServiceName, part Suspect) int {
+	left, at := l.starts(now, service, part), UnixMilli(now.UnixMilli())
+	lost := make(map[Suspect]map[incarnation]bool) // by request: servers that were lost with it
+	for _, r := range l.records {
+		if at >= r.Until || !left[r.incarnation()] {
+			continue
+		}
+		by := r.request()
+		if by == "" && !slices.Contains(r.suspects, part) {
+			continue
+		}
+		if lost[by] == nil {
+			lost[by] = make(map[incarnation]bool)
+		}
+		lost[by][r.incarnation()] = true
 	}
-	all, n := true, len(l.starts(now, service, s))
-	l.each(now, service, s, func(r *record) bool {
+	n := 0
+	for ; len(left) > 0; n++ {
+		var most Suspect
+		shared := 0
+		for _, by := range slices.Sorted(maps.Keys(lost)) {
+			if c := countShared(lost[by], left); c > shared {
+				most, shared = by, c
+			}
+		}
+		for i := range lost[most] {
+			delete(left, i)
+		}
+	}
+	return n
+}
+
+func countShared(a, b map[incarnation]bool) int {
+	n := 0
+	for i := range a {
+		if b[i] {
+			n++
+		}
+	}
+	return n
+}
+
+// explained reports whether all crashes of a part are explained by other parts that the request
+// lacks.
+func (l *List) explained(now time.Time, service routing.ServiceName, part Suspect, suspects []Suspect) bool {
+	all, n := true, len(l.starts(now, service, part))
+	l.each(now, service, part, func(r *record) bool {
 		all = slices.ContainsFunc(r.suspects, func(o Suspect) bool {
-			return !slices.Contains(suspects, o) && len(l.starts(now, service, o)) >= n
+			return !o.IsRequest() && !slices.Contains(suspects, o) && len(l.starts(now, service, o)) >= n
 		})
 		return all
 	})
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -85,6 +85,53 @@
 	})
 }
 
+// crashUnder returns the crash of server n under a request with parts.
+func crashUnder(n int, request string, parts ...quarantine.Suspect) quarantine.Crash {
+	c := crash(n, parts...)
+	c.Request += engine.RequestID("-" + request)
+	c.Suspects = append(c.Suspects, requestNamed(request))
+	return c
+}
+
+func requestNamed(name string) quarantine.Suspect {
+	return quarantine.NewFingerprint("barkline", "POST", "/brief/1", []byte(name)).Suspect()
+}
+
+// TestPartBlamedForRequest guards against parts of prompts that are blocked although one request
+// crashed the servers: sound requests share them.
+func TestPartBlamedForRequest(t *testing.T) {
+	Convey("One request that crashes servers says nothing about its parts", t, func() {
+		var l quarantine.List
+		for i := range 6 {
+			observe(&l, crashUnder(i, "bad", "first"))
+		}
+		So(blocked(&l, "first", requestNamed("bad")), ShouldBeTrue)
+		So(blocked(&l, "first", requestNamed("sound")), ShouldBeFalse)
+		So(blocked(&l, "first"), ShouldBeFalse)
+	})
+	Convey("Nor do sound requests that are lost with its servers", t, func() {
+		var l quarantine.List
+		for i := range 4 {
+			observe(&l, crashUnder(i, "bad"), crashUnder(i, fmt.Sprintf("sound-%d", i), "first"))
+		}
+		So(blocked(&l, "first", requestNamed("sound")), ShouldBeFalse)
+	})
+	Convey("Nor do two such requests", t, func() {
+		var l quarantine.List
+		for i := range 3 {
+			observe(&l, crashUnder(i, "bad", "first"), crashUnder(10+i, "worse", "first"))
+		}
+		So(blocked(&l, "first", requestNamed("sound")), ShouldBeFalse)
+	})
+	Convey("Three different requests that each crash servers do", t, func() {
+		var l quarantine.List
+		observe(&l, crashUnder(1, "a", "part"), crashUnder(2, "a", "part"), crashUnder(3, "b", "part"))
+		So(blocked(&l, "part", requestNamed("c")), ShouldBeFalse)
+		observe(&l, crashUnder(4, "c", "part"))
+		So(blocked(&l, "part", requestNamed("d")), ShouldBeTrue)
+	})
+}
+
 func TestSound(t *testing.T) {
 	Convey("An answer that gets past its beginning clears its parts", t, func() {
 		var l quarantine.List
