quarantine, relay, gateway: a blocked request or part is tried again, twice, by one entry VM

Callers of a sound request under which three servers had ended for another reason, or had been mended since, were refused for ten minutes: while a block stands nothing is sent that could lift it.

Now one request is sent as a trial 5 s after the last crash, and another 20 s after that. The entry VM that sends it has created an object for it in the store, whose name is the same for all, so that there is one in the fleet; it is a record of the list like a crash, so that all know how many trials there were. An answer lifts the block everywhere. A trial is sent once: a silent one is not replaced, a refused one not repeated. More trials than two would exceed the three sends that are tolerated after three crashes; while the store is unreachable there are none.

Tests changed: TestBlocked took Until for the end of the block; it now checks the time of the trial, and that the block holds until a millisecond before ten minutes and not after. TestPromptPartCrashesEngines sent the same body with each prompt; now each has its own, as requests that are not alike have.

--- a/gateway/crashing_test.go
+++ b/gateway/crashing_test.go
@@ -42,10 +42,11 @@
 	servers []*platformtest.Server
 	entries []*vm
 
-	mu      sync.Mutex
-	crashes []time.Time
-	sound   []soundCall
-	wg      sync.WaitGroup
+	mu       sync.Mutex
+	crashes  []time.Time
+	sound    []soundCall
+	crashing []soundCall // the requests that crash servers, which may have stopped doing so
+	wg       sync.WaitGroup
 }
 
 // soundCall is a sound request and how it ended.
@@ -101,7 +102,11 @@
 // other.
 func (c *crashingTest) playCrashing(d, interval time.Duration) {
 	c.each(d, interval, func(i int) {
-		c.sendBody(c.transport(), c.entries[i%len(c.entries)], c.kind.path, "key-1", fmt.Sprintf("crashing-%d-%d", time.Now().UnixNano(), i), crashBody, c.headers())
+		at := time.Now()
+		a := c.sendBody(c.transport(), c.entries[i%len(c.entries)], c.kind.path, "key-1", fmt.Sprintf("crashing-%d-%d", at.UnixNano(), i), crashBody, c.headers())
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.crashing = append(c.crashing, soundCall{at: at, answered: a.err == nil && a.status == http.StatusOK})
 	})
 }
 
@@ -214,3 +219,36 @@
 		So(c.sentSince(from), ShouldBeLessThanOrEqualTo, maxSentAfter)
 	})
 }
+
+// TestSoundRequestStaysBlocked guards against a block that nothing ends although the servers crashed
+// for another reason, or have been mended.
+func TestSoundRequestStaysBlocked(t *testing.T) {
+	const (
+		mendedAfter = 4 * time.Second
+		backWithin  = 8 * time.Second
+	)
+	for _, kind := range requestKinds {
+		inWorld(t, kind.name, func(w *world) {
+			c := newCrashingTest(w, kind)
+			c.playCrashing(40*time.Second, 500*time.Millisecond)
+			time.Sleep(mendedAfter)
+			for _, s := range c.servers {
+				s.SetFault(platformtest.Fault{})
+			}
+			mended := time.Now()
+			c.wg.Wait()
+			So(len(c.crashes), ShouldBeGreaterThanOrEqualTo, crashesAllowed)
+			sent, lost := 0, 0
+			for _, r := range c.crashing {
+				if r.at.After(mended.Add(backWithin)) {
+					sent++
+					if !r.answered {
+						lost++
+					}
+				}
+			}
+			So(sent, ShouldBeGreaterThan, 40)
+			So(lost, ShouldEqual, 0)
+		})
+	}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -62,6 +62,7 @@
 	quarantine quarantine.List
 	// crashesChanged wakes publishCrashes up, and unwritten writeCrashes.
 	crashesChanged, unwritten chan struct{}
+	claiming                  sync.Mutex // held while a trial is claimed
 
 	identifying sync.Map // addresses of servers whose identity is being queried
 	// fetchingConfig is set while a newer configuration is fetched from another entry VM.
@@ -128,6 +129,7 @@
 	d.relay.Answered = d.recordAnswer
 	d.relay.Quarantine = &d.quarantine
 	d.relay.QuarantineChanged = d.quarantineChanged
+	d.relay.ClaimTrial = d.claimTrial
 	d.relay.Closing = d.stopping.Load
 	d.relay.Draining = d.draining.Load
 	d.relay.Log = d.log
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -69,6 +69,22 @@
 	}
 }
 
+// claimTrial claims a trial in the store, which grants it to one entry VM. It reports whether that
+// is this one.
+func (d *Daemon) claimTrial(ctx context.Context, c quarantine.Crash) bool {
+	if d.health.isDown() || !d.claiming.TryLock() {
+		return false
+	}
+	defer d.claiming.Unlock()
+	err := d.store.Create(ctx, platform.Crashes, string(c.Name()), c)
+	if err == nil || result.CodeOf(err) == result.VersionConflict {
+		d.quarantine.MarkShared(time.Now(), c)
+		d.quarantineChanged()
+	}
+	d.log.Info("trial claimed", zap.String("name", string(c.Name())), zap.Any("suspects", c.Suspects), zap.Bool("granted", err == nil), zap.Error(err))
+	return err == nil
+}
+
 // applyCrashReports applies the crashes that another entry VM has observed and cleared.
 func (d *Daemon) applyCrashReports(observed []quarantine.Crash, cleared []quarantine.Name) {
 	now, changed := time.Now(), false
--- a/gateway/quarantine_test.go
+++ b/gateway/quarantine_test.go
@@ -82,7 +82,8 @@
 		shared += "," + crashPart + ":300"
 	}
 	at := time.Now()
-	a := c.send(c.transport(), v, "/brief/1", "key-1", fmt.Sprintf("p%d", i), http.Header{
+	id := fmt.Sprintf("p%d", i)
+	a := c.sendBody(c.transport(), v, "/brief/1", "key-1", id, "the prompt of "+id, http.Header{
 		"X-Token-Count": {"1600,50"}, "X-Prompt-Prefix": {fmt.Sprintf("%s,own%d:1000", shared, i)}, "X-Deadline-Ms": {"25000"},
 	})
 	if crashing {
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -70,6 +70,8 @@
 	Suspects []Suspect `json:"parts"`
 	// Until is when the crash is no longer held against its suspects.
 	Until UnixMilli `json:"untilMs"`
+	// Trial is set for the claim of a trial, which is no crash: Start is then its number.
+	Trial bool `json:"trial,omitempty"`
 }
 
 // Limits of one crash, which other processes report.
@@ -161,6 +163,26 @@
 	maxCrashes = 512
 )
 
+// trialDelays are how long after the last crash, or trial, a blocked suspect may be tried again: for
+// the first trial, the second, and so on. There are no further ones.
+var trialDelays = [...]time.Duration{5 * time.Second, 20 * time.Second}
+
+// trialServer takes the place of the server in the claim of a trial.
+const trialServer engine.ServerID = "trial"
+
+// newTrial returns the claim of a suspect's n-th trial. Its name is the same at all entry VMs, so
+// that only one of them can create it in the store.
+func newTrial(now time.Time, service routing.ServiceName, s Suspect, n int) Crash {
+	id := string(s)
+	if !s.IsRequest() {
+		id = string(service) + "/" + id
+	}
+	return Crash{
+		Service: service, Request: engine.RequestID(id), Server: trialServer, Start: engine.Incarnation(n),
+		Suspects: []Suspect{s}, Until: UnixMilli(now.Add(holdFor).UnixMilli()), Trial: true,
+	}
+}
+
 // List holds the crashes and decides which requests are blocked. Its zero value is an empty
 // list. Its methods are safe for concurrent use.
 type List struct {
@@ -417,41 +439,53 @@
 // Block is the reason why a request is blocked.
 type Block struct {
 	Suspect Suspect
-	Crashes int       // servers that crashed under the suspect
-	Until   time.Time // when the request may be sent again
+	Crashes int // servers that crashed under the suspect
+	// Until is when the request may be sent again: as a trial, or since crashes have expired.
+	Until time.Time
+	// Trial is to be claimed from Until on by the entry VM that sends the request then.
+	Trial Crash
 }
 
 // Blocked reports whether a request with the given suspects is not to be sent, since one of them
 // has crashed blockAfter servers. Requests that share parts with those that crash engines remain
 // served: a part is not blocked unless blockAfter different requests are needed to explain its
 // crashes, nor while each of these is explained by another part that has crashed as many servers
-// and that the request lacks.
+// and that the request lacks. Of several blocks, the one that lasts longest is returned.
 func (l *List) Blocked(now time.Time, service routing.ServiceName, suspects []Suspect) (Block, bool) {
 	l.mu.RLock()
 	defer l.mu.RUnlock()
 	if len(l.records) < blockAfter {
 		return Block{}, false
 	}
+	var longest Block
 	for _, s := range suspects {
 		n := len(l.starts(now, service, s))
 		if n < blockAfter || !s.IsRequest() && (l.requests(now, service, s) < blockAfter || l.explained(now, service, s, suspects)) {
 			continue
 		}
-		return Block{Suspect: s, Crashes: n, Until: l.blockedUntil(now, service, s)}, true
+		b := Block{Suspect: s, Crashes: n}
+		if b.Until, b.Trial = l.blockedUntil(now, service, s); b.Until.After(longest.Until) {
+			longest = b
+		}
 	}
-	return Block{}, false
+	return longest, longest.Crashes > 0
 }
 
 // each calls f for the crashes held against a suspect, until f returns false.
 func (l *List) each(now time.Time, service routing.ServiceName, s Suspect, f func(*record) bool) {
 	at := UnixMilli(now.UnixMilli())
 	for _, r := range l.records {
-		if (r.Service == service || s.IsRequest()) && at < r.Until && slices.Contains(r.suspects, s) && !f(r) {
+		if !r.Trial && r.holds(service, s, at) && !f(r) {
 			return
 		}
 	}
 }
 
+// holds reports whether the record is held against a suspect.
+func (r *record) holds(service routing.ServiceName, s Suspect, at UnixMilli) bool {
+	return (r.Service == service || s.IsRequest()) && at < r.Until && slices.Contains(r.suspects, s)
+}
+
 // starts returns the starts of servers that crashed under a suspect.
 func (l *List) starts(now time.Time, service routing.ServiceName, s Suspect) map[incarnation]bool {
 	starts := make(map[incarnation]bool)
@@ -519,14 +553,27 @@
 	return all
 }
 
-// blockedUntil returns when so many crashes of a suspect have expired that it is no longer
-// blocked.
-func (l *List) blockedUntil(now time.Time, service routing.ServiceName, s Suspect) time.Time {
-	var until []UnixMilli
-	l.each(now, service, s, func(r *record) bool {
-		until = append(until, r.Until)
-		return true
-	})
-	slices.Sort(until)
-	return time.UnixMilli(int64(until[len(until)-blockAfter]))
+// blockedUntil returns until when a suspect is blocked: until its next trial, whose claim it
+// returns too, or until so many of its crashes have expired that it is no longer blocked.
+func (l *List) blockedUntil(now time.Time, service routing.ServiceName, s Suspect) (time.Time, Crash) {
+	var crashes []UnixMilli
+	var last UnixMilli
+	trials, at := 0, UnixMilli(now.UnixMilli())
+	for _, r := range l.records {
+		if !r.holds(service, s, at) {
+			continue
+		}
+		last = max(last, r.Until)
+		if r.Trial {
+			trials++
+		} else {
+			crashes = append(crashes, r.Until)
+		}
+	}
+	slices.Sort(crashes)
+	expiry := time.UnixMilli(int64(crashes[len(crashes)-blockAfter]))
+	if trials >= len(trialDelays) {
+		return expiry, Crash{}
+	}
+	return time.UnixMilli(int64(last)).Add(trialDelays[trials] - holdFor), newTrial(now, service, s, trials+1)
 }
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -17,8 +17,16 @@
 // settled is late enough that each crash is listed.
 var settled = start.Add(time.Minute)
 
-// blockedFrom is the number of engines that crash before a part is blocked.
-const blockedFrom = 3
+const (
+	// blockedFrom is the number of engines that crash before a part is blocked.
+	blockedFrom = 3
+	// held is how long a crash is held against a part.
+	held = 10 * time.Minute
+	// firstTrial and secondTrial are when a blocked suspect may be tried again, after the last
+	// crash or trial.
+	firstTrial  = 5 * time.Second
+	secondTrial = 20 * time.Second
+)
 
 // crash returns the crash of server n, running for the first time, under parts.
 func crash(n int, parts ...quarantine.Suspect) quarantine.Crash {
@@ -50,11 +58,13 @@
 		So(ok, ShouldBeTrue)
 		So(b.Suspect, ShouldEqual, quarantine.Suspect("bad"))
 		So(b.Crashes, ShouldEqual, blockedFrom)
-		So(b.Until, ShouldHappenAfter, start)
+		So(b.Until, ShouldEqual, start.Add(firstTrial).Local())
 		So(blocked(&l, "a"), ShouldBeFalse)
 		_, ok = l.Blocked(start, "other", parts("bad"))
 		So(ok, ShouldBeFalse)
-		_, ok = l.Blocked(b.Until, "models", parts("bad"))
+		_, ok = l.Blocked(start.Add(held-time.Millisecond), "models", parts("bad"))
+		So(ok, ShouldBeTrue)
+		_, ok = l.Blocked(start.Add(held), "models", parts("bad"))
 		So(ok, ShouldBeFalse)
 	})
 	Convey("Requests that one crash hit together count once", t, func() {
@@ -235,3 +245,55 @@
 		}
 	})
 }
+
+func TestTrials(t *testing.T) {
+	Convey("A blocked suspect is tried twice, each time by one entry VM", t, func() {
+		var a, b quarantine.List
+		list := []quarantine.Crash{crashUnder(1, "bad"), crashUnder(2, "bad"), crashUnder(3, "bad")}
+		observe(&a, list...)
+		for _, c := range a.Listed(settled) {
+			b.MarkShared(start, c)
+		}
+		bad := parts(requestNamed("bad"))
+		block, ok := a.Blocked(start, "models", bad)
+		So(ok, ShouldBeTrue)
+		So(block.Until, ShouldEqual, start.Add(firstTrial).Local())
+
+		first := start.Add(firstTrial)
+		block, ok = a.Blocked(first, "models", bad)
+		So(ok, ShouldBeTrue)
+		So(block.Until, ShouldHappenOnOrBefore, first)
+		other, _ := b.Blocked(first.Add(time.Second), "models", bad)
+		So(other.Trial.Name(), ShouldEqual, block.Trial.Name())
+		a.MarkShared(first, block.Trial)
+		b.MarkShared(first, block.Trial)
+
+		for _, l := range []*quarantine.List{&a, &b} {
+			block, ok = l.Blocked(first, "models", bad)
+			So(ok, ShouldBeTrue)
+			So(block.Crashes, ShouldEqual, blockedFrom)
+			So(block.Until, ShouldEqual, first.Add(secondTrial).Local())
+		}
+		So(block.Trial.Name(), ShouldNotEqual, other.Trial.Name())
+		second := first.Add(secondTrial)
+		a.MarkShared(second, block.Trial)
+		block, ok = a.Blocked(second, "models", bad)
+		So(ok, ShouldBeTrue)
+		So(block.Until, ShouldEqual, start.Add(held).Local())
+
+		a.MarkSound(second, "models", bad)
+		_, ok = a.Blocked(second, "models", bad)
+		So(ok, ShouldBeFalse)
+		So(a.Cleared(), ShouldContain, other.Trial.Name())
+	})
+	Convey("Requests are blocked as long as the block that lasts longest", t, func() {
+		var l quarantine.List
+		observe(&l, crashUnder(1, "bad"), crashUnder(2, "bad"), crashUnder(3, "bad"))
+		for i := range 3 {
+			l.Observe(start.Add(2*time.Second), crashUnder(10+i, fmt.Sprintf("r%d", i), "part"))
+		}
+		b, ok := l.Blocked(start.Add(firstTrial), "models", parts(requestNamed("bad"), "part"))
+		So(ok, ShouldBeTrue)
+		So(b.Suspect, ShouldEqual, quarantine.Suspect("part"))
+	})
+}
--- a/relay/handover.go
+++ b/relay/handover.go
@@ -94,7 +94,7 @@
 	if why != reasonSilent && why != reasonIdle {
 		s.observeCrash(from)
 	}
-	if _, ok := s.blocked(); ok {
+	if _, ok := s.blocked(); ok || len(s.trials) > 0 && !s.sound {
 		s.keep("request blocked")
 		return
 	}
--- a/relay/plain.go
+++ b/relay/plain.go
@@ -107,6 +107,11 @@
 
 // sendPlain sends the request to the next server.
 func (r *Relay) sendPlain(ctx context.Context, p *plainRequest) Action {
+	p.trials = nil
+	if b, ok := p.rejected(); ok {
+		p.block = &b
+		return p.retrier.Conclude()
+	}
 	now := time.Now()
 	to, ok := r.choose(p.job, now, p.tried)
 	if !ok {
@@ -122,7 +127,7 @@
 		p.logEvent("retry budget spent", to.ID)
 		return p.retrier.Conclude()
 	}
-	if b, ok := p.blocked(); ok {
+	if b, ok := p.claimTrials(ctx); !ok {
 		p.block = &b
 		return p.retrier.Conclude()
 	}
--- a/relay/quarantine.go
+++ b/relay/quarantine.go
@@ -1,6 +1,8 @@
 package relay
 
 import (
+	"context"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -50,13 +52,43 @@
 	}
 }
 
-// blocked reports whether the request must not be sent to a server now, unless one is past the
-// beginning of its answer.
+// blocked reports whether the request is blocked. It is not if a server is past the beginning of
+// its answer, and as far as its last send is a trial.
 func (j *job) blocked() (quarantine.Block, bool) {
 	if j.sound {
 		return quarantine.Block{}, false
 	}
-	return j.relay.Quarantine.Blocked(time.Now(), j.service, j.suspects())
+	suspects := slices.DeleteFunc(j.suspects(), func(s quarantine.Suspect) bool { return slices.Contains(j.trials, s) })
+	return j.relay.Quarantine.Blocked(time.Now(), j.service, suspects)
+}
+
+// rejected reports whether the request is blocked and no trial is due.
+func (j *job) rejected() (quarantine.Block, bool) {
+	b, ok := j.blocked()
+	return b, ok && time.Now().Before(b.Until)
+}
+
+// claimRetryDelay is when a request may be sent again that could not claim a trial which was due.
+const claimRetryDelay = time.Second
+
+// claimTrials makes the next send a trial for what blocks the request, if anything. It reports false
+// with the block that remains if the request must not be sent.
+func (j *job) claimTrials(ctx context.Context) (quarantine.Block, bool) {
+	for {
+		b, blocked := j.blocked()
+		now := time.Now()
+		switch {
+		case !blocked:
+			return b, true
+		case now.Before(b.Until):
+			return b, false
+		case j.relay.ClaimTrial == nil || !j.relay.ClaimTrial(ctx, b.Trial):
+			b.Until = now.Add(claimRetryDelay)
+			return b, false
+		}
+		j.logEvent("trial of a blocked request", "", zap.String("suspect", string(b.Suspect)), zap.Int("crashes", b.Crashes))
+		j.trials = append(j.trials, b.Suspect)
+	}
 }
 
 // blockError returns the error that ends a blocked request; ran is whether some server may have
@@ -90,15 +122,19 @@
 
 // rejectBlocked ends a blocked request. It reports whether it did.
 func (s *streamRun) rejectBlocked() bool {
-	b, ok := s.blocked()
-	if !ok {
-		return false
+	b, ok := s.rejected()
+	if ok {
+		s.reject(b)
 	}
+	return ok
+}
+
+// reject ends a blocked request.
+func (s *streamRun) reject(b quarantine.Block) {
 	err := blockError(b, s.mayHaveRun())
 	if s.headSent {
 		s.abort(err)
 	}
 	s.clearHead()
 	s.relay.refuse(s.w, s.job, err)
-	return true
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -62,6 +62,9 @@
 	// QuarantineChanged is called when a request has added a crash to Quarantine or cleared one;
 	// may be nil.
 	QuarantineChanged func()
+	// ClaimTrial reports whether this entry VM may send a blocked request as the trial; nil if no
+	// trials are made.
+	ClaimTrial func(context.Context, quarantine.Crash) bool
 	// Closing reports whether callers' connections are closed after their next answer; may be
 	// nil.
 	Closing func() bool
@@ -135,6 +138,7 @@
 	fingerprint  quarantine.Fingerprint
 	parts        []quarantine.Suspect // parts of its prompt that other requests may have too
 	sound        bool                 // a server was past the beginning of the answer
+	trials       []quarantine.Suspect // those of which its last send is a trial
 	startedAt    time.Time
 	deadline     time.Time
 	sends        int
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -222,6 +222,7 @@
 // start sends the stream to an engine: to one that holds a copy of the previous run's KV
 // cache, or to one that the pool chooses. It returns false if it has ended the request.
 func (s *streamRun) start(why string, from *run) bool {
+	s.trials = nil
 	for {
 		if s.rejectBlocked() {
 			return false
@@ -250,7 +251,8 @@
 			return s.giveUp("retry budget spent")
 		}
 		// The choice may have taken a while.
-		if s.rejectBlocked() {
+		if b, ok := s.claimTrials(s.ctx); !ok {
+			s.reject(b)
 			return false
 		}
 		s.sends++
