relay: servers that answer something else, or not in time, are not taken for lost

A request that was refused as blocked in one attempt no longer says so if another attempt was let through.

--- a/relay/handover.go
+++ b/relay/handover.go
@@ -92,7 +92,7 @@
 func (s *streamRun) replace(why string) {
 	from, budget := s.cur, s.relay.Budget(s.service)
 	if why != reasonSilent && why != reasonIdle {
-		s.observeCrash(from)
+		s.observeCrash(from, nil)
 	}
 	if _, ok := s.blocked(); ok || len(s.trials) > 0 && !s.sound {
 		s.keep("request blocked")
--- a/relay/plain.go
+++ b/relay/plain.go
@@ -107,7 +107,7 @@
 
 // sendPlain sends the request to the next server.
 func (r *Relay) sendPlain(ctx context.Context, p *plainRequest) Action {
-	p.trials = nil
+	p.trials, p.block = nil, nil
 	if b, ok := p.rejected(); ok {
 		p.block = &b
 		return p.retrier.Conclude()
@@ -173,7 +173,7 @@
 		}
 	default:
 		if rep.outcome == Lost {
-			p.observeCrash(rep.server, nil)
+			p.observeCrash(rep.server, nil, rep.err)
 		}
 		p.refundRetry(rep.err)
 		p.logEvent("attempt "+rep.outcome.String(), rep.server.ID, zap.String("fingerprint", string(p.fingerprint)), zap.Error(rep.err))
--- a/relay/quarantine.go
+++ b/relay/quarantine.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"time"
 
@@ -34,9 +35,10 @@
 }
 
 // observeCrash records that a server was lost while it began to answer, which the request or one of
-// the parts may have caused.
-func (j *job) observeCrash(to backend.Choice, parts []quarantine.Suspect) {
-	if j.sound || j.msg.Context().Err() != nil {
+// the parts may have caused; err is how its answer ended. A server that has answered something else,
+// or not in time, is not lost.
+func (j *job) observeCrash(to backend.Choice, parts []quarantine.Suspect, err error) {
+	if j.sound || errors.Is(err, errForeign) || j.msg.Context().Err() != nil || !time.Now().Before(j.deadline) {
 		return
 	}
 	c, ok := j.relay.Quarantine.Observe(time.Now(), quarantine.Crash{
@@ -110,13 +112,13 @@
 
 // observeCrash records that a run's engine was lost while it began to answer. Before its head, it
 // may not have read the prompt.
-func (s *streamRun) observeCrash(r *run) {
+func (s *streamRun) observeCrash(r *run, err error) {
 	switch {
 	case r.events >= beginEvents:
 	case r.answered:
-		s.job.observeCrash(r.to, s.parts)
+		s.job.observeCrash(r.to, s.parts, err)
 	default:
-		s.job.observeCrash(r.to, nil)
+		s.job.observeCrash(r.to, nil, err)
 	}
 }
 
--- a/relay/quarantine_test.go
+++ b/relay/quarantine_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"sync"
 	"testing"
 	"time"
@@ -10,6 +11,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"quetzalhold/engine"
+	"quetzalhold/platform/platformtest"
 	"quetzalhold/quarantine"
 )
 
@@ -37,3 +39,38 @@
 		So(a.body, ShouldEqual, events(1, numEvent))
 	})
 }
+
+// TestTimeoutTakenForCrash guards against requests that are blocked since their time ran out at
+// servers which are only slow, or answered something else.
+func TestTimeoutTakenForCrash(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		fault platformtest.Fault
+	}{
+		{"servers that do not answer in time", platformtest.Fault{Hang: true}},
+		{"servers that answer another request", platformtest.Fault{WrongRequest: true}},
+	} {
+		withHarness(t, c.name, func(w *harness) {
+			for i := range 6 {
+				w.add(fmt.Sprintf("a%d", i), "app", 0, 10*time.Millisecond)
+			}
+			for _, s := range w.servers {
+				s.SetFault(c.fault)
+			}
+			var wg sync.WaitGroup
+			for range 20 {
+				for range 6 {
+					wg.Go(func() { w.request(context.Background(), http.MethodPost, "/status/1", "poll", "X-Deadline-Ms", "250") })
+				}
+				wg.Wait()
+			}
+			for _, s := range w.servers {
+				s.SetFault(platformtest.Fault{})
+			}
+			time.Sleep(time.Second)
+			a := w.request(context.Background(), http.MethodPost, "/status/1", "poll")
+			So(a.status, ShouldEqual, http.StatusOK)
+			So(w.relay.Quarantine.Listed(time.Now().Add(time.Minute)), ShouldBeEmpty)
+		})
+	}
+}
--- a/relay/send.go
+++ b/relay/send.go
@@ -123,6 +123,9 @@
 	return resp, nil
 }
 
+// errForeign reports that a response does not answer the request that was sent.
+var errForeign = errors.New("no answer to this request")
+
 // classify returns the outcome of an attempt from its error or its response head, and updates
 // the pool with what this shows about the server.
 func (r *Relay) classify(m *message, to backend.Choice, resp *http.Response, err error) (Outcome, error) {
@@ -147,7 +150,7 @@
 		return NotRun, fmt.Errorf("refused with status %d", resp.StatusCode)
 	}
 	if !platform.Genuine(resp.Header, m.params.ID) {
-		return Lost, fmt.Errorf("status %d is no answer to this request", resp.StatusCode)
+		return Lost, fmt.Errorf("status %d: %w", resp.StatusCode, errForeign)
 	}
 	return Answered, nil
 }
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -604,7 +604,7 @@
 		// A run that ended with the request's context shows no failure of its engine.
 		if s.ctx.Err() == nil {
 			s.relay.Pool.MarkFailed(r.to.ID, time.Now())
-			s.observeCrash(r)
+			s.observeCrash(r, p.err)
 		}
 	}
 }
