relay: a server that breaks off an answer and is alive is not held for lost

0.1 s after the loss a connection to the server, or an engine's load report, shows whether it is lost; if not, the crash is cleared.

TestLiveServersTakenForLost, servers that close connections: 503 before, 200 now. TestRequestCrashesServers, TestPromptPartCrashesEngines and TestSoundRequestStaysBlocked hold.

--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -347,8 +347,8 @@
 	}
 }
 
-// Clear records that another entry VM has found all suspects of a crash sound. It reports whether
-// that was not known.
+// Clear records that all suspects of a crash were found sound by another entry VM, or that it was no
+// crash. It reports whether that was not known.
 func (l *List) Clear(now time.Time, n Name) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/relay/quarantine.go
+++ b/relay/quarantine.go
@@ -52,6 +52,24 @@
 	if j.relay.QuarantineChanged != nil {
 		j.relay.QuarantineChanged()
 	}
+	go j.relay.confirmCrash(to, c.Name(), j.model != nil)
+}
+
+// confirmDelay leaves a server that crashes the time to stop listening.
+const confirmDelay = 100 * time.Millisecond
+
+// confirmCrash clears a crash if the server is alive: then it has only broken off an answer. An
+// engine shows it by a load report.
+func (r *Relay) confirmCrash(to backend.Choice, n quarantine.Name, isEngine bool) {
+	time.Sleep(confirmDelay)
+	p := r.probe(context.Background(), to, time.Now().Add(to.DialTime+probeMargin), to.DialTime+probeRetryDelay, isEngine)
+	if p.err != nil || !r.Quarantine.Clear(time.Now(), n) {
+		return
+	}
+	r.Log.Info("server is not lost", zap.String("server", string(to.ID)), zap.String("crash", string(n)))
+	if r.QuarantineChanged != nil {
+		r.QuarantineChanged()
+	}
 }
 
 // blocked reports whether the request is blocked. It is not if a server is past the beginning of
--- a/relay/quarantine_test.go
+++ b/relay/quarantine_test.go
@@ -40,15 +40,16 @@
 	})
 }
 
-// TestTimeoutTakenForCrash guards against requests that are blocked since their time ran out at
-// servers which are only slow, or answered something else.
-func TestTimeoutTakenForCrash(t *testing.T) {
+// TestLiveServersTakenForLost guards against requests that are blocked since servers which are alive
+// did not answer them.
+func TestLiveServersTakenForLost(t *testing.T) {
 	for _, c := range []struct {
 		name  string
 		fault platformtest.Fault
 	}{
 		{"servers that do not answer in time", platformtest.Fault{Hang: true}},
 		{"servers that answer another request", platformtest.Fault{WrongRequest: true}},
+		{"servers that close connections", platformtest.Fault{DropConnection: true}},
 	} {
 		withHarness(t, c.name, func(w *harness) {
 			for i := range 6 {
