relay: an answer under way waits for an engine as long as its time lasts

What callers saw: a stream was broken off in its middle although its engine was sound and engines took it again some seconds later. Its engine was silent for a second, the one that was to replace it refused late, and for two seconds every engine refused, or no retry was left (found by a review).

Cause: a stream gave up after 20 rounds of 100 ms, or 12 sends, also when a part of its answer had been sent. Both limits are meant for requests that can be refused.

Evidence: three cases of TestPausedStreamGivenUp failed before ("unexpected EOF", where engines refuse, or no retry is left, for more than two seconds).

Fix: past these limits an answer under way goes on to wait, with a round and at most one send every 500 ms, each within the retry budget. It ends with its time, or once no server is left that its route permits.

--- /dev/null
+++ b/relay/lost_test.go
@@ -0,0 +1,65 @@
+package relay_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"quetzalhold/platform/platformtest"
+	"quetzalhold/routing"
+)
+
+// lateRefusal is the fault of an engine that refuses long after it was sent a request.
+var lateRefusal = platformtest.Fault{Refuse: true, RefuseAfter: 600 * time.Millisecond}
+
+// maxRefused is how often one stream may be sent to engines that refuse it for seven seconds.
+const maxRefused = 30
+
+// TestPausedStreamGivenUp guards against an answer under way that is broken off because no engine
+// takes it for some seconds, or no retry is left, though its time is not over.
+func TestPausedStreamGivenUp(t *testing.T) {
+	for _, x := range []struct {
+		name  string
+		slack float64
+		late  time.Duration // for how long the engines refuse late
+		spent time.Duration // until the retries come back
+	}{
+		{"the engines refuse late for seven seconds", 100, 7 * time.Second, 0},
+		{"the engines refuse at once for six seconds", 100, time.Second, 0},
+		{"the retries come back after nine seconds", 2, 6 * time.Second, 9 * time.Second},
+	} {
+		withHarness(t, x.name, func(w *harness) {
+			w.addEngines()
+			w.budget.Ratio = 0
+			w.budget.SetSlack(x.slack)
+			time.AfterFunc(2*time.Second, func() {
+				s := w.serving("r1")
+				s.SetFault(platformtest.Fault{SilentUntil: time.Now().Add(time.Second), Refuse: true})
+				w.faultOthers(s, lateRefusal)
+				time.AfterFunc(x.late, func() { w.faultOthers(s, platformtest.Fault{Refuse: true}) })
+				time.AfterFunc(7*time.Second, func() { w.faultOthers(nil, platformtest.Fault{}) })
+				time.AfterFunc(x.spent, func() { w.budget.SetSlack(100) })
+			})
+			a := w.resumableStream(context.Background())
+			So(a.err, ShouldBeNil)
+			So(a.body, ShouldEqual, events(1, numEvent))
+			refused := 0
+			for _, s := range w.servers {
+				refused += len(s.Refused())
+			}
+			So(refused, ShouldBeLessThan, maxRefused)
+		})
+	}
+	withHarness(t, "no server is left that may run it", func(w *harness) {
+		w.addEngines()
+		c := testConfig()
+		c.Routes[0].MaxAttempts = 1
+		w.setTable(routing.NewTable(c))
+		time.AfterFunc(2*time.Second, func() { w.kill(w.serving("r1")) })
+		a := w.resumableStream(context.Background())
+		So(a.err, ShouldNotBeNil)
+		So(a.took, ShouldBeLessThan, 5*time.Second)
+	})
+}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -78,6 +78,7 @@
 	idStep    int64 // difference between the ids of two events; 0 if unknown
 	ran       attempts
 	rounds    int
+	lateSends int    // sends permitted beyond maxSends, for an answer under way
 	failure   *reply // a failure that a server answered with
 	parts     []quarantine.PartID
 	sound     bool // an engine was past the beginning of the answer
@@ -231,9 +232,16 @@
 			}
 			continue
 		}
+		if s.sends >= maxSends+s.lateSends {
+			if !s.pause() {
+				return false
+			}
+			continue
+		}
 		p, memory, ok := s.pick(now, from, s.tried)
 		from = nil
-		if !ok || s.sends >= maxSends {
+		if !ok {
+			s.tried = nil
 			if !s.pause() {
 				return false
 			}
@@ -629,21 +637,33 @@
 const (
 	streamRetryDelay = 100 * time.Millisecond
 	maxStreamRounds  = 20
+	// lateRetryDelay is the delay between the rounds, and sends, of an answer under way that has
+	// used up the others.
+	lateRetryDelay = 500 * time.Millisecond
 )
 
 // pause waits a moment if no engine accepts the stream. It returns false if it has ended the
-// request.
+// request: an answer under way waits as long as its time lasts and a server may go on with it.
 func (s *streamRun) pause() bool {
-	s.tried = nil
+	delay := streamRetryDelay
 	s.rounds++
 	if s.rounds > maxStreamRounds || s.sends >= maxSends {
-		return s.giveUp("no engine takes it")
+		switch {
+		case !s.headSent:
+			return s.giveUp("no engine takes it")
+		case s.atLimit(0) && len(s.permitted(time.Now())) == 0:
+			return s.giveUp("every permitted run was lost")
+		}
+		delay = lateRetryDelay
+		if s.sends >= maxSends+s.lateSends {
+			s.lateSends++
+		}
 	}
 	if at, ok := s.relay.Pool.RetryAt(s.relay.need(s.job, time.Now(), nil, "")); ok && !s.headSent {
 		s.retryAt = at
 		return s.giveUp("every engine refuses requests for now")
 	}
-	t := time.NewTimer(streamRetryDelay)
+	t := time.NewTimer(delay)
 	defer t.Stop()
 	select {
 	case <-t.C:
