relay: no silent run is given up for the last retry

What callers saw: a stream whose sound engine was silent for a second was broken off, or answered 502 before its first event, if the silence came with a reason to think that the engine was lost: other requests had failed there, or it took no new connections meanwhile.

Cause: only a run whose engine answered probes kept a further retry in reserve. But a server that is silent for a second answers no probes either, and one that others think lost may go on.

Evidence: all four cases of TestLastRetryForSilentRun failed before ("unexpected EOF", 502 instead of 200).

Fix: a silent run is replaced only while a further retry is left, whatever the reason. A run that is really lost by then waits for the budget, as it does without any retry. Runs that end by themselves are not concerned.

--- a/relay/handover.go
+++ b/relay/handover.go
@@ -105,13 +105,8 @@
 		s.keep("no other engine")
 		return
 	}
-	allow := budget.Allow
-	if why == reasonSilent {
-		// The engine is reachable and may be sound, and the other one may refuse late.
-		allow = budget.AllowSpare
-	}
-	// Other streams may have used the budget meanwhile.
-	if !allow(time.Now()) {
+	// The silent run's engine may be sound, whatever the reason, and the other one may refuse late.
+	if !budget.AllowSpare(time.Now()) {
 		s.keep("retry budget spent")
 		return
 	}
--- a/relay/lost_test.go
+++ b/relay/lost_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"net/http"
 	"testing"
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"quetzalhold/engine"
 	"quetzalhold/platform/platformtest"
 	"quetzalhold/routing"
 )
@@ -63,3 +65,70 @@
 		So(a.took, ShouldBeLessThan, 5*time.Second)
 	})
 }
+
+// TestLastRetryForSilentRun guards against a silent run that is given up for the last retry, since
+// its engine is thought to be lost.
+func TestLastRetryForSilentRun(t *testing.T) {
+	withHarness(t, "others failed at its engine", func(w *harness) {
+		w.addEngines()
+		w.budget.Ratio = 0
+		w.budget.SetSlack(1)
+		time.AfterFunc(2*time.Second, func() {
+			s := w.serving("r1")
+			s.SetFault(platformtest.Fault{SilentUntil: time.Now().Add(time.Second), Refuse: true})
+			w.faultOthers(s, lateRefusal)
+			time.AfterFunc(50*time.Millisecond, func() { w.pool.MarkFailed(engine.ServerID(s.ID), time.Now()) })
+		})
+		a := w.resumableStream(context.Background())
+		So(a.err, ShouldBeNil)
+		So(a.body, ShouldEqual, events(1, numEvent))
+	})
+	withHarness(t, "its engine takes no connections meanwhile", func(w *harness) {
+		w.addEngines()
+		w.budget.Ratio = 0
+		w.budget.SetSlack(1)
+		time.AfterFunc(2*time.Second, func() {
+			s := w.serving("r1")
+			w.hold(s, time.Second)
+			s.SetFault(platformtest.Fault{SilentUntil: time.Now().Add(time.Second), Refuse: true})
+			w.faultOthers(s, lateRefusal)
+		})
+		a := w.resumableStream(context.Background())
+		So(a.err, ShouldBeNil)
+		So(a.body, ShouldEqual, events(1, numEvent))
+	})
+	withHarness(t, "before the first event, others failed at its engine", func(w *harness) {
+		w.addEngines()
+		w.budget.Ratio = 0
+		w.budget.SetSlack(1)
+		time.AfterFunc(500*time.Millisecond, func() {
+			for _, s := range w.servers {
+				if s.Running() > 0 {
+					s.SetFault(platformtest.Fault{SilentUntil: time.Now().Add(time.Second), Refuse: true})
+					w.faultOthers(s, lateRefusal)
+					w.pool.MarkFailed(engine.ServerID(s.ID), time.Now())
+				}
+			}
+		})
+		a := w.resumableStream(context.Background())
+		So(a.status, ShouldEqual, http.StatusOK)
+		So(a.body, ShouldEqual, events(1, numEvent))
+	})
+	withHarness(t, "before the first event, its engine takes no connections meanwhile", func(w *harness) {
+		w.addEngines()
+		w.budget.Ratio = 0
+		w.budget.SetSlack(1)
+		time.AfterFunc(500*time.Millisecond, func() {
+			for _, s := range w.servers {
+				if s.Running() > 0 {
+					w.hold(s, time.Second)
+					s.SetFault(platformtest.Fault{SilentUntil: time.Now().Add(time.Second), Refuse: true})
+					w.faultOthers(s, lateRefusal)
+				}
+			}
+		})
+		a := w.resumableStream(context.Background())
+		So(a.status, ShouldEqual, http.StatusOK)
+		So(a.body, ShouldEqual, events(1, numEvent))
+	})
+}
--- a/relay/world_test.go
+++ b/relay/world_test.go
@@ -17,6 +17,7 @@
 	"go.uber.org/zap"
 
 	"quetzalhold/backend"
+	"quetzalhold/clock"
 	"quetzalhold/engine"
 	"quetzalhold/memnet"
 	"quetzalhold/names"
@@ -48,6 +49,7 @@
 	mu    sync.Mutex
 	table *routing.Table
 	codes []result.Code
+	held  map[string]time.Time // until when servers take no connections, by address
 }
 
 // domains are the failure domains, each in a region of its own.
@@ -61,7 +63,7 @@
 	}
 	w.budget.SetSlack(20)
 	w.table = routing.NewTable(testConfig())
-	r := relay.New(w.net.Dialer(entryHost))
+	r := relay.New(w.dial)
 	r.Domain = "cn-a"
 	r.Region = func(n names.ID) names.ID { return n }
 	r.Pool = w.pool
@@ -85,6 +87,27 @@
 	return w
 }
 
+// hold lets a server take no connections for d; it takes the ones that wait then.
+func (w *harness) hold(s *platformtest.Server, d time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.held == nil {
+		w.held = make(map[string]time.Time)
+	}
+	w.held[s.Address] = time.Now().Add(d)
+}
+
+// dial is the relay's dialer.
+func (w *harness) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	w.mu.Lock()
+	until := w.held[address]
+	w.mu.Unlock()
+	if err := clock.Until(ctx, until); err != nil {
+		return nil, err
+	}
+	return w.net.Dialer(entryHost)(ctx, network, address)
+}
+
 // ended returns the codes with which requests ended so far.
 func (w *harness) ended() []result.Code {
 	w.mu.Lock()
