relay: answers during a stop say that their connections close

What callers saw: during a stop, answers to streams, whole, failed or refused, did not say that their connection closes, and neither did answers to calls that were sent before the stop. A caller that keeps such a connection may send its next request as it is closed (found by a review; such a request is not read).

Cause: the header was set when a request came in. Streams clear the head that is not sent yet when an engine answers, and the answer to a request that came before the stop is not told of it.

Evidence: three of five cases of TestClosingNotSaid failed before (stream, stream that is refused, stream that fails).

Fix: it is decided when the head of the answer is sent, in the four places that send one.

--- a/relay/plain.go
+++ b/relay/plain.go
@@ -179,6 +179,7 @@
 	if j.msg.Method != http.MethodHead && rep.rest == nil {
 		h.Set("Content-Length", strconv.Itoa(len(rep.body)))
 	}
+	r.announceClose(h)
 	w.WriteHeader(rep.status)
 	to := &callerWriter{w: w}
 	_, err := to.Write(rep.body)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -198,9 +198,6 @@
 func (r *Relay) ServeHTTP(w http.ResponseWriter, req *http.Request) {
 	j := &job{relay: r, startedAt: time.Now(), route: &routing.Route{}, msg: &message{Request: req}}
 	j.trace()
-	if r.Closing != nil && r.Closing() {
-		w.Header().Set("Connection", "close")
-	}
 	if err := r.admit(w, j); err != nil {
 		r.refuse(w, j, err)
 		return
@@ -353,6 +350,13 @@
 	return int64(n)
 }
 
+// announceClose tells the caller in the head of an answer if its connection is closed after it.
+func (r *Relay) announceClose(h http.Header) {
+	if r.Closing != nil && r.Closing() {
+		h.Set("Connection", "close")
+	}
+}
+
 // refuse answers with an error of the gateway itself.
 func (r *Relay) refuse(w http.ResponseWriter, j *job, err error) {
 	e := result.FromError(err)
@@ -364,6 +368,7 @@
 		platform.SetRetryAfter(w.Header(), delay+rand.N(retrySpread))
 	}
 	to := &callerWriter{w: w}
+	r.announceClose(w.Header())
 	result.Write(w, e)
 	j.end(e.Code, "", zap.Bool("notRun", e.NotRun), zap.String("why", e.Error()), zap.NamedError("writeError", to.flush()))
 }
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -513,6 +513,7 @@
 func (s *streamRun) forward(e event) bool {
 	if !s.headSent {
 		s.headSent, s.firstAt = true, time.Now()
+		s.relay.announceClose(s.w.Header())
 		s.w.WriteHeader(http.StatusOK)
 	}
 	_, err := s.w.Write(e.raw)
@@ -535,6 +536,7 @@
 	}
 	if !s.headSent {
 		s.headSent = true
+		s.relay.announceClose(s.w.Header())
 		s.w.WriteHeader(http.StatusOK)
 	}
 	if s.sends == 1 && s.msg.params.LastEvent == "" && s.lastID > 1 {
