gateway: a reload of the settings keeps what the retry budgets have counted

What callers saw: after a reload that changed any of the users' bounds, the entry VM had hardly a retry for a while (its part of the slack: fewer than three in a fleet of 68, until its peers report), so that requests which a retry would have saved ended with 502 or 503. The retries before the reload were forgotten too (found by a review; nobody has reported it).

Cause: the budgets were dropped whenever a bound differed, and what their requests had earned with them.

Fix: the budgets are dropped only if a bound that they are made from differs; the slack is set in place, as it is every second.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -295,11 +295,12 @@
 // limit take effect at the next start; in-flight requests are not affected.
 func (d *Daemon) Reload(s *settings.Gateway) {
 	old := d.settings.Swap(s)
-	if old.Bounds != s.Bounds {
+	if old.Bounds.RepeatRatio != s.Bounds.RepeatRatio || old.Bounds.RepeatWindowS != s.Bounds.RepeatWindowS {
 		d.mu.Lock()
 		clear(d.budgets) // created again with the new bounds when used
 		d.mu.Unlock()
 	}
+	d.updateSlack()
 	d.log.Info("settings reloaded", zap.Bool("changed", !reflect.DeepEqual(old, s)),
 		zap.Bool("restartNeeded", old.ID != s.ID || old.Listen != s.Listen || old.Store != s.Store || old.Peers != s.Peers))
 }
