relay: silent connections are found before the first event

What callers saw: streams ended at their deadline (504), or in the middle for it, because connections were silent for good before the first event. Each cost up to its wait for the first event, which doubles: 5.8 s, then 11.7 s.

Cause: before the first event, silence was judged by the time alone, as an engine may be reading the prompt. But its reports, which such runs ask for anyway, list for each run how many events it has made.

Fix: a run of which its engine reports events, while none has come, is taken over by another engine.

--- a/backend/place.go
+++ b/backend/place.go
@@ -17,6 +17,8 @@
 	Generating int                `json:"generating"` // requests that are generating tokens
 	Used       engine.Tokens      `json:"used"`       // KV cache in use that cannot be evicted
 	Total      engine.Tokens      `json:"total"`
+	// Events is how many events each run that generates has made.
+	Events map[engine.RequestID]int64 `json:"-"`
 }
 
 // Engine is an engine considered for a placement, with its load report if one arrived.
--- a/relay/decision_test.go
+++ b/relay/decision_test.go
@@ -35,6 +35,8 @@
 		{"resumed from a copy, probed soon", StreamState{Now: at(150), SentAt: at(0), FromCopy: true}, Probe, 0},
 		{"no first event in time", StreamState{Now: at(3000), SentAt: at(0), FirstEventBy: at(3000), ProbedAt: at(2900), ProbeOK: true}, FailOver, 0},
 		{"no work reported, but the report may be old", StreamState{Now: at(590), SentAt: at(0), FirstEventBy: at(3000), ProbedAt: at(500), ProbeOK: true, IdleAt: at(550)}, Await, 800},
+		{"events reported, but none has come", StreamState{Now: at(700), SentAt: at(0), FirstEventBy: at(3000), ProbedAt: at(600), ProbeOK: true, Unheard: true}, FailOver, 0},
+		{"events reported, and some came since", StreamState{Now: at(700), SentAt: at(0), LastEventAt: at(690), ProbedAt: at(600), ProbeOK: true, Unheard: true}, Await, 840},
 		{"no work reported", StreamState{Now: at(650), SentAt: at(0), FirstEventBy: at(3000), ProbedAt: at(600), ProbeOK: true, IdleAt: at(640)}, FailOver, 0},
 	} {
 		Convey(c.name, t, func() {
--- a/relay/detector.go
+++ b/relay/detector.go
@@ -54,6 +54,9 @@
 	// IdleAt is when the server last reported that it has no work at all; zero if it never
 	// did.
 	IdleAt time.Time
+	// Unheard reports whether the server has reported events of the run, of which none has come:
+	// the connection is silent for good.
+	Unheard bool
 	// ProbedAt is when the server was last probed, zero if it was not. ProbeDue is when the
 	// answer is due, and ProbeOK reports whether it came.
 	ProbedAt time.Time
@@ -84,6 +87,9 @@
 // no work at all.
 const reasonIdle = "server does not work on it"
 
+// reasonUnheard is the reason for a failover from a run whose events do not come.
+const reasonUnheard = "its events do not come"
+
 // reasonSilent is the reason for a failover from a server that is reachable, as far as is known,
 // but sends no event in time.
 const reasonSilent = "silent though probes are answered"
@@ -106,6 +112,9 @@
 	if s.LastEventAt.IsZero() && s.IdleAt.Sub(s.SentAt) >= cmp.Or(d.IdleAfter, defaultIdleAfter) {
 		return Decision{Action: FailOver, Reason: reasonIdle}
 	}
+	if s.LastEventAt.IsZero() && s.Unheard {
+		return Decision{Action: FailOver, Reason: reasonUnheard}
+	}
 	if s.ServerFailed && s.Now.Sub(since) >= probeAfter {
 		return Decision{Action: FailOver, Reason: "server known to be lost"}
 	}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -743,8 +743,9 @@
 
 // probeResult is the outcome of a probe.
 type probeResult struct {
-	err  error
-	idle bool // the server reports that it has no work at all
+	err    error
+	idle   bool  // the server reports that it has no work at all
+	events int64 // how many events of the run the server reports
 }
 
 // probe probes the current server: one that is unreachable does not answer. With report, the
@@ -760,9 +761,9 @@
 	}
 	answer := make(chan probeResult, 1)
 	s.cur.probeResults = answer
-	ctx := s.ctx
+	ctx, id := s.ctx, s.msg.params.ID
 	go func() {
-		answer <- s.relay.probe(ctx, to, by, usual+probeRetryDelay, report)
+		answer <- s.relay.probe(ctx, to, id, by, usual+probeRetryDelay, report)
 	}()
 }
 
@@ -777,7 +778,7 @@
 // probe probes a server until the deadline, with a second try after retryAfter, and returns the
 // outcome of the first try that ends. The second try opens a new connection, as the one for
 // control calls may be silent.
-func (r *Relay) probe(ctx context.Context, to backend.Choice, deadline time.Time, retryAfter time.Duration, report bool) probeResult {
+func (r *Relay) probe(ctx context.Context, to backend.Choice, id engine.RequestID, deadline time.Time, retryAfter time.Duration, report bool) probeResult {
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
 	results := make(chan probeResult, 2)
@@ -796,7 +797,7 @@
 				rep, err = r.Report(ctx, to)
 				return err
 			})
-			results <- probeResult{err: err, idle: err == nil && rep.Waiting+rep.Prefilling+rep.Generating == 0}
+			results <- probeResult{err: err, idle: err == nil && rep.Waiting+rep.Prefilling+rep.Generating == 0, events: rep.Events[id]}
 		}
 	}
 	go first()
@@ -820,7 +821,7 @@
 		s.logEvent("probe failed", s.cur.to.ID, zap.Error(fmt.Errorf("probe: %w", p.err)))
 		return
 	}
-	s.cur.state.ProbeOK = true
+	s.cur.state.ProbeOK, s.cur.state.Unheard = true, p.events > 0 && len(s.cur.parts) == 0
 	if p.idle {
 		s.cur.state.IdleAt = time.Now()
 	}
