relay: failing test: runs of suspect engines are given up before another takes them

What callers see: a stream is broken off, or answered 502 before its first event, because its engine, silent for a second, is thought to be lost: other requests failed there, or it takes no connections meanwhile. Its run is closed 200 ms after another engine has the stream; that one and all others refuse after 600 ms.

Not mended here: each of two fixes made other tests fail.

--- a/relay/lost_test.go
+++ b/relay/lost_test.go
@@ -132,3 +132,42 @@
 		So(a.body, ShouldEqual, events(1, numEvent))
 	})
 }
+
+// TestSuspectRunGivenUp guards against a run that is given up since its engine is thought to be lost,
+// before another engine has taken its stream: the engine was silent for a second, and others refuse
+// late.
+func TestSuspectRunGivenUp(t *testing.T) {
+	for _, x := range []struct {
+		name  string
+		after time.Duration // from the request to the silence
+		held  bool          // the engine takes no connections meanwhile; otherwise others failed there
+	}{
+		{"others failed at its engine", 2 * time.Second, false},
+		{"its engine takes no connections", 2 * time.Second, true},
+		{"before the first event, others failed at its engine", 500 * time.Millisecond, false},
+		{"before the first event, its engine takes no connections", 500 * time.Millisecond, true},
+	} {
+		withHarness(t, x.name, func(w *harness) {
+			w.addEngines()
+			time.AfterFunc(x.after, func() {
+				for _, s := range w.servers {
+					if s.Running() == 0 {
+						continue
+					}
+					s.SetFault(platformtest.Fault{SilentUntil: time.Now().Add(time.Second), Refuse: true})
+					w.faultOthers(s, lateRefusal)
+					if x.held {
+						w.hold(s, time.Second)
+					} else {
+						w.pool.MarkFailed(engine.ServerID(s.ID), time.Now())
+					}
+				}
+			})
+			a := w.resumableStream(context.Background())
+			So(a.err, ShouldBeNil)
+			So(a.status, ShouldEqual, http.StatusOK)
+			So(a.body, ShouldEqual, events(1, numEvent))
+			So(w.book.Runs("r1"), ShouldHaveLength, 1)
+		})
+	}
+}
