--- a/relay/stream.go
+++ b/relay/stream.go
@@ -78,6 +78,7 @@
 	idStep    int64 // difference between the ids of two events; 0 if unknown
 	ran       attempts
 	rounds    int
+	lateSends int    // sends permitted beyond maxSends, for an answer under way
 	failure   *reply // a failure that a server answered with
 	// retryAt is when the first engine accepts requests again; zero unless all refuse them.
 	retryAt time.Time
@@ -235,9 +236,16 @@
 			}
 			continue
 		}
+		if s.sends >= maxSends+s.lateSends {
+			if !s.pause() {
+				return false
+			}
+			continue
+		}
 		p, memory, ok := s.pick(now, from, s.tried)
 		from = nil
-		if !ok || s.sends >= maxSends {
+		if !ok {
+			s.tried = nil
 			if !s.pause() {
 				return false
 			}
@@ -514,6 +522,7 @@
 func (s *streamRun) forward(e event) bool {
 	if !s.headSent {
 		s.headSent, s.firstAt = true, time.Now()
+		s.relay.announceClose(s.w.Header())
 		s.w.WriteHeader(http.StatusOK)
 	}
 	_, err := s.w.Write(e.raw)
@@ -536,6 +545,7 @@
 	}
 	if !s.headSent {
 		s.headSent = true
+		s.relay.announceClose(s.w.Header())
 		s.w.WriteHeader(http.StatusOK)
 	}
 	if s.sends == 1 && s.msg.params.LastEvent == "" && s.lastID > 1 {
@@ -639,21 +649,33 @@
 const (
 	streamRetryDelay = 100 * time.Millisecond
 	maxStreamRounds  = 20
+	// lateRetryDelay is the delay between the rounds, and sends, of an answer under way that has
+	// used up the others.
+	lateRetryDelay = 500 * time.Millisecond
 )
 
 // pause waits a moment if no engine accepts the stream. It returns false if it has ended the
-// request.
+// request: an answer under way waits as long as its time lasts and a server may go on with it.
 func (s *streamRun) pause() bool {
-	s.tried = nil
+	delay := streamRetryDelay
 	s.rounds++
 	if s.rounds > maxStreamRounds || s.sends >= maxSends {
-		return s.giveUp("no engine takes it")
+		switch {
+		case !s.headSent:
+			return s.giveUp("no engine takes it")
+		case s.atLimit(0) && len(s.permitted(time.Now())) == 0:
+			return s.giveUp("every permitted run was lost")
+		}
+		delay = lateRetryDelay
+		if s.sends >= maxSends+s.lateSends {
+			s.lateSends++
+		}
 	}
 	if at, ok := s.relay.Pool.RetryAt(s.relay.need(s.job, time.Now(), nil, "")); ok && !s.headSent {
 		s.retryAt = at
 		return s.giveUp("every engine refuses requests for now")
 	}
-	t := time.NewTimer(streamRetryDelay)
+	t := time.NewTimer(delay)
 	defer t.Stop()
 	select {
 	case <-t.C:
@@ -731,8 +753,9 @@
 
 // probeResult is the outcome of a probe.
 type probeResult struct {
-	err  error
-	idle bool // the server reports that it has no work at all
+	err    error
+	idle   bool  // the server reports that it has no work at all
+	events int64 // how many events of the run the server reports
 }
 
 // probe probes the current server: one that is unreachable does not answer. With report, the
@@ -748,9 +771,9 @@
 	}
 	answer := make(chan probeResult, 1)
 	s.cur.probeResults = answer
-	ctx := s.ctx
+	ctx, id := s.ctx, s.msg.params.ID
 	go func() {
-		answer <- s.relay.probe(ctx, to, by, usual+probeRetryDelay, report)
+		answer <- s.relay.probe(ctx, to, id, by, usual+probeRetryDelay, report)
 	}()
 }
 
@@ -765,7 +788,7 @@
 // probe probes a server until the deadline, with a second try after retryAfter, and returns the
 // outcome of the first try that ends. The second try opens a new connection, as the one for
 // control calls may be silent.
-func (r *Relay) probe(ctx context.Context, to backend.Choice, deadline time.Time, retryAfter time.Duration, report bool) probeResult {
+func (r *Relay) probe(ctx context.Context, to backend.Choice, id engine.RequestID, deadline time.Time, retryAfter time.Duration, report bool) probeResult {
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
 	results := make(chan probeResult, 2)
@@ -784,7 +807,7 @@
 				rep, err = r.Report(ctx, to)
 				return err
 			})
-			results <- probeResult{err: err, idle: err == nil && rep.Waiting+rep.Prefilling+rep.Generating == 0}
+			results <- probeResult{err: err, idle: err == nil && rep.Waiting+rep.Prefilling+rep.Generating == 0, events: rep.Events[id]}
 		}
 	}
 	go first()
@@ -808,7 +831,7 @@
 		s.logEvent("probe failed", s.cur.to.ID, zap.Error(fmt.Errorf("probe: %w", p.err)))
 		return
 	}
-	s.cur.state.ProbeOK = true
+	s.cur.state.ProbeOK, s.cur.state.Unheard = true, p.events > 0 && len(s.cur.parts) == 0
 	if p.idle {
 		s.cur.state.IdleAt = time.Now()
 	}
