relay, gateway: engines that do not work on a request are evidence about their version

Cause: streams that are taken from such an engine reported nothing about it, since only silent ones did.

They are reported, and count as slow. That remains: a stream that was taken from an engine of the new version goes to the next engine of that version, so that one request is sent there several times.

TestPartialAnswers, hung: nothing was reported before.

--- a/gateway/moves.go
+++ b/gateway/moves.go
@@ -243,7 +243,7 @@
 	switch {
 	case r.Failed:
 		c.Failed = 1
-	case sm.speed.IsSlow(route, r.First, r.Gap):
+	case r.Hung, sm.speed.IsSlow(route, r.First, r.Gap):
 		c.Slow = 1
 	case r.Partial:
 		return // it might have become slow or not
--- a/relay/handover.go
+++ b/relay/handover.go
@@ -117,8 +117,8 @@
 		s.keep("retry budget spent")
 		return
 	}
-	if why == reasonSilent {
-		s.reportPartial()
+	if why == reasonSilent || why == reasonIdle {
+		s.reportPartial(why == reasonIdle)
 	}
 	s.relay.markFailed(from.to, why == reasonIdle)
 	s.countEmpty(from)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -103,6 +103,8 @@
 	// Partial reports whether the answer was given up before it ended. First is then the least
 	// that it would have been, and Gap is 0 if there were too few events.
 	Partial bool
+	// Hung reports whether the server did not work on the request at all.
+	Hung bool
 }
 
 // reportAnswer calls Answered for a server's answer.
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -562,13 +562,14 @@
 const minPartialEvents = 16
 
 // reportPartial reports the answer of the first run, which is given up though its engine may
-// be alive: a slow engine's answers would otherwise be missed.
-func (s *streamRun) reportPartial() {
+// be alive: the answers of a slow engine, or of one that does not work on them, would otherwise be
+// missed.
+func (s *streamRun) reportPartial(hung bool) {
 	if s.cur == nil || s.sends != 1 || s.msg.params.LastEvent != "" || s.relay.Answered == nil {
 		return
 	}
 	a := ServerAnswer{
-		Service: s.service, Route: s.route.Name, Server: s.cur.to.ID, Version: s.cur.to.Version, First: time.Since(s.startedAt), Partial: true,
+		Service: s.service, Route: s.route.Name, Server: s.cur.to.ID, Version: s.cur.to.Version, First: time.Since(s.startedAt), Partial: true, Hung: hung,
 	}
 	if s.headSent {
 		a.First = s.firstAt.Sub(s.startedAt)
@@ -713,7 +714,7 @@
 // when the entry VM stops. Whatever the cause, a partial stream must not look complete to the
 // caller.
 func (s *streamRun) endCancelled() {
-	s.reportPartial()
+	s.reportPartial(false)
 	if !s.headSent {
 		s.clearHead()
 		s.relay.answerCancelled(s.w, s.job, s.mayHaveRun())
--- a/relay/stream_test.go
+++ b/relay/stream_test.go
@@ -511,6 +511,7 @@
 	}{
 		{"slow, the answer comes from another", func(_ *harness, s *platformtest.Server) { s.SetFault(slow) }, nil, true, 4500 * time.Millisecond},
 		{"slow, the time is up before", func(_ *harness, s *platformtest.Server) { s.SetFault(slow) }, []string{"X-Deadline-Ms", "2500"}, true, 2400 * time.Millisecond},
+		{"hung", func(_ *harness, s *platformtest.Server) { s.SetFault(platformtest.Fault{Hang: true}) }, nil, true, 600 * time.Millisecond},
 		{"dead", func(w *harness, s *platformtest.Server) { time.AfterFunc(600*time.Millisecond, func() { w.kill(s) }) }, nil, false, 0},
 		{"unreachable", func(w *harness, s *platformtest.Server) {
 			time.AfterFunc(600*time.Millisecond, func() { w.blackhole(s) })
@@ -538,6 +539,7 @@
 			So(answers[0].Version, ShouldEqual, engine.Version("v1"))
 			So(answers[0].Partial, ShouldBeTrue)
 			So(answers[0].First, ShouldBeGreaterThanOrEqualTo, x.first)
+			So(answers[0].Hung, ShouldEqual, x.name == "hung")
 		})
 	}
 }
