--- a/demo/site.go
+++ b/demo/site.go
@@ -63,6 +63,8 @@
 type ServiceProcess struct {
 	Process
 	*standin.Service
+	Domain      names.ID
+	Incarnation engine.Incarnation
 }
 
 // EntryProcess is an entry VM of a site.
@@ -259,7 +261,16 @@
 
 // AddService starts a service stand-in.
 func (s *Site) AddService(domain names.ID, id engine.ServerID) (*ServiceProcess, error) {
-	sv := &ServiceProcess{Service: standin.NewService(s.Ledger)}
+	return s.addService(domain, id, 1)
+}
+
+// RestartService starts a dead service stand-in again, as a new incarnation without faults.
+func (s *Site) RestartService(sv *ServiceProcess) (*ServiceProcess, error) {
+	return s.addService(sv.Domain, engine.ServerID(sv.Host), sv.Incarnation+1)
+}
+
+func (s *Site) addService(domain names.ID, id engine.ServerID, inc engine.Incarnation) (*ServiceProcess, error) {
+	sv := &ServiceProcess{Service: standin.NewService(s.Ledger), Domain: domain, Incarnation: inc}
 	p, err := s.serve(string(id), sv.Service)
 	if err != nil {
 		return nil, err
@@ -269,7 +280,7 @@
 	s.services = append(s.services, sv)
 	s.mu.Unlock()
 	s.Platform.SetVM(objects.VM{
-		ID: id, Role: objects.RoleService, Address: sv.Address, Domain: domain, Service: DemoService, Incarnation: 1,
+		ID: id, Role: objects.RoleService, Address: sv.Address, Domain: domain, Service: DemoService, Incarnation: inc,
 	})
 	return sv, nil
 }
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -33,6 +33,13 @@
 	Retention   time.Duration // how long a stream without a reader is kept
 	StopOneIn   uint64        // see Generator.StopOneIn
 	IgnoreFence bool          // accept orders with a stale fencing number
+
+	// CrashPrompt is a prompt that crashes the engine once it has generated CrashAfter
+	// tokens of an answer to it; none does so if it is empty.
+	CrashPrompt string
+	CrashAfter  engine.Tokens
+	// Crashed, if set, is called in place of Close for each stream that crashes the engine.
+	Crashed func(engine.ServerID)
 }
 
 // Defaults of EngineConfig.
@@ -281,6 +288,10 @@
 	e.count(func(c *EngineCounts) { c.Prefilled += uncached })
 	gen := NewGenerator(s, e.cfg.StopOneIn)
 	for i := s.Offset; i < s.MaxTokens; i++ {
+		if s.Prompt == e.cfg.CrashPrompt && i-s.Offset == e.cfg.CrashAfter {
+			e.crash(st)
+			return
+		}
 		if !e.sleep(st, e.currentTokenGap()) {
 			return
 		}
@@ -298,6 +309,16 @@
 	st.finish(engine.FinishLength)
 }
 
+// crash ends the engine, on which nothing more happens to the stream.
+func (e *Engine) crash(st *stream) {
+	if e.cfg.Crashed != nil {
+		go e.cfg.Crashed(e.cfg.ID)
+	} else {
+		e.stop()
+	}
+	<-st.ctx.Done()
+}
+
 // count updates the engine's counts.
 func (e *Engine) count(f func(*EngineCounts)) {
 	e.mu.Lock()
--- a/standin/service.go
+++ b/standin/service.go
@@ -21,6 +21,11 @@
 	Cross      int           `json:"cross,omitempty"`      // the next Cross answers carry another call's request id
 	Delay      time.Duration `json:"delay,omitempty"`      // from running a call to answering it
 	Silent     bool          `json:"silent,omitempty"`     // calls run, but are never answered
+	// CrashBody is the body of calls that crash the server when it begins to run them; none do so
+	// if it is empty.
+	CrashBody string `json:"crashBody,omitempty"`
+	// Crashed is called for each such call.
+	Crashed func() `json:"-"`
 }
 
 // ServiceCounts counts the calls that a service stand-in has run.
@@ -111,7 +116,7 @@
 func (s *Service) nextFault() ServiceFault {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	f := ServiceFault{Delay: s.fault.Delay, Silent: s.fault.Silent}
+	f := ServiceFault{Delay: s.fault.Delay, Silent: s.fault.Silent, CrashBody: s.fault.CrashBody, Crashed: s.fault.Crashed}
 	consume := func(n, once *int) {
 		if *n > 0 {
 			*n--
@@ -130,7 +135,7 @@
 func (s *Service) withFaults(f func(*http.Request) any) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		// The server notices that a connection ends only once the body has been read.
-		_, _ = io.Copy(io.Discard, r.Body)
+		body, _ := io.ReadAll(r.Body)
 		fault := s.nextFault()
 		w.Header().Set(service.HeaderRequestID, r.Header.Get(service.HeaderRequestID))
 		switch {
@@ -139,6 +144,11 @@
 			return
 		case fault.DieBefore > 0:
 			panic(http.ErrAbortHandler)
+		case fault.CrashBody != "" && fault.CrashBody == string(body):
+			if fault.Crashed != nil {
+				fault.Crashed()
+			}
+			panic(http.ErrAbortHandler)
 		}
 		v := f(r)
 		if fault.Silent {
