engine, service, entry: requests that crash servers are blocked at their entry VM

Cause: a run forgets its failed attempts when it ends, and a caller that comes again begins afresh. Nothing remembered under which request a server was lost.

Now engine.Guard asks package quarantine before each start of a generation and each attempt of a call, and tells it of crashes and of answers. A request is known by organisation, deployment and prompt, a call by organisation, method, path and body, whatever its id, key, seed or cursor. Blocked, it is refused with 2016 and "not run" only if no attempt of it was made here; else with 2002 or 3004, and a booking whose key was claimed before stays unknown (3002, 3006). An engine that still has the request may answer it for the time in which a run waits for servers.

A broken connection alone is no crash of an engine: the run attaches again, and only if that shows the engine or the stream gone, or breaks too, it counts. Servers that are not reached or silent never count.

New: TestCrashingRequestMayHaveRun, and TestLostConnectionIsNoCrash, which fails if a timeout of a dial, or a single reset, counts.

Why this works: the decision depends on the request alone and is made where servers are chosen, so that neither attempts, ids nor cursors matter.

--- a/caller/delivery.go
+++ b/caller/delivery.go
@@ -120,6 +120,7 @@
 			d.server.OnOutcome(d.outcome(server, true))
 		},
 	}
+	j.Guard = d.server.guard(d.q, c.Deployment)
 	if c.Version != d.q.deployment.Version {
 		j.MaxFailures = maxNewVersionFailures
 	}
--- a/caller/server.go
+++ b/caller/server.go
@@ -20,13 +20,15 @@
 	"quetzalhold/limit"
 	"quetzalhold/names"
 	"quetzalhold/operator"
+	"quetzalhold/quarantine"
 	"quetzalhold/result"
+	"quetzalhold/routing"
 	"quetzalhold/settings"
 	"quetzalhold/telemetry"
 )
 
 // Server serves callers' requests for answers of model engines. Its function
-// fields connect it to the rest of the entry VM. All fields must be set.
+// fields connect it to the rest of the entry VM. All fields but Guard must be set.
 type Server struct {
 	// Configuration returns the configuration in force.
 	Configuration func() *operator.Configuration
@@ -38,6 +40,9 @@
 	OnOutcome func(Outcome)
 	// OnStep is called with each step of a request, for its history.
 	OnStep func(engine.Step)
+	// Guard returns what keeps a request of a deployment from engines if it crashes
+	// them; if it is nil, nothing does.
+	Guard func(routing.ServiceName, engine.RequestID, quarantine.Fingerprint) engine.Guard
 	// Gate admits answers and charges their tokens to organisations.
 	Gate *limit.Gate
 	// Domains returns the number of failure domains.
@@ -299,3 +304,13 @@
 	}
 	return xxhash.Sum64String(string(id)) + uint64(g)
 }
+
+// guard returns the guard of a request. Callers that repeat a request repeat its prompt, but not
+// always its other fields.
+func (s *Server) guard(q *request, deployment string) engine.Guard {
+	if s.Guard == nil {
+		return engine.Guard{}
+	}
+	f := quarantine.NewFingerprint(routing.Organisation(q.org.Names.Code), http.MethodPost, deployment, []byte(q.body.PromptText(q.style)))
+	return s.Guard(routing.ServiceName(deployment), q.id, f)
+}
--- a/caller/services.go
+++ b/caller/services.go
@@ -17,13 +17,16 @@
 	"quetzalhold/engine"
 	"quetzalhold/names"
 	"quetzalhold/operator"
+	"quetzalhold/quarantine"
 	"quetzalhold/result"
+	"quetzalhold/routing"
 	"quetzalhold/service"
 	"quetzalhold/settings"
 	"quetzalhold/telemetry"
 )
 
-// Services serves callers' calls to plain services. All fields must be set.
+// Services serves callers' calls to plain services. All fields but Guard must be
+// set.
 type Services struct {
 	// Configuration returns the configuration in force.
 	Configuration func() *operator.Configuration
@@ -32,6 +35,9 @@
 	// Book runs a call that is not idempotent but has an idempotency key, so
 	// that it is executed at most once; usually [booking.Runner.Run].
 	Book func(context.Context, booking.Booking, func(context.Context) (booking.Answer, error)) (booking.Answer, bool, error)
+	// Guard returns what keeps a call from the servers of a service if it crashes
+	// them; if it is nil, nothing does.
+	Guard func(routing.ServiceName, engine.RequestID, quarantine.Fingerprint) engine.Guard
 	// Stopping reports whether the entry VM rejects new requests.
 	Stopping func() bool
 	// Telemetry records logs, spans and metrics.
@@ -141,14 +147,25 @@
 	if r.URL.RawQuery != "" {
 		path += "?" + r.URL.RawQuery
 	}
-	return &serviceCall{service: sv, org: org, kind: kind, call: service.Call{
+	sc := &serviceCall{service: sv, org: org, kind: kind, call: service.Call{
 		Request:  engine.RequestID(uuid.NewString()),
 		Method:   r.Method,
 		Path:     path,
 		Header:   r.Header,
 		Body:     body,
 		Deadline: deadline,
-	}}, nil
+	}}
+	sc.call.Guard = s.guard(sc)
+	return sc, nil
+}
+
+func (s *Services) guard(sc *serviceCall) engine.Guard {
+	if s.Guard == nil {
+		return engine.Guard{}
+	}
+	code := string(sc.service.Names.Code)
+	f := quarantine.NewFingerprint(routing.Organisation(sc.org.Names.Code), sc.call.Method, code+sc.call.Path, sc.call.Body)
+	return s.Guard(routing.ServiceName(code), sc.call.Request, f)
 }
 
 // matchCall returns the entry of the service's list of calls that matches. It
--- a/engine/feed.go
+++ b/engine/feed.go
@@ -118,6 +118,7 @@
 	switch e.kind {
 	case connOpened:
 		c.openedAt = now
+		u.recordBegun(c)
 		return nil
 	case connToken:
 		return u.handleToken(ctx, c, e.data, now)
@@ -137,6 +138,9 @@
 		return u.reportViolation(c, err)
 	}
 	u.dropFenced(fenced)
+	if u.begun[c.Stream]++; u.begun[c.Stream] >= beginTokens {
+		u.recordSound()
+	}
 	u.updateGap(c, now)
 	c.reservedTokens--
 	u.Pool.Received(c.Server, 1)
@@ -172,6 +176,7 @@
 		return u.reportViolation(c, err)
 	}
 	u.dropFenced(fenced)
+	u.recordSound()
 	u.recordStep("end", string(u.gen.Finished()), c.Connection)
 	return u.sink(ctx, Delta{Offset: ev.Offset, From: c.Connection, Finish: u.gen.Finished()})
 }
@@ -210,6 +215,9 @@
 	e := result.FromError(err)
 	u.recordStep("lost", e.Error(), c.Connection)
 	c.span.SetStatus(codes.Error, e.Error())
+	if u.lostAtBeginning(c, e) {
+		u.job.Guard.RecordCrash(c.Server, c.server.Incarnation)
+	}
 	if isEngineFailure(e.Code) {
 		u.failures++
 		if u.job.OnFailure != nil {
@@ -239,6 +247,9 @@
 		u.drop(c, true)
 	default:
 		// The connection broke; the engine may still generate the stream.
+		if IsBroken(err) {
+			u.recordBegun(c)
+		}
 		u.drop(c, false)
 		u.startAttempt(ctx, c.server, c.Stream, time.Until(c.firstTokenBy), "connection lost")
 	}
--- a/engine/runner.go
+++ b/engine/runner.go
@@ -28,6 +28,8 @@
 	// MaxFailures is the number of such attempts after which a generation fails
 	// if no token was delivered; 0 for no limit.
 	MaxFailures int
+	// Guard keeps the request from engines if it crashes them.
+	Guard Guard
 }
 
 // ResumePoint is the position at which to continue an answer that another entry VM
@@ -93,6 +95,9 @@
 	minBackoff         = 50 * time.Millisecond
 	maxBackoff         = 500 * time.Millisecond
 	gapWeight          = 0.2
+	// beginTokens is the number of tokens after which an engine is past the beginning of
+	// an answer: a request that crashes engines does so before.
+	beginTokens Tokens = 3
 )
 
 // Run runs j and passes the answer to sink, each token once and in order. It returns
@@ -102,6 +107,7 @@
 //   - CallerGone if ctx was cancelled,
 //   - NoServer or AttemptsSpent if no engine could continue the answer,
 //   - EngineRefused if MaxFailures attempts failed before the first token,
+//   - the Guard's error, or EngineLost with it as cause if an engine may have run j,
 //   - ReceivedTextNeeded if the stream of a resumed answer is lost and its text is not
 //     known,
 //   - Superseded or StaleAttempt if a later connection of the caller reads the answer,
@@ -163,6 +169,8 @@
 	backoff       time.Duration
 	noServerSince time.Time
 	lastRefusal   error
+	sound         bool                // an engine is past the beginning of its answer
+	begun         map[StreamID]Tokens // tokens received of each stream that an engine has begun
 }
 
 func newRun(r *Runner, j Job, sink Sink) *run {
@@ -178,6 +186,7 @@
 		startedAt:    now,
 		progressAt:   now,
 		backoff:      minBackoff,
+		begun:        make(map[StreamID]Tokens),
 	}
 	u.gen.Version = j.Version
 	u.gen.Adapter = j.Adapter
@@ -285,6 +294,9 @@
 	if u.gen.Next() >= u.job.MaxTokens {
 		return u.finishAtLimit(ctx)
 	}
+	if e := u.blocked(); e != nil {
+		return u.handleBlocked(now, e)
+	}
 	for _, c := range u.live {
 		u.markTried(c.Server)
 		u.Pool.MarkSuspect(c.Server, now)
@@ -329,7 +341,7 @@
 	if !now.Before(u.noServerSince.Add(u.serverWait())) {
 		e := result.New(result.NoServer, "no engine for %s in %s", u.job.Version, u.serverWait())
 		e.Cause = u.lastRefusal
-		e.NotRun = u.gen.Next() == 0 && u.attempts == u.refusals
+		e.NotRun = u.notRun()
 		return e.WithRetryAt(now.Add(time.Second))
 	}
 	u.recordStep("wait", "no engine can take the work", Connection{})
@@ -342,6 +354,9 @@
 	return nil
 }
 
+// notRun reports whether it is proved that no engine has run the generation.
+func (u *run) notRun() bool { return u.gen.Next() == 0 && u.attempts == u.refusals }
+
 func (u *run) markTried(id ServerID) {
 	if !contains(u.tried, id) {
 		u.tried = append(u.tried, id)
--- a/entry/crashing_test.go
+++ b/entry/crashing_test.go
@@ -4,9 +4,9 @@
 	"bytes"
 	"context"
 	"fmt"
-	"io"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -16,6 +16,8 @@
 	"quetzalhold/caller"
 	"quetzalhold/demo"
 	"quetzalhold/engine"
+	"quetzalhold/memnet"
+	"quetzalhold/result"
 	"quetzalhold/standin"
 )
 
@@ -33,6 +35,9 @@
 	crashCallTimeout  = 25 * time.Second
 	crashServers      = 12
 	crashTokens       = 10
+	// lastRequest is above the number of every request that is sent at an interval. It is a
+	// multiple of the number of entry VMs.
+	lastRequest = 6000
 )
 
 // crashKind is a kind of request that crashes servers.
@@ -194,8 +199,7 @@
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
-		text, _ := io.ReadAll(resp.Body)
-		return fmt.Errorf("status %d: %s", resp.StatusCode, text)
+		return result.Read(resp, result.Internal)
 	}
 	return nil
 }
@@ -274,6 +278,18 @@
 	So(c.sentSince(from), ShouldBeLessThanOrEqualTo, maxSentAfter)
 }
 
+// checkRefused checks that the request is refused as not run, at every entry VM.
+func (c *crashingTest) checkRefused() {
+	before := c.sentSince(time.Time{})
+	for i := range c.Entries() {
+		e := result.FromError(c.kind.send(c, lastRequest+i, crashPrompt))
+		So(e.Code, ShouldEqual, result.RequestBlocked)
+		So(e.NotRun, ShouldBeTrue)
+		So(e.RetryAt, ShouldHappenAfter, time.Now())
+	}
+	So(c.sentSince(time.Time{}), ShouldEqual, before)
+}
+
 func runCrashing(t *testing.T, name string, kind crashKind, entries int, f func(c *crashingTest)) {
 	t.Helper()
 	runInSynctest(t, name, func() {
@@ -297,6 +313,7 @@
 			sent, failed := c.failedSince(c.boundStart())
 			So(sent, ShouldBeGreaterThan, 200)
 			So(failed, ShouldBeEmpty)
+			c.checkRefused()
 		})
 	}
 }
@@ -312,11 +329,103 @@
 			sent, failed := c.failedSince(c.boundStart())
 			So(sent, ShouldBeGreaterThan, 200)
 			So(failed, ShouldBeEmpty)
+			c.checkRefused()
 		})
 		runCrashing(t, "Six entry VMs, at long intervals: "+kind.name, kind, 6, func(c *crashingTest) {
 			c.playCrashing(100*time.Second, 7*time.Second)
 			c.wg.Wait()
 			c.checkBound()
+			c.checkRefused()
+		})
+	}
+}
+
+func TestCrashingRequestMayHaveRun(t *testing.T) {
+	runCrashing(t, "A generation that has crashed three engines is not refused as not run", crashKinds[0], 1, func(c *crashingTest) {
+		e := result.FromError(c.generate(0, crashPrompt))
+		So(c.sentSince(time.Time{}), ShouldEqual, crashesAllowed)
+		// The caller's client comes again on this code; here it has no attempt left.
+		So(e.Code, ShouldEqual, result.EngineLost)
+		So(e.NotRun, ShouldBeFalse)
+		c.checkRefused()
+	})
+	runCrashing(t, "An idempotent call that has crashed three servers is not refused as not run", crashKinds[2], 1, func(c *crashingTest) {
+		e := result.FromError(c.kind.send(c, 0, crashPrompt))
+		So(c.sentSince(time.Time{}), ShouldEqual, crashesAllowed)
+		So(e.Code, ShouldEqual, result.ServiceFailed)
+		So(e.NotRun, ShouldBeFalse)
+		c.checkRefused()
+	})
+	runCrashing(t, "A booking that may have run is not refused as not run", crashKinds[4], 1, func(c *crashingTest) {
+		book := func(key string) *result.Error {
+			return result.FromError(c.call(0, http.MethodPost, "bookings", crashPrompt, key))
+		}
+		So(book("key-0").Code, ShouldEqual, result.OutcomeUnknown)
+		for i := range crashesAllowed - 1 {
+			So(book(fmt.Sprintf("other-%d", i)).Code, ShouldEqual, result.OutcomeUnknown)
+		}
+		So(book("key-new").Code, ShouldEqual, result.RequestBlocked)
+		again := book("key-0")
+		So(again.Code, ShouldEqual, result.BookingUnderWay)
+		So(again.NotRun, ShouldBeFalse)
+		time.Sleep(time.Minute)
+		again = book("key-0")
+		So(again.Code, ShouldEqual, result.OutcomeUnknown)
+		So(again.NotRun, ShouldBeFalse)
+	})
+}
+
+// partitionedCalls is how often a request is repeated while no server is reached.
+const partitionedCalls = 4
+
+// TestLostConnectionIsNoCrash guards against requests that are blocked since their entry VM was cut
+// off, or lost connections to servers that live on.
+func TestLostConnectionIsNoCrash(t *testing.T) {
+	for _, kind := range []crashKind{crashKinds[0], crashKinds[2], crashKinds[3]} {
+		kind.after = crashTokens // the engines stay sound
+		runCrashing(t, "Partition: "+kind.name, kind, 1, func(c *crashingTest) {
+			c.eachServer(func(h memnet.Host) { c.net.Partition(c.host("entry-0"), h) })
+			for i := range partitionedCalls {
+				So(kind.send(c, i, "a sound request"), ShouldNotBeNil)
+			}
+			c.eachServer(func(h memnet.Host) { c.net.Heal(c.host("entry-0"), h) })
+			time.Sleep(contactBound)
+			So(kind.send(c, 0, "a sound request"), ShouldBeNil)
 		})
 	}
+	runCrashing(t, "One reset of all connections", crashKinds[0], 1, func(c *crashingTest) {
+		prompt := strings.Repeat("intake log of the cork bin ", matrixWords)
+		done := make(chan error)
+		for i := range crashServers {
+			go func() { done <- c.generate(i, prompt) }()
+		}
+		// Two of them may run on one engine, where the second is sound soon: its prompt is cached.
+		time.Sleep(20 * time.Millisecond)
+		c.eachServer(func(h memnet.Host) { c.net.Reset(c.host("entry-0"), h) })
+		time.Sleep(5 * time.Millisecond)
+		So(c.generate(crashServers, prompt), ShouldBeNil)
+		for range crashServers {
+			So(<-done, ShouldBeNil)
+		}
+	})
+	runCrashing(t, "Resets during a prefill", crashKinds[0], 1, func(c *crashingTest) {
+		prompt := strings.Repeat("intake log of the cork bin ", matrixWords)
+		done := make(chan error, 1)
+		go func() { done <- c.generate(0, prompt) }()
+		// Two engines lose both the connection to the stream and the next one.
+		for range 4 {
+			time.Sleep(100 * time.Millisecond)
+			c.eachServer(func(h memnet.Host) { c.net.Reset(c.host("entry-0"), h) })
+		}
+		So(<-done, ShouldBeNil)
+	})
+}
+
+func (c *crashingTest) eachServer(f func(memnet.Host)) {
+	for _, e := range c.AllEngines() {
+		f(c.host(e.Host))
+	}
+	for _, sv := range c.Services() {
+		f(c.host(sv.Host))
+	}
 }
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -26,6 +26,7 @@
 	"quetzalhold/objects"
 	"quetzalhold/operator"
 	"quetzalhold/peer"
+	"quetzalhold/quarantine"
 	"quetzalhold/result"
 	"quetzalhold/service"
 	"quetzalhold/settings"
@@ -60,6 +61,7 @@
 	bookingWriter booking.BatchWriter
 	bookings      *booking.Runner
 	moves         moveTracker
+	quarantine    quarantine.List
 	lease         *objects.Lease
 	http          *http.Server
 
@@ -205,6 +207,7 @@
 		Version:       d.versionOf,
 		OnOutcome:     d.observe,
 		OnStep:        d.recordStep,
+		Guard:         d.guard,
 		Gate:          &d.gate,
 		Domains:       d.gossip.Domains,
 		Stopping:      d.stopping.Load,
@@ -218,6 +221,7 @@
 		Configuration: d.store.Current,
 		Do:            d.services.Do,
 		Book:          d.bookings.Run,
+		Guard:         d.guard,
 		Stopping:      d.stopping.Load,
 		Telemetry:     d.telemetry,
 		Limits:        l,
@@ -304,7 +308,7 @@
 	loopCtx, stop := context.WithCancel(context.Background())
 	defer stop()
 	var wg sync.WaitGroup
-	for _, loop := range []func(context.Context){d.watchConfiguration, d.pollVMs, d.pollEngines, d.gossip.Run, d.quota.Run, d.runMoves} {
+	for _, loop := range []func(context.Context){d.watchConfiguration, d.pollVMs, d.pollEngines, d.gossip.Run, d.quota.Run, d.runMoves, d.expireCrashes} {
 		wg.Go(func() { loop(loopCtx) })
 	}
 	failed := make(chan error, 1)
--- a/entry/sync.go
+++ b/entry/sync.go
@@ -171,7 +171,7 @@
 			})
 		case objects.RoleService:
 			services = append(services, service.Server{
-				ID: vm.ID, Service: vm.Service, Address: vm.Address, Domain: vm.Domain, Leaving: vm.Leaving,
+				ID: vm.ID, Service: vm.Service, Address: vm.Address, Domain: vm.Domain, Incarnation: vm.Incarnation, Leaving: vm.Leaving,
 			})
 		}
 	}
--- a/service/service.go
+++ b/service/service.go
@@ -40,7 +40,9 @@
 	Service names.ID
 	Address string
 	Domain  names.ID
-	Leaving bool
+	// Incarnation is the start of the server.
+	Incarnation engine.Incarnation
+	Leaving     bool
 }
 
 // Call is a call to a service.
@@ -51,6 +53,8 @@
 	Header   http.Header
 	Body     []byte
 	Deadline time.Time // zero for none
+	// Guard keeps the call from servers if it crashes them.
+	Guard engine.Guard
 }
 
 // Reply is a service's complete response.
@@ -141,7 +145,8 @@
 // Do sends a call to a service. An idempotent call is retried on further
 // servers until one succeeds; it fails with ServiceFailed if no attempt did.
 // Any other call fails with ServiceNotReached or ServiceRefused if it is proved
-// not to have run, and with OutcomeUnknown otherwise.
+// not to have run, and with OutcomeUnknown otherwise. A call that its Guard blocks
+// fails with the Guard's error if it is proved not to have run.
 func (c *Client) Do(ctx context.Context, s *operator.Service, kind operator.Call, call Call) (Reply, error) {
 	if call.Deadline.IsZero() {
 		call.Deadline = time.Now().Add(defaultCallTimeout)
@@ -160,19 +165,29 @@
 }
 
 // retry sends a call to one server after the other, starting over after the
-// last, until one succeeds, ctx ends or maxAttempts are made.
+// last, until one succeeds, ctx ends, maxAttempts are made or the call is blocked.
 func (c *Client) retry(ctx context.Context, servers []Server, call Call) (Reply, error) {
 	timeout := cmp.Or(c.AttemptTimeout, defaultAttemptTimeout)
 	var errs []error
+	notRun, retryAt := true, time.Now().Add(time.Second)
 	for i := 0; i < maxAttempts && ctx.Err() == nil; i++ {
+		if e := call.Guard.Blocked(); e != nil {
+			if notRun {
+				return Reply{}, e.AsNotRun()
+			}
+			errs = append(errs, e)
+			retryAt = e.RetryAt
+			break
+		}
 		reply, err := c.attempt(ctx, servers[i%len(servers)], call, timeout)
 		if err == nil {
 			return reply, nil
 		}
 		errs = append(errs, err)
+		notRun = notRun && result.FromError(err).NotRun
 	}
 	e := result.Wrap(result.ServiceFailed, errors.Join(errs...), "%d tries", len(errs))
-	return Reply{}, e.WithRetryAt(time.Now().Add(time.Second))
+	return Reply{}, e.WithRetryAt(retryAt)
 }
 
 // atMostOnce sends a call to servers in order. It goes on to the next one only
@@ -180,6 +195,9 @@
 func (c *Client) atMostOnce(ctx context.Context, servers []Server, call Call) (Reply, error) {
 	var last *result.Error
 	for _, s := range servers {
+		if e := call.Guard.Blocked(); e != nil {
+			return Reply{}, e.AsNotRun()
+		}
 		reply, err := c.attempt(ctx, s, call, 0)
 		if err == nil {
 			return reply, nil
@@ -208,6 +226,12 @@
 	defer span.End()
 	c.recordStep(call, "call", call.Method+" "+call.Path, s)
 	reply, err := c.send(ctx, s, call)
+	switch {
+	case err == nil:
+		call.Guard.RecordSound()
+	case isLost(err) && ctx.Err() == nil:
+		call.Guard.RecordCrash(s.ID, s.Incarnation)
+	}
 	if err != nil {
 		span.SetStatus(codes.Error, err.Error())
 		c.recordStep(call, "call failed", err.Error(), s)
@@ -242,6 +266,12 @@
 	return e
 }
 
+// isLost reports whether the server was lost before it had answered.
+func isLost(err error) bool {
+	var e *result.Error
+	return errors.As(err, &e) && e.Code == result.ServiceFailed && engine.IsBroken(e.Cause)
+}
+
 // readReply reads a server's response. It returns an error if the response is
 // incomplete or too long, belongs to another call, or has a 5xx status.
 func readReply(resp *http.Response, s Server, call Call) (Reply, error) {
