peer, entry: entry VMs share which requests crash servers

A request that was blocked at one entry VM went on to crash servers through the others: three for each, 4 to 15 sends later than 4 s after the third crash with six entry VMs of three failure domains.

Cause: each daemon knew only the crashes that it had seen itself.

A change goes out of turn to three members of the domain and one entry VM of each other domain, which pass on what is new. A cleared crash is remembered until it would have expired, so that a report that is late does not bring it back. No call to the platform, no new path; older builds ignore the fields.

New: TestCrashesAreShared (an entry VM that starts later; an answer clears at all), which fails without the cleared names.

Why this works: what blocks is a set of named crashes that each entry VM adds to or clears by name, so that order, repeats and routes of reports do not matter.

--- a/entry/crashing_test.go
+++ b/entry/crashing_test.go
@@ -340,6 +340,40 @@
 	}
 }
 
+func TestCrashesAreShared(t *testing.T) {
+	runCrashing(t, "An entry VM that starts later knows which request is blocked", crashKinds[2], 3, func(c *crashingTest) {
+		So(c.kind.send(c, 0, crashPrompt), ShouldNotBeNil)
+		time.Sleep(contactBound)
+		_, err := c.AddEntry(c.Places[0].Names.Code, "entry-later", nil)
+		So(err, ShouldBeNil)
+		So(c.AwaitReady(context.Background()), ShouldBeNil)
+		time.Sleep(contactBound)
+		c.checkRefused()
+	})
+	runCrashing(t, "An answer clears the crashes at every entry VM", crashKinds[3], 6, func(c *crashingTest) {
+		unknown := func(i int) {
+			So(result.CodeOf(c.kind.send(c, i, crashPrompt)), ShouldEqual, result.OutcomeUnknown)
+			time.Sleep(contactBound)
+		}
+		for i := range crashesAllowed - 1 {
+			unknown(i)
+		}
+		for _, sv := range c.Services() {
+			sv.SetFault(standin.ServiceFault{})
+		}
+		So(c.kind.send(c, 2, crashPrompt), ShouldBeNil)
+		time.Sleep(contactBound)
+		for _, sv := range c.Services() {
+			c.crashOnBody(sv)
+		}
+		for i := range crashesAllowed - 1 {
+			unknown(3 + i)
+		}
+		unknown(5)
+		c.checkRefused()
+	})
+}
+
 func TestCrashingRequestMayHaveRun(t *testing.T) {
 	runCrashing(t, "A generation that has crashed three engines is not refused as not run", crashKinds[0], 1, func(c *crashingTest) {
 		e := result.FromError(c.generate(0, crashPrompt))
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -62,8 +62,10 @@
 	bookings      *booking.Runner
 	moves         moveTracker
 	quarantine    quarantine.List
-	lease         *objects.Lease
-	http          *http.Server
+	// crashesChanged wakes shareCrashes up.
+	crashesChanged chan struct{}
+	lease          *objects.Lease
+	http           *http.Server
 
 	draining  atomic.Bool  // reports not ready, but still accepts requests
 	stopping  atomic.Bool  // refuses new requests
@@ -100,7 +102,7 @@
 
 // New returns a daemon. The settings must have been validated.
 func New(s *settings.Entry, opts ...Option) (*Daemon, error) {
-	d := &Daemon{settings: s, log: io.Discard, registry: s.Registry()}
+	d := &Daemon{settings: s, log: io.Discard, registry: s.Registry(), crashesChanged: make(chan struct{}, 1)}
 	for _, o := range opts {
 		o(d)
 	}
@@ -150,6 +152,8 @@
 		Apply:          d.apply,
 		Draining:       d.leavingServers,
 		RecordDraining: d.markLeaving,
+		Crashes:        d.crashReport,
+		RecordCrashes:  d.recordCrashes,
 	}
 	d.quota = &peer.Quota{Gossip: d.gossip, Gate: &d.gate, Limits: d.limitsOf}
 	for _, p := range d.settings.Peers {
@@ -308,7 +312,7 @@
 	loopCtx, stop := context.WithCancel(context.Background())
 	defer stop()
 	var wg sync.WaitGroup
-	for _, loop := range []func(context.Context){d.watchConfiguration, d.pollVMs, d.pollEngines, d.gossip.Run, d.quota.Run, d.runMoves, d.expireCrashes} {
+	for _, loop := range []func(context.Context){d.watchConfiguration, d.pollVMs, d.pollEngines, d.gossip.Run, d.quota.Run, d.runMoves, d.shareCrashes} {
 		wg.Go(func() { loop(loopCtx) })
 	}
 	failed := make(chan error, 1)
--- a/peer/gossip.go
+++ b/peer/gossip.go
@@ -12,6 +12,7 @@
 	"quetzalhold/names"
 	"quetzalhold/objects"
 	"quetzalhold/operator"
+	"quetzalhold/quarantine"
 )
 
 // Message is a heartbeat or the response to one.
@@ -20,6 +21,15 @@
 	Updates  []Member         `json:"words,omitempty"`
 	Digest   operator.Digest  `json:"digest"` // of the sender's configuration
 	Draining []DrainingServer `json:"leaving,omitempty"`
+	CrashReport
+}
+
+// CrashReport is what an entry VM knows of requests that crash servers.
+type CrashReport struct {
+	// Crashes are held against the requests during which they happened.
+	Crashes []quarantine.Crash `json:"crashes,omitempty"`
+	// Cleared are crashes that are no longer held against a request, since it was answered.
+	Cleared []quarantine.Name `json:"cleared,omitempty"`
 }
 
 // DrainingServer is a backend server that is draining: it accepts no new work.
@@ -32,7 +42,8 @@
 // random member of the failure domain, and on a delegate one more with an entry
 // VM of another domain. Membership updates and a digest of the configuration
 // travel in the heartbeats, whose number and size do not grow with the fleet.
-// All exported fields but Seeds must be set before Run.
+// They also carry the requests that crash servers, and go out of turn when those change.
+// All exported fields but Seeds, Crashes and RecordCrashes must be set before Run.
 type Gossip struct {
 	// Members is the membership of this entry VM's failure domain.
 	Members *Membership
@@ -47,6 +58,10 @@
 	Draining func() []DrainingServer
 	// RecordDraining records draining servers that other entry VMs reported.
 	RecordDraining func([]DrainingServer)
+	// Crashes returns what to report of crashes; nil reports nothing.
+	Crashes func() CrashReport
+	// RecordCrashes records what another entry VM reported of crashes; nil ignores it.
+	RecordCrashes func(CrashReport)
 	// Seeds are addresses of entry VMs of any domain, which get a heartbeat while
 	// no other living member is known.
 	Seeds []Address
@@ -221,18 +236,44 @@
 // messageTo returns a message to a member. If that member is not believed to be
 // alive, the message says so, so that the member can refute it.
 func (g *Gossip) messageTo(to Address) Message {
-	return Message{
+	m := Message{
 		From:     g.Members.Self(),
 		Updates:  append(g.Members.Updates(), g.Members.FailureUpdate(to)...),
 		Digest:   g.Store.Digest(),
 		Draining: g.Draining(),
 	}
+	if g.Crashes != nil {
+		m.CrashReport = g.Crashes()
+	}
+	return m
 }
 
 // merge records what a message of another entry VM reports.
 func (g *Gossip) merge(m Message) {
 	g.Members.Merge(time.Now(), append(m.Updates, m.From))
 	g.RecordDraining(m.Draining)
+	if g.RecordCrashes != nil {
+		g.RecordCrashes(m.CrashReport)
+	}
+}
+
+// Announce sends heartbeats out of turn, to a few random members of this domain and one entry VM of
+// each other domain. It returns without waiting for their responses.
+func (g *Gossip) Announce(ctx context.Context) {
+	for _, a := range append(g.Members.Pick(pushFanout), g.oneOfEachDomain()...) {
+		go g.sendHeartbeat(ctx, a)
+	}
+}
+
+// oneOfEachDomain returns a random entry VM of each other domain.
+func (g *Gossip) oneOfEachDomain() []Address {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var all []Address
+	for _, list := range g.others {
+		all = append(all, list[rand.IntN(len(list))])
+	}
+	return all
 }
 
 // HandleHeartbeat handles a heartbeat of another entry VM and returns the response.
