--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -26,6 +26,7 @@
 	"quetzalhold/objects"
 	"quetzalhold/operator"
 	"quetzalhold/peer"
+	"quetzalhold/quarantine"
 	"quetzalhold/result"
 	"quetzalhold/service"
 	"quetzalhold/settings"
@@ -60,8 +61,11 @@
 	bookingWriter booking.BatchWriter
 	bookings      *booking.Runner
 	moves         moveTracker
-	lease         *objects.Lease
-	http          *http.Server
+	quarantine    quarantine.List
+	// crashesChanged wakes shareCrashes up.
+	crashesChanged chan struct{}
+	lease          *objects.Lease
+	http           *http.Server
 
 	draining  atomic.Bool  // reports not ready, but still accepts requests
 	stopping  atomic.Bool  // refuses new requests
@@ -98,7 +102,7 @@
 
 // New returns a daemon. The settings must have been validated.
 func New(s *settings.Entry, opts ...Option) (*Daemon, error) {
-	d := &Daemon{settings: s, log: io.Discard, registry: s.Registry()}
+	d := &Daemon{settings: s, log: io.Discard, registry: s.Registry(), crashesChanged: make(chan struct{}, 1)}
 	for _, o := range opts {
 		o(d)
 	}
@@ -148,6 +152,8 @@
 		Apply:          d.apply,
 		Draining:       d.leavingServers,
 		RecordDraining: d.markLeaving,
+		Crashes:        d.crashReport,
+		RecordCrashes:  d.recordCrashes,
 	}
 	d.quota = &peer.Quota{Gossip: d.gossip, Gate: &d.gate, Limits: d.limitsOf}
 	for _, p := range d.settings.Peers {
@@ -205,6 +211,7 @@
 		Version:       d.versionOf,
 		OnOutcome:     d.observe,
 		OnStep:        d.recordStep,
+		Guard:         d.guard,
 		Gate:          &d.gate,
 		Domains:       d.gossip.Domains,
 		Stopping:      d.stopping.Load,
@@ -218,6 +225,7 @@
 		Configuration: d.store.Current,
 		Do:            d.services.Do,
 		Book:          d.bookings.Run,
+		Guard:         d.guard,
 		Stopping:      d.stopping.Load,
 		Telemetry:     d.telemetry,
 		Limits:        l,
@@ -304,7 +312,7 @@
 	loopCtx, stop := context.WithCancel(context.Background())
 	defer stop()
 	var wg sync.WaitGroup
-	for _, loop := range []func(context.Context){d.watchConfiguration, d.pollVMs, d.pollEngines, d.gossip.Run, d.quota.Run, d.runMoves} {
+	for _, loop := range []func(context.Context){d.watchConfiguration, d.pollVMs, d.pollEngines, d.gossip.Run, d.quota.Run, d.runMoves, d.shareCrashes} {
 		wg.Go(func() { loop(loopCtx) })
 	}
 	failed := make(chan error, 1)
