entry: callers of a blocked request are told a time to come back that is not over; docs

A block's time is that of its next trial, which the stand-alone daemon does not make, so that its callers would have been sent back at once again and again.

--- a/entry/quarantine.go
+++ b/entry/quarantine.go
@@ -25,6 +25,8 @@
 	crashSettleInterval = 500 * time.Millisecond
 	// maxCrashReports bounds the crashes in one message.
 	maxCrashReports = 64
+	// blockedRetryDelay is when callers of a blocked request are told to come back.
+	blockedRetryDelay = 10 * time.Second
 )
 
 // guard returns what keeps a request from servers if it crashes those that run it.
@@ -32,11 +34,16 @@
 	suspects := []quarantine.Suspect{f.Suspect()}
 	return engine.Guard{
 		Check: func() *result.Error {
-			b, ok := d.quarantine.Blocked(time.Now(), service, suspects)
+			now := time.Now()
+			b, ok := d.quarantine.Blocked(now, service, suspects)
 			if !ok {
 				return nil
 			}
-			return result.New(result.RequestBlocked, "%s crashed %d servers", b.Suspect, b.Crashes).WithRetryAt(b.Until)
+			at := b.Until
+			if !now.Before(at) {
+				at = now.Add(blockedRetryDelay) // a trial is due, but this daemon makes none
+			}
+			return result.New(result.RequestBlocked, "%s crashed %d servers", b.Suspect, b.Crashes).WithRetryAt(at)
 		},
 		OnSound: func() {
 			if d.quarantine.MarkSound(time.Now(), service, suspects) {
