backend, feed, gateway: the retries of a failure domain are handed out, not shared on sight

Cause: an entry VM was allowed all that its failure domain had left as far as the last reports told. All entry VMs spent the same remainder until the next reports, and counted the slack of the whole domain even if they knew the use of only a few others. A retry also left its bucketed window up to 1 s early.

Allotments now grant each entry VM a limit, on reports that go to the best-ranked entry VM of the domain that answers, every 0.5 s, and 0.2 s after the last one if a retry was refused. The limits in force add up to no more than was earned, however late reports are and whichever are lost; an entry VM whose grant has ended, or which reports to another issuer, stays below what it may have lent for as long as that may count. Reports no longer depend on the state of the store. The times of retries are kept one by one, so that a window is 10 s and not 9 to 10.

TestPooledBudget demanded that one entry VM may spend all that the last report left, which was the fault: it now demands that one that is short gets all that the other one lends within four reports, that together they spend neither more nor (by over one) less than was earned, and nothing twice when the grant has ended.

--- a/backend/backend_test.go
+++ b/backend/backend_test.go
@@ -260,31 +260,62 @@
 // TestPooledBudget covers the failure of all engines of a failure domain, after which a few
 // entry VMs have many streams to continue while the others have none.
 func TestPooledBudget(t *testing.T) {
-	Convey("Entry VMs of a failure domain share their budget while they know each other's usage", t, func() {
-		b := &backend.RetryBudget{Ratio: 0.5, Window: 10 * time.Second}
-		b.SetSlack(1)
+	Convey("Entry VMs of a failure domain share their budget", t, func() {
+		var a backend.Allotments
+		short := &backend.RetryBudget{Ratio: 0.5, Window: 10 * time.Second}
+		short.SetSlack(1)
+		other := &backend.RetryBudget{Ratio: 0.5, Window: 10 * time.Second}
+		other.SetSlack(11)
 		for range 4 {
-			b.Request(start)
+			short.Request(start)
 		}
-		allowed := func(now time.Time) int {
+		for range 40 {
+			other.Request(start)
+		}
+		allowed := func(b *backend.RetryBudget, now time.Time, most int) int {
 			n := 0
-			for range 100 {
+			for range most {
 				if b.Allow(now) {
 					n++
 				}
 			}
 			return n
 		}
-		So(allowed(start), ShouldEqual, 3)
-		b.SetPeers(start, backend.Usage{Requests: 40, Retries: 5}, 12)
-		So(allowed(start), ShouldEqual, 34-5-3)
-		So(b.Usage(start), ShouldResemble, backend.Usage{Requests: 4, Retries: 29})
-		Convey("and stay within their own part when they do not", func() {
-			b := &backend.RetryBudget{Ratio: 0.5, Window: 10 * time.Second}
-			b.SetSlack(1)
-			b.SetPeers(start, backend.Usage{Requests: 40}, 12)
-			So(b.Allow(start), ShouldBeTrue)
-			So(b.Allow(start.Add(3*time.Second)), ShouldBeFalse)
+		exchange := func(now time.Time) {
+			exchangeLimits(now, &a, other, 1)
+			exchangeLimits(now, &a, short, 0)
+		}
+		So(allowed(other, start, 5), ShouldEqual, 5)
+		So(allowed(short, start, 100), ShouldEqual, 3)
+		var got []int
+		for i := range 4 {
+			now := start.Add(time.Duration(i) * reportPeriod)
+			exchange(now)
+			got = append(got, allowed(short, now, 100))
+		}
+		now := start.Add(4 * reportPeriod)
+		Convey("so that one that is short soon gets most of what the others do not use", func() {
+			// The other one has earned 31, used 5 and keeps two fifths of the rest.
+			So(got[0]+got[1]+got[2]+got[3], ShouldBeGreaterThanOrEqualTo, 15)
+			So(short.Usage(now).Retries, ShouldEqual, 3+got[0]+got[1]+got[2]+got[3])
+			So(short.Usage(now).Requests, ShouldEqual, 4)
+		})
+		Convey("and never spend more together than they have earned", func() {
+			for i := range 20 {
+				now := start.Add(time.Duration(i+4) * reportPeriod / 4)
+				allowed(other, now, 100)
+				allowed(short, now, 100)
+				exchange(now)
+			}
+			sum := short.Usage(now).Retries + other.Usage(now).Retries
+			So(sum, ShouldBeBetweenOrEqual, 33, 34)
+		})
+		Convey("and do not spend what they have lent once the grant has ended", func() {
+			var all int
+			for i := range 8 {
+				all += allowed(other, now.Add(time.Duration(i)*time.Second), 100)
+			}
+			So(all+5+3+got[0]+got[1]+got[2]+got[3], ShouldBeLessThanOrEqualTo, 34)
 		})
 	})
 }
--- a/backend/budget.go
+++ b/backend/budget.go
@@ -1,42 +1,68 @@
 package backend
 
 import (
+	"slices"
 	"sync"
 	"time"
 
 	"quetzalhold/routing"
 )
 
-// Usage is the number of requests and of retries of a service within a window.
+// Usage is an entry VM's use of the retry budget of a service within a window.
 type Usage struct {
-	Service  routing.ServiceName `json:"service"`
-	Requests int                 `json:"requests"`
-	Retries  int                 `json:"repeats"`
-}
-
-// RetryBudget bounds the retries and hedged requests that entry VMs send for
-// a service in a sliding window. The entry VMs of a failure domain share the budget that their
-// requests earn together, as far as they know each other's usage; an entry VM that knows of no
-// other one stays within the budget that its own requests earn. The bound holds overall if it
-// holds in each failure domain. The zero value allows no retries.
+	Service  routing.ServiceName
+	Requests int
+	Retries  int
+	// Earned is the number of retries that the entry VM puts into the budget of its failure
+	// domain, and Limit the number that it may send at present.
+	Earned float64
+	Limit  float64
+	// Short reports whether a retry was refused lately.
+	Short bool
+}
+
+// RetryBudget bounds the retries and hedged requests that an entry VM sends for a service in a
+// sliding window: to the limit that [Allotments] of its failure domain grant it, or else to what
+// its own requests earn. The zero value allows no retries.
 type RetryBudget struct {
 	// Ratio is the number of retries that each request earns.
 	Ratio float64
 	// Window is the period over which requests and retries are counted.
 	Window time.Duration
-
-	mu          sync.Mutex
-	epoch       time.Time // start of bucket 0; measured from here because the time of day may jump
-	slack       float64   // retries allowed in addition to those earned by requests
-	requests    counter
-	retries     counter
-	peers       Usage     // usage of the other entry VMs of the failure domain
-	peersAt     time.Time // time at which peers was set
-	pooledSlack float64   // slack of the whole failure domain, used while peers is valid
-}
-
-// peersValidFor is how long the reported usage of other entry VMs is used.
-const peersValidFor = 3 * time.Second
+	// OnShort is called if a retry is refused; it may be nil, and must not block.
+	OnShort func()
+
+	mu       sync.Mutex
+	epoch    time.Time // start of bucket 0; measured from here because the time of day may jump
+	slack    float64   // retries allowed in addition to those earned by requests
+	requests counter
+	retries  []time.Time // of the last window, in order
+	short    time.Time   // until when a refused retry counts
+
+	issuer     string    // of limits
+	limit      float64   // last granted
+	granted    float64   // earned at the report on which limit was granted
+	reported   float64   // earned at the last report
+	limitUntil time.Time // end of the grant
+	lentUntil  time.Time // until when retries that limit lends to others may count
+	// restraint bounds what this entry VM earns until restrainedUntil: former issuers may have
+	// lent the rest to others.
+	restraint       float64
+	restrainedUntil time.Time
+}
+
+// Times of limits.
+const (
+	// limitValidFor is how long a limit holds, from the report on which it was granted.
+	limitValidFor = 3 * time.Second
+	// reportValidFor is how long a report counts without a newer one: what an entry VM earns is
+	// not lent to others any longer.
+	reportValidFor = 2 * time.Second
+	// maxDelay bounds the time that a report and its answer take.
+	maxDelay = 3 * time.Second
+	// shortFor is how long a refused retry counts as demand for more.
+	shortFor = time.Second
+)
 
 // buckets is the number of parts into which a window is divided.
 const buckets = 10
@@ -72,22 +98,73 @@
 	b.slack = n
 }
 
-// SetPeers sets the usage of the other entry VMs of the failure domain and the total slack of
-// that failure domain.
-func (b *RetryBudget) SetPeers(now time.Time, u Usage, slack float64) {
+// Follow sets the issuer of limits, which knows nothing of what former ones have granted. It must
+// be called before the first report to an issuer.
+func (b *RetryBudget) Follow(now time.Time, issuer string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.issuer == issuer {
+		return
+	}
+	b.issuer = issuer
+	if !now.Before(b.lentUntil) {
+		return
+	}
+	if now.Before(b.restrainedUntil) {
+		b.restraint = min(b.restraint, b.limit)
+	} else {
+		b.restraint = b.limit
+	}
+	b.restrainedUntil = b.lentUntil
+}
+
+// SetLimit sets the limit that was granted on the last report, the Usage of reportedAt.
+func (b *RetryBudget) SetLimit(now, reportedAt time.Time, limit float64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.peers, b.peersAt, b.pooledSlack = u, now, slack
+	b.limit, b.granted, b.limitUntil = limit, b.reported, reportedAt.Add(limitValidFor)
+	b.lentUntil = now.Add(maxDelay + reportValidFor + limitValidFor + b.Window)
 }
 
-// Usage returns this entry VM's own usage.
+// Usage returns this entry VM's usage, to be reported.
 func (b *RetryBudget) Usage(now time.Time) Usage {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	at := b.bucket(now)
-	b.requests.advance(at)
-	b.retries.advance(at)
-	return Usage{Requests: b.requests.sum(), Retries: b.retries.sum()}
+	b.advance(now)
+	b.reported = b.earned(now)
+	return Usage{Requests: b.requests.sum(), Retries: len(b.retries), Earned: b.reported, Limit: b.currentLimit(now), Short: now.Before(b.short)}
+}
+
+// advance drops what has left the window.
+func (b *RetryBudget) advance(now time.Time) {
+	b.requests.advance(b.bucket(now))
+	i := 0
+	for i < len(b.retries) && now.Sub(b.retries[i]) >= b.Window {
+		i++
+	}
+	b.retries = slices.Delete(b.retries, 0, i)
+}
+
+// earned returns the retries that this entry VM may send, or lend, without any grant.
+func (b *RetryBudget) earned(now time.Time) float64 {
+	e := b.Ratio*float64(b.requests.sum()) + b.slack
+	if now.Before(b.restrainedUntil) {
+		e = min(e, b.restraint)
+	}
+	return e
+}
+
+// currentLimit returns the number of retries allowed in a window. What was earned since a grant
+// adds to it. After its end, what it has lent to others is still missing here.
+func (b *RetryBudget) currentLimit(now time.Time) float64 {
+	switch {
+	case now.Before(b.limitUntil):
+		return b.limit + max(0, b.earned(now)-b.granted)
+	case now.Before(b.lentUntil):
+		return min(b.earned(now), b.limit)
+	default:
+		return b.earned(now)
+	}
 }
 
 func (b *RetryBudget) bucket(now time.Time) int64 {
@@ -125,7 +202,7 @@
 	if !b.canRetry(now, n) {
 		return false
 	}
-	b.retries.n[b.bucket(now)%buckets]++
+	b.retries = append(b.retries, now)
 	return true
 }
 
@@ -137,28 +214,23 @@
 }
 
 func (b *RetryBudget) canRetry(now time.Time, n int) bool {
-	at := b.bucket(now)
-	b.requests.advance(at)
-	b.retries.advance(at)
-	requests, retries, slack := b.requests.sum(), b.retries.sum(), b.slack
-	if now.Sub(b.peersAt) < peersValidFor {
-		requests += b.peers.Requests
-		retries += b.peers.Retries
-		slack = b.pooledSlack
+	b.advance(now)
+	if float64(len(b.retries)+n) <= b.currentLimit(now) {
+		return true
+	}
+	b.short = now.Add(shortFor)
+	if b.OnShort != nil {
+		b.OnShort()
 	}
-	return float64(retries+n) <= b.Ratio*float64(requests)+slack
+	return false
 }
 
 // Refund returns the most recent retry to the budget, for one that did not reach a server.
 func (b *RetryBudget) Refund(now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	at := b.bucket(now)
-	b.retries.advance(at)
-	for i := range int64(buckets) {
-		if n := &b.retries.n[(at-i+buckets)%buckets]; *n > 0 {
-			*n--
-			return
-		}
+	b.advance(now)
+	if n := len(b.retries); n > 0 {
+		b.retries = b.retries[:n-1]
 	}
 }
--- a/backend/budget_test.go
+++ b/backend/budget_test.go
@@ -25,15 +25,15 @@
 
 // budgetDomain is a failure domain of entry VMs that report their usage to each other.
 type budgetDomain struct {
-	random   *rand.Rand
-	budgets  []*backend.RetryBudget
-	reported []backend.Usage // of each entry VM, as last reported
-	requests []time.Time
-	retries  []time.Time
+	random     *rand.Rand
+	budgets    []*backend.RetryBudget
+	allotments backend.Allotments
+	requests   []time.Time
+	retries    []time.Time
 }
 
 func newBudgetDomain(seed uint64, vms int) *budgetDomain {
-	d := &budgetDomain{random: rand.New(rand.NewPCG(seed, 24)), reported: make([]backend.Usage, vms)}
+	d := &budgetDomain{random: rand.New(rand.NewPCG(seed, 24))}
 	for range vms {
 		b := &backend.RetryBudget{Ratio: budgetPart * retryRatio, Window: retryWindow}
 		b.SetSlack(budgetPart * retrySlack / float64(max(leastVMs, vms)))
@@ -42,18 +42,16 @@
 	return d
 }
 
-// exchange lets an entry VM report its usage and learn what the others reported last.
+// exchange lets an entry VM report its usage and receive its limit.
 func (d *budgetDomain) exchange(now time.Time, i int) {
-	d.reported[i] = d.budgets[i].Usage(now)
-	var others backend.Usage
-	for j, u := range d.reported {
-		if j != i {
-			others.Requests += u.Requests
-			others.Retries += u.Retries
-		}
+	exchangeLimits(now, &d.allotments, d.budgets[i], i)
+}
+
+func exchangeLimits(now time.Time, a *backend.Allotments, b *backend.RetryBudget, i int) {
+	b.Follow(now, "issuer")
+	for _, l := range a.Grant(now, retryWindow, fmt.Sprint(i), []backend.Usage{b.Usage(now)}) {
+		b.SetLimit(now, now, l.Retries)
 	}
-	vms := len(d.budgets)
-	d.budgets[i].SetPeers(now, others, budgetPart*retrySlack*float64(vms)/float64(max(leastVMs, vms)))
 }
 
 // play sends perSecond requests for length. From refuseAt on all engines refuse, so that each
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -56,9 +56,8 @@
 	backend.Revision
 	Updates []Update        `json:"words,omitempty"`
 	Config  *routing.Config `json:"config,omitempty"` // if newer than the requester's
-	// Usage is how much of the retry budgets the entry VMs of the failure domain use,
-	// including the requester.
-	Usage []backend.Usage `json:"usage,omitempty"`
+	// Limits are the requester's limits of the retry budgets.
+	Limits []backend.Limit `json:"limits,omitempty"`
 	// Members lists all known entry VMs; it is omitted if the requester already has the list
 	// with MembersDigest.
 	Members       []Member `json:"members,omitempty"`
@@ -118,6 +117,11 @@
 			return result.New(result.OutOfRange, "move of service %q to %q", m.Service, m.To).WithField("moves")
 		}
 	}
+	for _, l := range a.Limits {
+		if l.Retries < 0 {
+			return result.New(result.OutOfRange, "%g retries of service %q", l.Retries, l.Service).WithField("limits")
+		}
+	}
 	for i := range a.Crashes {
 		if err := a.Crashes[i].Check(); err != nil {
 			return err
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -279,20 +279,6 @@
 			watchers, _ = roles(start.Add(4 * time.Second))
 			So(watchers, ShouldHaveLength, 1)
 		})
-		Convey("add up their recently reported usage of the retry budgets", func() {
-			v := views[0]
-			for i := range all {
-				v.SetUsage(start, all[i].ID, []backend.Usage{{Service: "s", Requests: 10, Retries: i}})
-			}
-			v.SetUsage(start, "far", []backend.Usage{{Service: "s", Requests: 1000}})
-			own := []backend.Usage{{Service: "s", Requests: 1, Retries: 1}, {Service: "t", Requests: 7}}
-			sum, n := v.Usage(start, own)
-			So(n, ShouldEqual, 6)
-			So(sum, ShouldResemble, []backend.Usage{{Service: "s", Requests: 51, Retries: 16}, {Service: "t", Requests: 7}})
-			sum, n = v.Usage(start.Add(3*time.Second), own)
-			So(n, ShouldEqual, 1)
-			So(sum, ShouldResemble, own)
-		})
 		Convey("are counted, and forgotten after a failure", func() {
 			So(views[0].Count(), ShouldEqual, 7)
 			views[0].MarkFailed(start, "far")
@@ -303,9 +289,11 @@
 }
 
 func FuzzQuestion(f *testing.F) {
-	q := feed.Request{From: feed.Member{ID: "e", Address: "10.0.0.1:1", Domain: "d", LinkMbps: 10}, Epoch: "x", Seq: 4, Config: 5, Wait: time.Second, Starting: true, Usage: []backend.Usage{{Service: "s", Requests: 3, Retries: 1}}, Hung: []feed.ServerStart{{ID: "s1", Start: 7}}}
+	q := feed.Request{From: feed.Member{ID: "e", Address: "10.0.0.1:1", Domain: "d", LinkMbps: 10}, Epoch: "x", Seq: 4, Config: 5, Wait: time.Second, Starting: true, Usage: []backend.Usage{{Service: "s", Requests: 3, Retries: 1, Earned: 2.25, Limit: 0.7, Short: true}}, Hung: []feed.ServerStart{{ID: "s1", Start: 7}}}
 	f.Add(q.Query().Encode())
 	f.Add("seq=9999999999999999999&waitMs=-1&config=a")
+	f.Add("seq=0&waitMs=0&config=0&link=1&usage=s+3+1")
+	f.Add("seq=0&waitMs=0&config=0&link=1&usage=s+3+1+NaN+1+true")
 	f.Fuzz(func(t *testing.T, s string) {
 		v, err := url.ParseQuery(s)
 		if err != nil {
--- a/feed/http.go
+++ b/feed/http.go
@@ -5,10 +5,12 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"net/url"
 	"strconv"
+	"strings"
 	"time"
 
 	"quetzalhold/backend"
@@ -59,7 +61,7 @@
 		v.Add("clearedCrash", string(n))
 	}
 	for _, u := range q.Usage {
-		v.Add("usage", fmt.Sprintf("%s %d %d", u.Service, u.Requests, u.Retries))
+		v.Add("usage", fmt.Sprintf("%s %d %d %g %g %t", u.Service, u.Requests, u.Retries, u.Earned, u.Limit, u.Short))
 	}
 	addStarts(v, "hung", q.Hung)
 	addStarts(v, "leaving", q.Leaving)
@@ -87,15 +89,20 @@
 // parseUsage parses the usage of one service.
 func parseUsage(s string) (backend.Usage, error) {
 	var u backend.Usage
-	if _, err := fmt.Sscanf(s, "%s %d %d", &u.Service, &u.Requests, &u.Retries); err != nil {
+	n, err := fmt.Sscanf(s, "%s %d %d %g %g %t", &u.Service, &u.Requests, &u.Retries, &u.Earned, &u.Limit, &u.Short)
+	// Entry VMs of an earlier version, which have no limits, report three fields.
+	if err != nil && (n != 3 || len(strings.Fields(s)) != n) {
 		return u, result.Wrap(result.BadRequest, err, "usage").WithField("usage")
 	}
-	if u.Requests < 0 || u.Retries < 0 {
+	if u.Requests < 0 || u.Retries < 0 || !isCount(u.Earned) || !isCount(u.Limit) {
 		return u, result.New(result.OutOfRange, "%q", s).WithField("usage")
 	}
 	return u, nil
 }
 
+// isCount reports whether x is a number of retries, of which a part may be earned.
+func isCount(x float64) bool { return x >= 0 && x <= math.MaxInt32 }
+
 // maxWait is the longest wait for changes that a requester may ask for.
 const maxWait = 5 * time.Second
 
@@ -216,7 +223,6 @@
 	} else {
 		s.Members.MarkSeen(time.Now(), q.From)
 	}
-	s.Members.SetUsage(time.Now(), q.From.ID, q.Usage)
 	if len(q.Hung) > 0 {
 		s.OnHung(q.Hung)
 	}
@@ -241,6 +247,9 @@
 		}
 		t.Stop()
 	}
+	if r.Context().Err() != nil {
+		return // and has perhaps sent a later request
+	}
 	a := s.Respond(q)
 	a.Self = s.Members.Self
 	if a.MembersDigest = s.Members.Digest(); a.MembersDigest != q.Members && !q.Brief {
--- a/feed/members.go
+++ b/feed/members.go
@@ -10,7 +10,6 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"quetzalhold/backend"
 	"quetzalhold/names"
 )
 
@@ -43,44 +42,6 @@
 	seenAt   time.Time
 	failedAt time.Time
 	failures int
-	usage    []backend.Usage // reported by members of the same failure domain that follow this one
-	usageAt  time.Time
-}
-
-// usageValidFor is how long the usage reported by a member is used without a newer report.
-const usageValidFor = 3 * time.Second
-
-// SetUsage records how much of the retry budgets a member uses.
-func (m *Members) SetUsage(now time.Time, id MemberID, u []backend.Usage) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if k := m.known[id]; k != nil {
-		k.usage, k.usageAt = u, now
-	}
-}
-
-// Usage returns the sum of own, which is the usage of Self, and the usage recently reported by
-// members of the same failure domain, and the number of entry VMs included, with Self.
-func (m *Members) Usage(now time.Time, own []backend.Usage) (sum []backend.Usage, reporting int) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	sum = slices.Clone(own)
-	for _, k := range m.known {
-		if k.Domain != m.Self.Domain || now.Sub(k.usageAt) >= usageValidFor {
-			continue
-		}
-		reporting++
-		for _, u := range k.usage {
-			i := slices.IndexFunc(sum, func(s backend.Usage) bool { return s.Service == u.Service })
-			if i < 0 {
-				sum = append(sum, u)
-				continue
-			}
-			sum[i].Requests += u.Requests
-			sum[i].Retries += u.Retries
-		}
-	}
-	return sum, reporting + 1
 }
 
 // Times and limits of members.
@@ -223,6 +184,21 @@
 	return best.Member, true
 }
 
+// Issuer returns the entry VM to report the use of the retry budgets to: the best-ranked member of
+// the same failure domain but for those that failed to answer. It returns false if none ranks above
+// Self.
+func (m *Members) Issuer(failed map[MemberID]time.Time) (Member, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	best := m.Self
+	for _, k := range m.known {
+		if _, skip := failed[k.ID]; !skip && k.Domain == m.Self.Domain && ranksBefore(k.Member, best) {
+			best = k.Member
+		}
+	}
+	return best, best != m.Self
+}
+
 // RanksFirst reports whether Self is the best-ranked member of its failure domain, regardless of
 // whether the others respond.
 func (m *Members) RanksFirst() bool {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -71,6 +71,11 @@
 	hung    []feed.ServerStart // found here since the last poll of another entry VM
 	leaving []feed.ServerStart // have said so here since the last poll of another entry VM
 	budgets map[routing.ServiceName]*backend.RetryBudget
+
+	// allotments divides the retry budgets among the entry VMs that report theirs here.
+	allotments backend.Allotments
+	// short wakes shareBudgets up.
+	short chan struct{}
 }
 
 // Option configures a Daemon.
@@ -100,6 +105,7 @@
 		loaded:         make(chan struct{}),
 		crashesChanged: make(chan struct{}, 1),
 		unwritten:      make(chan struct{}, 1),
+		short:          make(chan struct{}, 1),
 		log:            zap.NewNop(),
 		budgets:        make(map[routing.ServiceName]*backend.RetryBudget),
 	}
@@ -166,69 +172,6 @@
 	return nil
 }
 
-// budget returns the retry budget of a service.
-func (d *Daemon) budget(n routing.ServiceName) *backend.RetryBudget {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	b := d.budgets[n]
-	if b == nil {
-		b = &backend.RetryBudget{Ratio: budgetShare * d.settings.Load().Bounds.RepeatRatio, Window: d.settings.Load().Bounds.RepeatWindowS.Duration()}
-		b.SetSlack(d.slack())
-		d.budgets[n] = b
-	}
-	return b
-}
-
-// budgetShare is the part of the permitted retries that is used: the windows in which
-// the entry VMs and the backend servers count do not coincide.
-const budgetShare = 0.85
-
-// minEntryVMs is the least number of entry VMs among which the slack of a retry budget
-// is divided: while the others are unknown, this one must not use too much.
-const minEntryVMs = 8
-
-// slack returns this entry VM's part of the slack of a retry budget.
-func (d *Daemon) slack() float64 {
-	return budgetShare * d.settings.Load().Bounds.RepeatSlack / float64(max(minEntryVMs, d.members.Count()))
-}
-
-// updateSlack divides the slack again: the number of entry VMs may have changed.
-func (d *Daemon) updateSlack() {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	for _, b := range d.budgets {
-		b.SetSlack(d.slack())
-	}
-}
-
-// usage returns this entry VM's use of the retry budgets.
-func (d *Daemon) usage(now time.Time) []backend.Usage {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	all := make([]backend.Usage, 0, len(d.budgets))
-	for n, b := range d.budgets {
-		u := b.Usage(now)
-		u.Service = n
-		all = append(all, u)
-	}
-	return all
-}
-
-// setPeerUsage records the other entry VMs' use of the retry budgets. sum is the use of
-// the whole failure domain, of which own is this entry VM's part.
-func (d *Daemon) setPeerUsage(now time.Time, sum, own []backend.Usage) {
-	byService := make(map[routing.ServiceName]backend.Usage, len(own))
-	for _, u := range own {
-		byService[u.Service] = u
-	}
-	pooled := d.slack() * float64(len(d.members.InDomain())+1)
-	for _, u := range sum {
-		u.Requests -= byService[u.Service].Requests
-		u.Retries -= byService[u.Service].Retries
-		d.budget(u.Service).SetPeers(now, u, pooled)
-	}
-}
-
 // Limits of the daemon's HTTP servers and of its memory.
 const (
 	// readHeaderTimeout bounds how long a caller may take to send headers. It is above
@@ -283,6 +226,7 @@
 	defer stop()
 	go d.follow(background)
 	go d.sweep(background)
+	go d.shareBudgets(background)
 	go d.publishCrashes(background)
 	d.log.Info("started", zap.Duration("after", time.Since(start)), zap.String("listen", s.Listen))
 	select {
@@ -399,7 +343,7 @@
 		Respond: func(q feed.Request) feed.Response {
 			now := time.Now()
 			a := d.changes.Respond(now, q, d.pool.List)
-			a.Usage, _ = d.members.Usage(now, d.usage(now))
+			a.Limits = d.grant(now, &q)
 			return a
 		},
 	})
--- a/gateway/upstream.go
+++ b/gateway/upstream.go
@@ -86,19 +86,15 @@
 		case stop == nil:
 			stop = d.startWatching(ctx)
 		default:
-			d.watcherTick(ctx, now)
+			d.watcherTick(ctx)
 		}
 	}
 }
 
 // watcherTick does the periodic work of an entry VM that watches the store, and waits
 // for watcherInterval.
-func (d *Daemon) watcherTick(ctx context.Context, now time.Time) {
+func (d *Daemon) watcherTick(ctx context.Context) {
 	d.pollAnyDomain(ctx)
-	own := d.usage(now)
-	if sum, reporting := d.members.Usage(now, own); reporting > 1 {
-		d.setPeerUsage(now, sum, own)
-	}
 	_ = clock.Sleep(ctx, watcherInterval) // the loop condition checks ctx
 }
 
@@ -117,7 +113,7 @@
 	if t := d.table.Load(); t != nil {
 		q.Config = t.Version
 	}
-	q.Wait, q.Usage, q.Counts = wait, d.usage(time.Now()), d.drainCounts()
+	q.Wait, q.Counts = wait, d.drainCounts()
 	q.Hung, q.Leaving = d.drainReports()
 	q.NewCrashes, q.ClearedCrashes = d.quarantine.Report(maxCrashReports)
 	a, err := d.client.Fetch(ctx, m, *q)
@@ -155,9 +151,6 @@
 	d.members.MarkFresh(now, a.Self)
 	d.members.Add(now, a.Members...)
 	d.guard("update from "+string(m.ID), func() { d.applyUpdate(now, &a) })
-	if a.Self.Domain == d.members.Self.Domain {
-		d.setPeerUsage(now, a.Usage, q.Usage)
-	}
 	d.changes.SetFreshAt(now.Add(-a.Age()))
 	*q = q.Next(&a)
 	return true
