quarantine: requests with long prompts are blocked too

A request whose prompt has more than 31 shared parts, or a part with an ID of more than 256 bytes, could crash servers without end: its crashes were not valid, and dropped. Now the parts beyond that are left out, and the request itself always counts. TestLongPromptNeverBlocked: no crash was kept before.

--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -23,12 +23,13 @@
 // requestPrefix is the prefix of suspects that are whole requests.
 const requestPrefix = "request:"
 
-// Parts returns the suspects for the parts of a prompt with the given IDs. An ID that could be
-// mistaken for a request is left out: callers choose them.
+// Parts returns the suspects for the parts of a prompt with the given IDs, at most as many as a crash
+// may have beside the request. IDs that are too long, or could be mistaken for a request, are left
+// out: callers choose them.
 func Parts(ids []string) []Suspect {
-	parts := make([]Suspect, 0, len(ids))
+	var parts []Suspect
 	for _, id := range ids {
-		if !Suspect(id).IsRequest() {
+		if !Suspect(id).IsRequest() && len(id) <= maxIDSize && len(parts) < maxSuspects-1 {
 			parts = append(parts, Suspect(id))
 		}
 	}
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"testing"
 	"time"
 
@@ -297,3 +298,23 @@
 		So(b.Suspect, ShouldEqual, quarantine.Suspect("part"))
 	})
 }
+
+// TestLongPromptNeverBlocked guards against requests that are never blocked since they have too many
+// parts, or one with too long an ID, to be kept.
+func TestLongPromptNeverBlocked(t *testing.T) {
+	many := make([]string, 100)
+	for i := range many {
+		many[i] = fmt.Sprintf("part-%d", i)
+	}
+	for _, ids := range [][]string{many, {"first", strings.Repeat("x", 1000)}} {
+		Convey(fmt.Sprintf("%d parts", len(ids)), t, func() {
+			var l quarantine.List
+			for i := range blockedFrom {
+				c := crash(i, append(parts(requestNamed("long")), quarantine.Parts(ids)...)...)
+				_, ok := l.Observe(start, c)
+				So(ok, ShouldBeTrue)
+			}
+			So(blocked(&l, requestNamed("long")), ShouldBeTrue)
+		})
+	}
+}
