--- a/gateway/crashing_test.go
+++ b/gateway/crashing_test.go
@@ -204,15 +204,7 @@
 		c.playCrashing(15*time.Second, 500*time.Millisecond)
 		c.wg.Wait()
 		from := c.boundStart()
-		for _, v := range c.entries {
-			v.stop()
-			<-v.done
-		}
-		time.Sleep(time.Second)
-		for i, v := range c.entries {
-			v.host = fmt.Sprintf("10.1.0.%d", 30+i)
-			w.run(v)
-		}
+		w.replaceVMs()
 		time.Sleep(contactBound)
 		c.playCrashing(40*time.Second, 500*time.Millisecond)
 		c.wg.Wait()
--- a/gateway/quarantine_test.go
+++ b/gateway/quarantine_test.go
@@ -149,15 +149,7 @@
 		c := newCrashTest(w)
 		c.play(15*time.Second, 0)
 		c.wg.Wait()
-		for _, v := range c.vms {
-			v.stop()
-			<-v.done
-		}
-		time.Sleep(time.Second)
-		for i, v := range c.vms {
-			v.host = fmt.Sprintf("10.1.0.%d", 30+i)
-			w.run(v)
-		}
+		w.replaceVMs()
 		time.Sleep(contactBound)
 		since := time.Now()
 		c.play(15*time.Second, 1000)
--- a/gateway/world_test.go
+++ b/gateway/world_test.go
@@ -146,6 +146,19 @@
 	return v
 }
 
+// replaceVMs stops all entry VMs and starts them again at other addresses.
+func (w *world) replaceVMs() {
+	for _, v := range w.vms {
+		v.stop()
+		<-v.done
+	}
+	time.Sleep(time.Second)
+	for i, v := range w.vms {
+		v.host = fmt.Sprintf("10.1.0.%d", 30+i)
+		w.run(v)
+	}
+}
+
 func (w *world) run(v *vm) {
 	s := &settings.Gateway{
 		ID: v.id, Domain: v.domain, Regions: map[names.ID]names.ID{"cn-a": "c", "wv-a": "w"},
