platform, relay: limits that servers name in their answers are decoded and logged

LIMIT: the logs could not tell whether the header is not read, read on some paths only, or read and the sum over the entry VMs too high. A line says when an answer shows that a server's limit has changed. No choice depends on it yet.

--- a/backend/backend.go
+++ b/backend/backend.go
@@ -105,6 +105,8 @@
 	heldUntil time.Time
 	// retryAt is when the server accepts requests again, after it has refused one.
 	retryAt time.Time
+	// limit is the rate of requests that the server takes from all entry VMs.
+	limit rateLimit
 	// load is this entry VM's in-flight load at the server.
 	load Load
 
@@ -200,6 +202,7 @@
 		// The server restarted under the same id and has lost all its state. In-flight
 		// requests stay counted until they end.
 		st.Server, st.removeAt, st.replaced, st.failedAt, st.failures, st.retryAt = s, time.Time{}, false, time.Time{}, 0, time.Time{}
+		st.limit = rateLimit{}
 	case st.Server == s:
 		return learned
 	default:
@@ -502,6 +505,8 @@
 	FailedAt time.Time
 	RetryAt  time.Time     // until then the server refuses requests; zero if it has refused none
 	DialTime time.Duration // usual time to open a connection; 0 if unknown
+	Limit    Rate          // rate of requests that it takes from all entry VMs
+	LimitAt  time.Time     // when an answer of the server last showed Limit; zero if none did
 }
 
 // View returns a snapshot of a server's state, and false if the server is unknown.
@@ -510,7 +515,7 @@
 	found := false
 	p.withState(id, func(st *state) {
 		found = true
-		v = View{Server: st.Server, Removed: !st.active(now), RemoveAt: st.removeAt, FailedAt: st.failedAt, RetryAt: st.retryAt, DialTime: st.dial}
+		v = View{Server: st.Server, Removed: !st.active(now), RemoveAt: st.removeAt, FailedAt: st.failedAt, RetryAt: st.retryAt, DialTime: st.dial, Limit: st.limit.rate, LimitAt: st.limit.heardAt}
 	})
 	return v, found
 }
--- a/relay/send.go
+++ b/relay/send.go
@@ -164,6 +164,7 @@
 			r.Leaving(to)
 		}
 	}
+	r.recordLimit(to, resp, now)
 	until, err := platform.RefusedUntil(resp.StatusCode, resp.Header, now)
 	if err != nil {
 		r.logMalformed.Do(func() {
@@ -176,6 +177,20 @@
 	}
 }
 
+// recordLimit records the rate limit that a response states.
+func (r *Relay) recordLimit(to backend.Choice, resp *http.Response, now time.Time) {
+	limit, err := platform.RateLimit(resp.Header)
+	if err != nil {
+		r.logMalformed.Do(func() {
+			r.Log.Warn("malformed limit in a server's answer ignored; others are not logged", zap.String("server", string(to.ID)), zap.Error(err))
+		})
+		return
+	}
+	if r.Pool.SetLimit(to.ID, to.Start, limit, now) {
+		r.Log.Info("server limit", zap.String("server", string(to.ID)), zap.Uint64("start", uint64(to.Start)), zap.Float64("perSecond", float64(limit)))
+	}
+}
+
 // markReplaced removes a server from the pool and reports it to Restarted, after another start
 // of it, or another server, answered at its address.
 func (r *Relay) markReplaced(to backend.Choice) {
