backend, feed, gateway, relay: servers get no more than the limit that they name (LIMIT)

Callers and servers: a server that named a limit of 4.1 a second got 67 requests in 4 s, as many as before.

A request to a server with a limit needs a permit. Permits are handed out by the entry VM of each failure domain that hands out the limits of retries, on the same reports, to those that need one; each failure domain has an equal part of 0.9 of the limit. They hold for a second, so that another issuer, a lost report or a silent entry VM changes little. All requests take theirs in one place (roundTrip): hedges, retries, trials, resumed streams, and calls that are cancelled. Limits and their ends are passed on in the feed; an end counts only if the request was sent after the limit was heard of. A server without a permit is no candidate; if all servers have none, callers are refused at once.

--- a/backend/backend.go
+++ b/backend/backend.go
@@ -78,6 +78,10 @@
 // Pool holds the backend servers of all services. The zero value is an empty pool. Its methods
 // are safe for concurrent use.
 type Pool struct {
+	// OnShort is called if a request lacks a permit for a server with a limit; it may be nil, and
+	// must not block.
+	OnShort func()
+
 	mu       sync.RWMutex
 	groups   map[routing.ServiceName]*group
 	services map[engine.ServerID]routing.ServiceName
--- a/backend/choice.go
+++ b/backend/choice.go
@@ -60,6 +60,7 @@
 	Load       Load          // load that this entry VM has in flight there
 	Considered int           // number of servers that were considered
 	Suspect    bool          // the server failed recently, as did all others
+	Limited    bool          // the server has named a limit
 }
 
 // candidate is a server considered by one choice.
@@ -72,7 +73,7 @@
 
 // Choose picks a server, or returns false if there is none.
 func (p *Pool) Choose(n Criteria) (Choice, bool) {
-	all := p.group(n.Service).candidates(&n)
+	all := p.candidates(&n)
 	if len(all) == 0 {
 		return Choice{}, false
 	}
@@ -84,7 +85,8 @@
 
 // candidates returns the servers that may take the request. Suspect servers are returned only
 // if there are no others.
-func (g *group) candidates(n *Criteria) []candidate {
+func (p *Pool) candidates(n *Criteria) []candidate {
+	g := p.group(n.Service)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	var healthy, suspect []candidate
@@ -92,8 +94,12 @@
 		if !st.eligible(n) || n.Now.Before(st.retryAt) || slices.Contains(n.Exclude, st.ID) {
 			continue
 		}
+		if !st.limit.hasRoom(n.Now) {
+			p.lack(st)
+			continue
+		}
 		c := candidate{
-			Choice:   Choice{Server: st.Server, DialTime: st.dial, Load: st.load, Suspect: st.suspect(n.Now)},
+			Choice:   Choice{Server: st.Server, DialTime: st.dial, Load: st.load, Suspect: st.suspect(n.Now), Limited: st.limit.rate != Unlimited},
 			avoided:  n.Avoid != "" && st.Domain == n.Avoid,
 			distance: distance(n, st.Domain),
 		}
@@ -125,7 +131,8 @@
 }
 
 // RetryAt returns the instant at which the first server accepts requests again, if all servers
-// that may take the request have refused others until some instant. Exclude has no effect.
+// that may take the request have refused others until some instant or have no room under their
+// limits. Exclude has no effect.
 func (p *Pool) RetryAt(n Criteria) (time.Time, bool) {
 	g := p.group(n.Service)
 	g.mu.Lock()
@@ -135,11 +142,15 @@
 		if !st.eligible(&n) {
 			continue
 		}
-		if !n.Now.Before(st.retryAt) {
+		at := st.retryAt
+		if !st.limit.hasRoom(n.Now) {
+			at = later(at, n.Now.Add(st.limit.roomIn()))
+		}
+		if !n.Now.Before(at) {
 			return time.Time{}, false
 		}
-		if first.IsZero() || st.retryAt.Before(first) {
-			first = st.retryAt
+		if first.IsZero() || at.Before(first) {
+			first = at
 		}
 	}
 	return first, !first.IsZero()
@@ -162,6 +173,10 @@
 	return crossRegionCost
 }
 
+// limitedCost is the cost of using a permit of a server with a limit, expressed as waiting time.
+// Below that of leaving the region, so that what such servers take is used.
+const limitedCost = 20 * time.Millisecond
+
 // plainCallTime is the assumed duration of a plain call in one of a server's slots.
 const plainCallTime = 40 * time.Millisecond
 
@@ -172,7 +187,11 @@
 		queued := max(0, c.Load.Requests+1-slots)
 		// Part of the load counts even before all slots are taken, because other entry VMs use
 		// the slots too.
-		return c.distance + time.Duration(queued)*plainCallTime/time.Duration(slots) +
+		cost := c.distance
+		if c.Limited {
+			cost += limitedCost
+		}
+		return cost + time.Duration(queued)*plainCallTime/time.Duration(slots) +
 			time.Duration(c.Load.Requests)*plainCallTime/time.Duration(4*slots)
 	}
 	best := slices.MinFunc(all, func(a, b candidate) int {
@@ -205,7 +224,7 @@
 	// the failure domain to avoid, then the load limit; the key's hash breaks ties.
 	rank := func(c *candidate) int {
 		r := 0
-		if c.Load.Requests > limit {
+		if c.Load.Requests > limit || c.Limited {
 			r++
 		}
 		if c.avoided {
--- a/backend/place.go
+++ b/backend/place.go
@@ -43,10 +43,10 @@
 // list includes engines of more than one failure domain, so that the replica can be placed
 // outside the failure domain of the generation.
 func (p *Pool) Candidates(n Criteria, k int) []Choice {
-	all := p.group(n.Service).candidates(&n)
+	all := p.candidates(&n)
 	slices.SortFunc(all, func(a, b candidate) int {
-		if a.avoided != b.avoided {
-			if a.avoided {
+		if a.lastResort() != b.lastResort() {
+			if a.lastResort() {
 				return 1
 			}
 			return -1
@@ -67,6 +67,9 @@
 	return list
 }
 
+// lastResort reports whether the engine is used only if there are no others.
+func (c *candidate) lastResort() bool { return c.avoided || c.Limited }
+
 func sameDomain(list []Choice) bool {
 	for i := range list {
 		if list[i].Domain != list[0].Domain {
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -6,6 +6,7 @@
 package feed
 
 import (
+	"math"
 	"sync"
 	"time"
 
@@ -33,6 +34,55 @@
 	// RemoveInMs is the time in milliseconds after which a server whose entry is missing counts
 	// as removed.
 	RemoveInMs int64 `json:"goneInMs,omitempty"`
+	// Limit is the limit that Server has named last, or the end of it; nil if it has named none.
+	Limit *Limit `json:"limit,omitempty"`
+}
+
+// Limit is the limit that a server has named in its answers.
+type Limit struct {
+	Rate backend.Rate `json:"perSecond"` // backend.Unlimited if the limit has ended
+	// AgeMs is the time in milliseconds since an answer showed it.
+	AgeMs int64 `json:"ageMs"`
+}
+
+// At returns the limit as that of a server's start.
+func (l Limit) At(now time.Time, id engine.ServerID, start engine.Incarnation) backend.RateLimit {
+	return backend.RateLimit{Server: id, Start: start, Rate: l.Rate, At: now.Add(-time.Duration(l.AgeMs) * time.Millisecond)}
+}
+
+func (l Limit) check() error {
+	if !(l.Rate >= 0 && l.Rate <= math.MaxInt32) || l.AgeMs < 0 || l.AgeMs > maxAge.Milliseconds() {
+		return result.New(result.OutOfRange, "%g a second, age %d", l.Rate, l.AgeMs).WithField("limit")
+	}
+	return nil
+}
+
+// ServerLimit is the limit that a start of a server has named to an entry VM.
+type ServerLimit struct {
+	ServerStart
+	Limit
+}
+
+// ServerLimits returns limits in the form in which they are reported.
+func ServerLimits(now time.Time, list []backend.RateLimit) []ServerLimit {
+	var all []ServerLimit
+	for _, l := range list {
+		all = append(all, ServerLimit{ServerStart{ID: l.Server, Start: l.Start}, Limit{Rate: l.Rate, AgeMs: ageMs(now, l.At)}})
+	}
+	return all
+}
+
+// ServerUpdate returns the update that states what is known about a server.
+func ServerUpdate(now time.Time, v *backend.View) Update {
+	w := Update{Server: v.Server}
+	if !v.LimitAt.IsZero() {
+		w.Limit = &Limit{Rate: v.Limit, AgeMs: ageMs(now, v.LimitAt)}
+	}
+	return w
+}
+
+func ageMs(now, at time.Time) int64 {
+	return min(max(0, now.Sub(at).Milliseconds()), maxAge.Milliseconds())
 }
 
 // RemoveAt returns the time from which the server of a removal counts as removed.
@@ -58,6 +108,8 @@
 	Config  *routing.Config `json:"config,omitempty"` // if newer than the requester's
 	// Limits are the requester's limits of the retry budgets.
 	Limits []backend.Limit `json:"limits,omitempty"`
+	// Permits are the requester's permits for servers that have named a limit.
+	Permits []backend.Permit `json:"permits,omitempty"`
 	// Members lists all known entry VMs; it is omitted if the requester already has the list
 	// with MembersDigest.
 	Members       []Member `json:"members,omitempty"`
@@ -108,6 +160,11 @@
 		if in := a.Updates[i].RemoveInMs; in < 0 || in > maxAge.Milliseconds() {
 			return result.New(result.OutOfRange, "%d", in).WithField("goneInMs")
 		}
+		if l := a.Updates[i].Limit; l != nil {
+			if err := l.check(); err != nil {
+				return err
+			}
+		}
 		if err := a.Updates[i].Server.Check(); err != nil && !a.Updates[i].Removed && !a.Updates[i].Hung {
 			return err
 		}
@@ -122,6 +179,11 @@
 			return result.New(result.OutOfRange, "%g retries of service %q", l.Retries, l.Service).WithField("limits")
 		}
 	}
+	for _, x := range a.Permits {
+		if x.Count < 0 {
+			return result.New(result.OutOfRange, "%d permits for %q", x.Count, x.Server).WithField("permits")
+		}
+	}
 	for i := range a.Crashes {
 		if err := a.Crashes[i].Check(); err != nil {
 			return err
@@ -151,6 +213,9 @@
 	Usage   []backend.Usage // retry budget usage of the requester
 	Hung    []ServerStart   // servers that the requester has found to hang since its last request
 	Leaving []ServerStart   // servers that have said to the requester that they are leaving
+	// ServerLimits are the limits that servers have named to the requester, or the ends of them.
+	ServerLimits []ServerLimit
+	Demands      []backend.Demand // permits that the requester needs
 	// Members is the digest of the list of members that the requester last received.
 	Members uint64
 	Moves   int64 // sequence number of the moves that the requester has
@@ -361,7 +426,7 @@
 	}
 	a.Full = true
 	for _, v := range servers(now) {
-		w := Update{Server: v.Server}
+		w := ServerUpdate(now, &v)
 		if !v.RemoveAt.IsZero() {
 			w.Removed, w.RemoveInMs = true, removeIn(now, v.RemoveAt)
 		}
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -289,7 +289,7 @@
 }
 
 func FuzzQuestion(f *testing.F) {
-	q := feed.Request{From: feed.Member{ID: "e", Address: "10.0.0.1:1", Domain: "d", LinkMbps: 10}, Epoch: "x", Seq: 4, Config: 5, Wait: time.Second, Starting: true, Usage: []backend.Usage{{Service: "s", Requests: 3, Retries: 1, Earned: 2.25, Limit: 0.7, Short: true}}, Hung: []feed.ServerStart{{ID: "s1", Start: 7}}}
+	q := feed.Request{From: feed.Member{ID: "e", Address: "10.0.0.1:1", Domain: "d", LinkMbps: 10}, Epoch: "x", Seq: 4, Config: 5, Wait: time.Second, Starting: true, Usage: []backend.Usage{{Service: "s", Requests: 3, Retries: 1, Earned: 2.25, Limit: 0.7, Short: true}}, Hung: []feed.ServerStart{{ID: "s1", Start: 7}}, Demands: []backend.Demand{{Server: "s1", Start: 7, Rate: 4.1, Count: 3}}, ServerLimits: feed.ServerLimits(time.Unix(5, 0), []backend.RateLimit{{Server: "s1", Start: 7, Rate: 4.1, At: time.Unix(2, 0)}})}
 	f.Add(q.Query().Encode())
 	f.Add("seq=9999999999999999999&waitMs=-1&config=a")
 	f.Add("seq=0&waitMs=0&config=0&link=1&usage=s+3+1")
@@ -309,3 +309,27 @@
 		}
 	})
 }
+
+// TestLimitOnTheWire checks that a limit keeps its age on the way to another entry VM and back.
+func TestLimitOnTheWire(t *testing.T) {
+	Convey("A limit and the end of one", t, func() {
+		for _, rate := range []backend.Rate{4.1, backend.Unlimited} {
+			now := time.Now()
+			l := backend.RateLimit{Server: "s1", Start: 7, Rate: rate, At: now.Add(-3 * time.Second)}
+			q := feed.Request{ServerLimits: feed.ServerLimits(now, []backend.RateLimit{l})}
+			got, err := feed.ParseRequest(q.Query())
+			So(err, ShouldBeNil)
+			So(got.ServerLimits, ShouldHaveLength, 1)
+			So(got.ServerLimits[0].At(now, "s1", 7), ShouldResemble, l)
+
+			w := feed.ServerUpdate(now, &backend.View{Server: backend.Server{ID: "s1", Start: 7}, Limit: rate, LimitAt: l.At})
+			So(w.Limit.At(now, "s1", 7), ShouldResemble, l)
+		}
+		for _, s := range []string{"s1 7 -1 0", "s1 7 NaN 0", "s1 7 1 -1", "s1"} {
+			v := (&feed.Request{}).Query()
+			v.Set("serverLimit", s)
+			_, err := feed.ParseRequest(v)
+			So(err, ShouldNotBeNil)
+		}
+	})
+}
--- a/feed/http.go
+++ b/feed/http.go
@@ -63,6 +63,12 @@
 	for _, u := range q.Usage {
 		v.Add("usage", fmt.Sprintf("%s %d %d %g %g %t", u.Service, u.Requests, u.Retries, u.Earned, u.Limit, u.Short))
 	}
+	for _, l := range q.ServerLimits {
+		v.Add("serverLimit", fmt.Sprintf("%s %d %g %d", l.ID, l.Start, l.Rate, l.AgeMs))
+	}
+	for _, d := range q.Demands {
+		v.Add("demand", fmt.Sprintf("%s %d %g %d", d.Server, d.Start, d.Rate, d.Count))
+	}
 	addStarts(v, "hung", q.Hung)
 	addStarts(v, "leaving", q.Leaving)
 	return v
@@ -100,6 +106,31 @@
 	return u, nil
 }
 
+// parseLimits parses the limits of servers that the requester reports, and its demands for permits.
+func (q *Request) parseLimits(v url.Values) error {
+	for _, s := range v["serverLimit"] {
+		var l ServerLimit
+		if _, err := fmt.Sscanf(s, "%s %d %g %d", &l.ID, &l.Start, &l.Rate, &l.AgeMs); err != nil {
+			return result.Wrap(result.BadRequest, err, "serverLimit").WithField("serverLimit")
+		}
+		if err := l.check(); err != nil {
+			return err
+		}
+		q.ServerLimits = append(q.ServerLimits, l)
+	}
+	for _, s := range v["demand"] {
+		var d backend.Demand
+		if _, err := fmt.Sscanf(s, "%s %d %g %d", &d.Server, &d.Start, &d.Rate, &d.Count); err != nil {
+			return result.Wrap(result.BadRequest, err, "demand").WithField("demand")
+		}
+		if (Limit{Rate: d.Rate}).check() != nil || d.Count < 0 {
+			return result.New(result.OutOfRange, "%q", s).WithField("demand")
+		}
+		q.Demands = append(q.Demands, d)
+	}
+	return nil
+}
+
 // isCount reports whether x is a number of retries, of which a part may be earned.
 func isCount(x float64) bool { return x >= 0 && x <= math.MaxInt32 }
 
@@ -163,6 +194,9 @@
 	if err := q.parseCrashes(v); err != nil {
 		return q, err
 	}
+	if err := q.parseLimits(v); err != nil {
+		return q, err
+	}
 	var err error
 	if q.Hung, err = parseStarts(v, "hung"); err != nil {
 		return q, err
@@ -200,6 +234,8 @@
 	OnHung func([]ServerStart)
 	// OnLeaving receives the servers that have said to the requester that they are leaving.
 	OnLeaving func([]ServerStart)
+	// OnServerLimits receives the limits that servers have named to the requester.
+	OnServerLimits func([]ServerLimit)
 	// OnNewerConfig is called with a requester that has a newer configuration.
 	OnNewerConfig func(Member)
 	// OnCounts receives what the requester has counted of services in moves.
@@ -229,6 +265,9 @@
 	if len(q.Leaving) > 0 {
 		s.OnLeaving(q.Leaving)
 	}
+	if len(q.ServerLimits) > 0 {
+		s.OnServerLimits(q.ServerLimits)
+	}
 	if len(q.Counts) > 0 {
 		s.OnCounts(q.Counts)
 	}
--- a/gateway/budgets.go
+++ b/gateway/budgets.go
@@ -80,7 +80,7 @@
 	}
 }
 
-// shareBudgets reports the use of the retry budgets to the best-ranked entry VM of the failure
+// shareBudgets reports the use of the retry budgets, and the permits needed for servers with limits, to the best-ranked entry VM of the failure
 // domain that answers, until ctx ends, and applies the limits that it grants. That does not depend
 // on the state of the store.
 func (d *Daemon) shareBudgets(ctx context.Context) {
@@ -112,7 +112,7 @@
 // applies the limits that m grants. It returns m's epoch, and false if m has not answered.
 func (d *Daemon) reportBudgets(ctx context.Context, m feed.Member, known feed.Epoch) (feed.Epoch, bool) {
 	reportedAt := time.Now()
-	q := feed.Request{From: d.members.Self, Brief: true, Epoch: known, Usage: d.usage(reportedAt)}
+	q := feed.Request{From: d.members.Self, Brief: true, Epoch: known, Usage: d.usage(reportedAt), Demands: d.pool.Demands(reportedAt)}
 	if t := d.table.Load(); t != nil {
 		q.Config = t.Version
 	}
@@ -124,6 +124,7 @@
 	now := time.Now()
 	if a.Epoch == known {
 		d.setLimits(now, reportedAt, a.Limits)
+		d.pool.AddPermits(reportedAt, a.Permits)
 		return known, true
 	}
 	d.log.Info("retry budgets reported to another entry VM", zap.String("to", string(m.ID)))
@@ -147,13 +148,16 @@
 	}
 }
 
-// grant returns the limits of the retry budgets of an entry VM that reports to this one. One that
-// has only just begun to does not know yet that it may have lent retries to others.
-func (d *Daemon) grant(now time.Time, q *feed.Request) []backend.Limit {
+// grant returns the limits of the retry budgets of an entry VM that reports to this one, and its
+// permits for servers with limits. One that has only just begun to report does not know yet that it
+// may have lent retries to others.
+func (d *Daemon) grant(now time.Time, q *feed.Request) ([]backend.Limit, []backend.Permit) {
 	if q.From.Domain != d.members.Self.Domain || q.Epoch != d.changes.Epoch() {
-		return nil
+		return nil, nil
 	}
-	return d.allotments.Grant(now, d.settings.Load().Bounds.RepeatWindowS.Duration(), string(q.From.ID), q.Usage)
+	s := d.settings.Load()
+	limits := d.allotments.Grant(now, s.Bounds.RepeatWindowS.Duration(), string(q.From.ID), q.Usage)
+	return limits, d.permits.Grant(now, len(s.Regions), q.Demands)
 }
 
 // grantSelf sets the limits of this entry VM's own retry budgets while it reports to no other, and
@@ -161,6 +165,8 @@
 func (d *Daemon) grantSelf(now time.Time) feed.Epoch {
 	epoch := d.changes.Epoch()
 	d.followIssuer(now, epoch)
-	d.setLimits(now, now, d.grant(now, &feed.Request{From: d.members.Self, Epoch: epoch, Usage: d.usage(now)}))
+	limits, permits := d.grant(now, &feed.Request{From: d.members.Self, Epoch: epoch, Usage: d.usage(now), Demands: d.pool.Demands(now)})
+	d.setLimits(now, now, limits)
+	d.pool.AddPermits(now, permits)
 	return epoch
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -69,12 +69,13 @@
 	fetchingConfig atomic.Bool
 
 	mu      sync.Mutex
-	hung    []feed.ServerStart // found here since the last poll of another entry VM
-	leaving []feed.ServerStart // have said so here since the last poll of another entry VM
+	reports serverReports // since the last poll of another entry VM
 	budgets map[routing.ServiceName]*backend.RetryBudget
 
 	// allotments divides the retry budgets among the entry VMs that report theirs here.
 	allotments backend.Allotments
+	// permits divides the limits that servers have named among the entry VMs that ask here.
+	permits backend.Permits
 	// short wakes shareBudgets up.
 	short chan struct{}
 }
@@ -131,6 +132,8 @@
 	d.relay.Restarted = d.handleRestart
 	d.relay.Hung = d.reportHung
 	d.relay.Leaving = d.reportLeaving
+	d.relay.LimitChanged = d.reportLimit
+	d.pool.OnShort = d.reportShort
 	d.relay.Allowed = d.allowedVersions
 	d.relay.Answered = d.recordAnswer
 	d.relay.Quarantine = &d.quarantine
@@ -342,11 +345,11 @@
 	mux := http.NewServeMux()
 	mux.Handle("GET "+feed.Path, &feed.Server{
 		Members: &d.members, Log: &d.changes,
-		OnHung: d.applyHung, OnLeaving: d.applyLeaving, OnCounts: d.applyPeerCounts, OnCrashes: d.applyCrashReports, OnNewerConfig: d.fetchConfig,
+		OnHung: d.applyHung, OnLeaving: d.applyLeaving, OnServerLimits: d.applyLimits, OnCounts: d.applyPeerCounts, OnCrashes: d.applyCrashReports, OnNewerConfig: d.fetchConfig,
 		Respond: func(q feed.Request) feed.Response {
 			now := time.Now()
 			a := d.changes.Respond(now, q, d.pool.List)
-			a.Limits = d.grant(now, &q)
+			a.Limits, a.Permits = d.grant(now, &q)
 			return a
 		},
 	})
--- a/gateway/upstream.go
+++ b/gateway/upstream.go
@@ -114,7 +114,8 @@
 		q.Config = t.Version
 	}
 	q.Wait, q.Counts = wait, d.drainCounts()
-	q.Hung, q.Leaving = d.drainReports()
+	reports := d.drainReports()
+	q.Hung, q.Leaving, q.ServerLimits = reports.hung, reports.leaving, feed.ServerLimits(time.Now(), reports.limits)
 	q.NewCrashes, q.ClearedCrashes = d.quarantine.Report(maxCrashReports)
 	a, err := d.client.Fetch(ctx, m, *q)
 	now := time.Now()
@@ -142,7 +143,7 @@
 	case err != nil:
 		d.members.MarkFailed(now, m.ID)
 		d.requeueCounts(q.Counts)
-		d.requeueReports(q.Hung, q.Leaving)
+		d.requeueReports(reports)
 	}
 	if err != nil {
 		d.log.Info("no fresh state from entry VM", zap.String("from", string(m.ID)), zap.Int64("ageMs", a.AgeMs), zap.Bool("away", a.Disconnected), zap.Error(err))
@@ -179,6 +180,7 @@
 			if w.Removed {
 				d.removeServer(now, w.Server.ID, w.Server.Revision, w.RemoveAt(now), string(a.Self.ID))
 			}
+			d.applyNamedLimit(now, &w, string(a.Self.ID))
 		}
 		d.log.Info("full server list applied", zap.String("from", string(a.Self.ID)), zap.Int("servers", len(servers)), zap.Int("applied", len(applied)), zap.Int("removed", len(removed)))
 		return
@@ -191,12 +193,21 @@
 			d.removeServer(now, w.Server.ID, w.Server.Revision, w.RemoveAt(now), string(a.Self.ID))
 		default:
 			d.applyServer(w.Server, string(a.Self.ID))
+			d.applyNamedLimit(now, &w, string(a.Self.ID))
 		}
 	}
 	d.changes.SetRevision(a.Revision)
 }
 
-// maxReports bounds the hung and the leaving servers that are queued for the next poll.
+// serverReports is what servers were found to be or have said here, to be reported with the next
+// poll of another entry VM.
+type serverReports struct {
+	hung    []feed.ServerStart
+	leaving []feed.ServerStart // have said that they are leaving
+	limits  []backend.RateLimit
+}
+
+// maxReports bounds the reports of each kind that are queued for the next poll.
 const maxReports = 64
 
 // reportHung records a server that a request found to be hung, so that it is reported
@@ -204,40 +215,76 @@
 func (d *Daemon) reportHung(c backend.Choice) {
 	s := feed.ServerStart{ID: c.ID, Start: c.Start}
 	d.changes.Add(s.HungUpdate())
-	d.requeueReports([]feed.ServerStart{s}, nil)
+	d.requeueReports(serverReports{hung: []feed.ServerStart{s}})
 }
 
 // reportLeaving records a server whose answer said that it is leaving, so that it is
 // reported to the other entry VMs of the failure domain.
 func (d *Daemon) reportLeaving(c backend.Choice) {
 	d.publishServer(c.ID)
-	d.requeueReports(nil, []feed.ServerStart{{ID: c.ID, Start: c.Start}})
+	d.requeueReports(serverReports{leaving: []feed.ServerStart{{ID: c.ID, Start: c.Start}}})
+}
+
+// reportLimit records that a server's answer has shown another limit, so that it is reported to
+// the other entry VMs of the failure domain.
+func (d *Daemon) reportLimit(l backend.RateLimit) {
+	d.publishServer(l.Server)
+	d.requeueReports(serverReports{limits: []backend.RateLimit{l}})
+}
+
+// applyLimits applies the limits that servers have named to another entry VM.
+func (d *Daemon) applyLimits(list []feed.ServerLimit) {
+	now := time.Now()
+	for _, l := range list {
+		d.applyLimit(l.At(now, l.ID, l.Start), "report")
+	}
+}
+
+// applyNamedLimit applies the limit that an update states, if any.
+func (d *Daemon) applyNamedLimit(now time.Time, w *feed.Update, from string) {
+	if w.Limit != nil {
+		d.applyLimit(w.Limit.At(now, w.Server.ID, w.Server.Start), from)
+	}
+}
+
+func (d *Daemon) applyLimit(l backend.RateLimit, from string) {
+	if d.pool.SetLimit(l) {
+		d.publishServer(l.Server)
+		d.log.Info("server limit", zap.String("server", string(l.Server)), zap.Uint64("start", uint64(l.Start)), zap.Float64("perSecond", float64(l.Rate)), zap.String("from", from))
+	}
 }
 
 // publishServer publishes the current state of a server to other entry VMs.
 func (d *Daemon) publishServer(id engine.ServerID) {
-	if v, ok := d.pool.View(id, time.Now()); ok {
-		d.changes.Add(feed.Update{Server: v.Server})
+	now := time.Now()
+	if v, ok := d.pool.View(id, now); ok {
+		d.changes.Add(feed.ServerUpdate(now, &v))
 	}
 }
 
-// drainReports returns the hung and the leaving servers that are still to be reported,
-// and empties the queues.
-func (d *Daemon) drainReports() (hung, leaving []feed.ServerStart) {
+// drainReports returns the queued reports and empties the queues.
+func (d *Daemon) drainReports() serverReports {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	hung, leaving = d.hung, d.leaving
-	d.hung, d.leaving = nil, nil
-	return hung, leaving
+	all := d.reports
+	d.reports = serverReports{}
+	return all
 }
 
 // requeueReports queues reports for the next poll. The latest are dropped if there are too
 // many.
-func (d *Daemon) requeueReports(hung, leaving []feed.ServerStart) {
+func (d *Daemon) requeueReports(more serverReports) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.hung = append(d.hung, hung[:min(len(hung), maxReports-len(d.hung))]...)
-	d.leaving = append(d.leaving, leaving[:min(len(leaving), maxReports-len(d.leaving))]...)
+	r := &d.reports
+	r.hung = appendUpTo(r.hung, more.hung)
+	r.leaving = appendUpTo(r.leaving, more.leaving)
+	r.limits = appendUpTo(r.limits, more.limits)
+}
+
+// appendUpTo appends to a queue of reports as many as fit.
+func appendUpTo[T any](queue, more []T) []T {
+	return append(queue, more[:min(len(more), maxReports-len(queue))]...)
 }
 
 // applyLeaving applies the reports of leaving servers from another entry VM.
--- a/relay/checkpoint.go
+++ b/relay/checkpoint.go
@@ -89,10 +89,11 @@
 	}()
 }
 
-// refusesNow reports whether a server has refused requests until an instant after now.
+// refusesNow reports whether a server has refused requests until an instant after now, or takes only
+// so many: it is then asked for no reports and copies.
 func (s *streamRun) refusesNow(c *backend.Choice, now time.Time) bool {
 	v, ok := s.relay.Pool.View(c.ID, now)
-	return ok && now.Before(v.RetryAt)
+	return ok && (now.Before(v.RetryAt) || v.Limit != backend.Unlimited)
 }
 
 // checkpointTarget returns the engine for the next checkpoint of the current run: the one that
--- a/relay/place.go
+++ b/relay/place.go
@@ -115,7 +115,12 @@
 func (r *Relay) queryReports(ctx context.Context, choices []backend.Choice, rank int, now time.Time) []backend.Engine {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
-	answers := queryAll(r.Log, choices, func(c backend.Choice) (backend.Report, error) { return r.Report(ctx, c) })
+	answers := queryAll(r.Log, choices, func(c backend.Choice) (backend.Report, error) {
+		if c.Limited {
+			return backend.Report{}, errNoRoom
+		}
+		return r.Report(ctx, c)
+	})
 	list := make([]backend.Engine, 0, len(choices))
 	for range choices {
 		a := <-answers
@@ -184,6 +189,9 @@
 
 // cachedTokens returns how many tokens of the request's prompt an engine has in its cache.
 func (r *Relay) cachedTokens(ctx context.Context, j *job, c backend.Choice) (engine.Tokens, error) {
+	if c.Limited {
+		return 0, errNoRoom
+	}
 	_, body, err := r.control(ctx, r.controlTransport, c, http.MethodGet, platform.CachePath, nil)
 	if err != nil {
 		return 0, err
--- a/relay/plain.go
+++ b/relay/plain.go
@@ -183,8 +183,7 @@
 
 // refundRetry returns a token to the retry budget if the retry reached no server.
 func (j *job) refundRetry(err error) {
-	var u dialError
-	if j.sends > 1 && errors.As(err, &u) {
+	if j.sends > 1 && notSent(err) {
 		j.relay.Budget(j.service).Refund(time.Now())
 	}
 }
--- a/relay/quarantine.go
+++ b/relay/quarantine.go
@@ -62,7 +62,7 @@
 // engine shows it by a load report.
 func (r *Relay) confirmCrash(to backend.Choice, n quarantine.Name, isEngine bool) {
 	time.Sleep(confirmDelay)
-	p := r.probe(context.Background(), to, "", time.Now().Add(to.DialTime+probeMargin), to.DialTime+probeRetryDelay, isEngine)
+	p := r.probe(context.Background(), to, "", time.Now().Add(to.DialTime+probeMargin), to.DialTime+probeRetryDelay, isEngine && !r.Pool.Limited(to.ID))
 	if p.err != nil || !r.Quarantine.Clear(time.Now(), n) {
 		return
 	}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -57,6 +57,8 @@
 	// Leaving is called when a server's answer says for the first time that it is leaving; may
 	// be nil.
 	Leaving func(backend.Choice)
+	// LimitChanged is called when a server's answer shows that its limit has changed; may be nil.
+	LimitChanged func(backend.RateLimit)
 	// Quarantine holds what crashes servers.
 	Quarantine *quarantine.List
 	// QuarantineChanged is called when a request has added a crash to Quarantine or cleared one;
--- a/relay/send.go
+++ b/relay/send.go
@@ -37,6 +37,15 @@
 
 func (u dialError) Unwrap() error { return u.cause }
 
+// errNoRoom is the failure to send to a server whose limit leaves no room: nothing was sent.
+var errNoRoom = errors.New("the server's limit leaves no room")
+
+// notSent reports whether an attempt failed before anything was sent to the server.
+func notSent(err error) bool {
+	var u dialError
+	return errors.As(err, &u) || errors.Is(err, errNoRoom)
+}
+
 // The bounds on opening a connection to a server: a multiple of the usual time plus a margin,
 // or a fixed default if the usual time is unknown.
 const (
@@ -108,9 +117,13 @@
 }
 
 // roundTrip sends the request and returns the response, whose body is not read yet. Its error
-// tells whether the server may have received the request.
+// tells whether the server may have received the request. All callers' requests pass here, so that
+// each counts against the server's limit.
 func (r *Relay) roundTrip(ctx context.Context, m *message, to backend.Choice, send *platform.ServerRequest) (*http.Response, error) {
 	begun := time.Now()
+	if !r.Pool.Take(to.ID, begun) {
+		return nil, errNoRoom
+	}
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) {
 			r.Pool.RecordDial(to.ID, time.Since(begun))
@@ -126,12 +139,14 @@
 // errForeign reports that a response does not answer the request that was sent.
 var errForeign = errors.New("no answer to this request")
 
-// classify returns the outcome of an attempt from its error or its response head, and updates
-// the pool with what this shows about the server.
-func (r *Relay) classify(m *message, to backend.Choice, resp *http.Response, err error) (Outcome, error) {
+// classify returns the outcome of an attempt that began at sentAt from its error or its response
+// head, and updates the pool with what this shows about the server.
+func (r *Relay) classify(m *message, to backend.Choice, sentAt time.Time, resp *http.Response, err error) (Outcome, error) {
 	now := time.Now()
 	var u dialError
 	switch {
+	case errors.Is(err, errNoRoom):
+		return NotRun, err
 	case errors.As(err, &u):
 		if m.Context().Err() == nil {
 			r.Pool.MarkFailed(to.ID, now)
@@ -146,12 +161,14 @@
 		return NotRun, fmt.Errorf("refused with status %d", resp.StatusCode)
 	}
 	r.recordNotices(to, resp, now)
-	if platform.NotRun(resp.StatusCode, resp.Header) {
-		return NotRun, fmt.Errorf("refused with status %d", resp.StatusCode)
-	}
-	if !platform.Genuine(resp.Header, m.params.ID) {
+	refused := platform.NotRun(resp.StatusCode, resp.Header)
+	if !refused && !platform.Genuine(resp.Header, m.params.ID) {
 		return Lost, fmt.Errorf("status %d: %w", resp.StatusCode, errForeign)
 	}
+	r.recordNoLimit(to, resp, sentAt)
+	if refused {
+		return NotRun, fmt.Errorf("refused with status %d", resp.StatusCode)
+	}
 	return Answered, nil
 }
 
@@ -177,17 +194,34 @@
 	}
 }
 
-// recordLimit records the rate limit that a response states.
+// recordLimit records the limit that a response names, if any.
 func (r *Relay) recordLimit(to backend.Choice, resp *http.Response, now time.Time) {
-	limit, err := platform.RateLimit(resp.Header)
+	rate, err := platform.RateLimit(resp.Header)
 	if err != nil {
 		r.logMalformed.Do(func() {
 			r.Log.Warn("malformed limit in a server's answer ignored; others are not logged", zap.String("server", string(to.ID)), zap.Error(err))
 		})
+	}
+	if rate != backend.Unlimited {
+		r.setLimit(backend.RateLimit{Server: to.ID, Start: to.Start, Rate: rate, At: now})
+	}
+}
+
+// recordNoLimit records that a server names no limit in its answer to a request that was sent at an
+// instant: a limit that it named before has ended.
+func (r *Relay) recordNoLimit(to backend.Choice, resp *http.Response, sentAt time.Time) {
+	if rate, err := platform.RateLimit(resp.Header); err == nil && rate == backend.Unlimited {
+		r.setLimit(backend.RateLimit{Server: to.ID, Start: to.Start, Rate: rate, At: sentAt})
+	}
+}
+
+func (r *Relay) setLimit(l backend.RateLimit) {
+	if !r.Pool.SetLimit(l) {
 		return
 	}
-	if r.Pool.SetLimit(to.ID, to.Start, limit, now) {
-		r.Log.Info("server limit", zap.String("server", string(to.ID)), zap.Uint64("start", uint64(to.Start)), zap.Float64("perSecond", float64(limit)))
+	r.Log.Info("server limit", zap.String("server", string(l.Server)), zap.Uint64("start", uint64(l.Start)), zap.Float64("perSecond", float64(l.Rate)))
+	if r.LimitChanged != nil {
+		r.LimitChanged(l)
 	}
 }
 
@@ -230,7 +264,7 @@
 			_ = resp.Body.Close() // its end was read, or it is not needed
 		}
 	}()
-	if rep.outcome, rep.err = r.classify(m, to, resp, err); rep.outcome != Answered {
+	if rep.outcome, rep.err = r.classify(m, to, begun, resp, err); rep.outcome != Answered {
 		return rep
 	}
 	rep.status, rep.header = resp.StatusCode, resp.Header
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -390,7 +390,7 @@
 	if resp != nil {
 		defer resp.Body.Close()
 	}
-	outcome, err := r.classify(m, cur.to, resp, err)
+	outcome, err := r.classify(m, cur.to, cur.sentAt, resp, err)
 	if outcome != Answered {
 		emit(part{ended: true, outcome: outcome, err: err})
 		return
