--- /dev/null
+++ b/gateway/cutoff_test.go
@@ -0,0 +1,226 @@
+package gateway_test
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"quetzalhold/memnet"
+	"quetzalhold/platform/platformtest"
+)
+
+// cutKind is how entry VMs lose their links to servers.
+type cutKind struct {
+	name string
+	cut  func(n *memnet.Network, entry, server memnet.Host)
+	heal func(n *memnet.Network, entry, server memnet.Host)
+}
+
+var cutKinds = []cutKind{
+	{"connections hang", (*memnet.Network).Partition, (*memnet.Network).Heal},
+	{"connections are reset", func(n *memnet.Network, a, b memnet.Host) {
+		n.Refuse(a, b)
+		n.Reset(a, b)
+	}, (*memnet.Network).Accept},
+	{"old connections live on", (*memnet.Network).Refuse, (*memnet.Network).Accept},
+}
+
+// cutOffTest is a fleet of which some entry VMs lose their links to all servers.
+type cutOffTest struct {
+	*world
+	entries []*vm
+	servers []*platformtest.Server
+	kind    cutKind
+
+	mu    sync.Mutex
+	tries []firstTry
+	wg    sync.WaitGroup
+}
+
+// firstTry is a caller's first try and how it ended.
+type firstTry struct {
+	id, path string
+	entry    int
+	at       time.Time
+	took     time.Duration
+	status   int
+	served   bool
+}
+
+func newCutOffTest(w *world, kind cutKind, entries int) *cutOffTest {
+	c := &cutOffTest{world: w, kind: kind}
+	for i := range 3 {
+		c.servers = append(c.servers, w.server(fmt.Sprintf("a-%d", i), "app", string(domainOf(i)), 30+i))
+	}
+	for i := range 8 {
+		c.servers = append(c.servers, w.server(fmt.Sprintf("e-%d", i), "models", string(domainOf(i)), 40+i))
+	}
+	w.store.Remove("servers", w.app.ID)
+	for i := range entries {
+		c.entries = append(c.entries, w.vm(fmt.Sprintf("vm-%d", i), domainOf(i), 10+i))
+	}
+	time.Sleep(4 * time.Second)
+	return c
+}
+
+// links calls f for each link between an entry VM and a server.
+func (c *cutOffTest) links(entries []int, f func(n *memnet.Network, entry, server memnet.Host)) {
+	for _, i := range entries {
+		for _, s := range c.servers {
+			f(c.net, memnet.Host(c.entries[i].host), memnet.Host(strings.TrimSuffix(s.Address, ":80")))
+		}
+	}
+}
+
+func (c *cutOffTest) cut(entries ...int)  { c.links(entries, c.kind.cut) }
+func (c *cutOffTest) heal(entries ...int) { c.links(entries, c.kind.heal) }
+
+// play sends calls and streams to all entry VMs for a time, so many calls a second to each.
+func (c *cutOffTest) play(d time.Duration, perSecond int) {
+	paths := []string{"/book/1", "/book/1", "/status/1", "/book/1", "/brief/1"}
+	end, run := time.Now().Add(d), time.Now().UnixNano()
+	for i := 0; time.Now().Before(end); i++ {
+		for e := range c.entries {
+			c.wg.Go(func() { c.try(e, paths[(i+e)%len(paths)], fmt.Sprintf("try-%d-%d-%d", run, e, i)) })
+		}
+		time.Sleep(time.Second / time.Duration(perSecond))
+	}
+}
+
+func (c *cutOffTest) try(entry int, path, id string) {
+	at, h, want := time.Now(), http.Header{"X-Deadline-Ms": {"2000"}}, "answer to "+id
+	if path == "/brief/1" {
+		h, want = http.Header{"X-Deadline-Ms": {"25000"}, "X-Token-Count": {"800,100"}, "X-Prompt-Prefix": {id + ":800"}}, ""
+		for n := range 20 {
+			want += platformtest.EventText(id+":800", n+1)
+		}
+	}
+	a := c.send(c.transport(), c.entries[entry], path, "key-1", id, h)
+	t := firstTry{id: id, path: path, entry: entry, at: at, took: time.Since(at), status: a.status}
+	t.served = a.err == nil && a.status == http.StatusOK && a.body == want && strings.HasPrefix(a.header.Get("X-Server-Stamp"), "stamp.")
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.tries = append(c.tries, t)
+}
+
+// served returns how many of the first tries at some entry VMs, or at all others, that began in a
+// time were served.
+func (c *cutOffTest) served(from, until time.Time, at func(entry int) bool) (served, all int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, t := range c.tries {
+		if t.at.Before(from) || !t.at.Before(until) || !at(t.entry) {
+			continue
+		}
+		all++
+		if t.served {
+			served++
+		}
+	}
+	return served, all
+}
+
+// checkOnce checks that no call ran more than once that may not.
+func (c *cutOffTest) checkOnce() {
+	for _, t := range c.tries {
+		if t.path == "/book/1" {
+			runs := len(c.book.Runs(t.id))
+			SoMsg(t.id, runs, ShouldBeLessThanOrEqualTo, 1)
+			if t.status == http.StatusServiceUnavailable {
+				SoMsg(t.id, runs, ShouldEqual, 0)
+			}
+		}
+	}
+}
+
+// TestCutOffRefusesCallers guards against entry VMs that refuse their callers because they have lost
+// their links to all servers, while the others serve theirs.
+func TestCutOffRefusesCallers(t *testing.T) {
+	for _, kind := range cutKinds {
+		for _, c := range []struct {
+			name string
+			cut  []int
+		}{
+			{"one entry VM", []int{2}},
+			{"four of seven", []int{0, 2, 3, 4}},
+			{"all of a failure domain", []int{0, 2, 4, 6}},
+		} {
+			inWorld(t, kind.name+", "+c.name, func(w *world) {
+				f := newCutOffTest(w, kind, 7)
+				f.play(2*time.Second, 10)
+				f.cut(c.cut...)
+				begin := time.Now()
+				f.play(12*time.Second, 10)
+				f.heal(c.cut...)
+				healed := time.Now()
+				f.play(4*time.Second, 10)
+				f.wg.Wait()
+				cut := func(entry int) bool { return slices.Contains(c.cut, entry) }
+				others := func(entry int) bool { return !cut(entry) }
+				from := begin.Add(contactBound)
+				served, all := f.served(from, healed, cut)
+				servedByOthers, allOthers := f.served(from, healed, others)
+				So(allOthers, ShouldBeGreaterThan, 100)
+				So(float64(served)/float64(all), ShouldBeGreaterThanOrEqualTo, 2./3*float64(servedByOthers)/float64(allOthers))
+				So(servedByOthers, ShouldEqual, allOthers)
+				// A second after the cut all is as before.
+				served, all = f.served(healed.Add(time.Second), time.Now(), func(int) bool { return true })
+				So(served, ShouldEqual, all)
+				f.checkOnce()
+			})
+		}
+	}
+}
+
+// TestCutOffHarmsOthers guards against what an entry VM without links to servers believes of them:
+// it must not block requests, nor keep other entry VMs from servers.
+func TestCutOffHarmsOthers(t *testing.T) {
+	for _, kind := range cutKinds {
+		inWorld(t, kind.name, func(w *world) {
+			f := newCutOffTest(w, kind, 7)
+			f.play(2*time.Second, 20) // the same requests again and again, under other ids
+			f.cut(0, 1, 2)
+			f.play(8*time.Second, 20)
+			f.heal(0, 1, 2)
+			f.wg.Wait()
+			So(w.store.Names("crashes"), ShouldBeEmpty)
+			for _, v := range f.entries {
+				So(v.log.String(), ShouldNotContainSubstring, "RequestBlocked")
+				So(v.log.String(), ShouldNotContainSubstring, "server reported as hung")
+			}
+		})
+	}
+}
+
+// TestServersGoneNotForwarded checks that calls are refused soon where the servers are gone, or all
+// entry VMs are cut off.
+func TestServersGoneNotForwarded(t *testing.T) {
+	check := func(f *cutOffTest) {
+		f.play(4*time.Second, 5)
+		f.wg.Wait()
+		for _, t := range f.tries {
+			So(t.served, ShouldBeFalse)
+			if t.path != "/brief/1" {
+				So(t.took, ShouldBeLessThan, 1500*time.Millisecond)
+			}
+		}
+	}
+	inWorld(t, "all servers have crashed", func(w *world) {
+		f := newCutOffTest(w, cutKinds[0], 7)
+		for _, s := range f.servers {
+			w.net.Crash(memnet.Host(strings.TrimSuffix(s.Address, ":80")))
+		}
+		check(f)
+	})
+	inWorld(t, "all entry VMs are cut off", func(w *world) {
+		f := newCutOffTest(w, cutKinds[0], 7)
+		f.cut(0, 1, 2, 3, 4, 5, 6)
+		check(f)
+	})
+}
--- a/memnet/memnet.go
+++ b/memnet/memnet.go
@@ -28,6 +28,7 @@
 	listeners    map[string]*listener
 	links        map[*link]struct{}
 	partitioned  map[pair]bool // set by Partition
+	refused      map[pair]bool // set by Refuse
 	disconnected map[Host]bool // set by Disconnect
 	traffic      map[Host]Traffic
 	ports        int // port of the newest client end
@@ -137,9 +138,9 @@
 		}
 	}
 	n.mu.Lock()
-	l := n.listeners[address]
+	l, refused := n.listeners[address], n.refused[pairOf(from, to)]
 	n.mu.Unlock()
-	if l == nil {
+	if l == nil || refused {
 		return nil, fmt.Errorf("dial %s: %w", address, syscall.ECONNREFUSED)
 	}
 	client, server := n.connect(from, to, address)
@@ -245,6 +246,23 @@
 	delete(n.partitioned, pairOf(a, b))
 }
 
+// Refuse lets new connections between two hosts be refused until Accept. Open ones live on.
+func (n *Network) Refuse(a, b Host) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.refused == nil {
+		n.refused = make(map[pair]bool)
+	}
+	n.refused[pairOf(a, b)] = true
+}
+
+// Accept ends what Refuse began.
+func (n *Network) Accept(a, b Host) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.refused, pairOf(a, b))
+}
+
 // Crash ends the processes of a host as a crash does: open connections are reset and new ones
 // refused.
 func (n *Network) Crash(h Host) {
