relay, feed, gateway: entry VMs that reach no servers hand requests to others (RECOVER)

Cause: requests had no way to servers but the links of their own entry VM, and it did not tell that it is cut off from servers that are gone.

Where connections to two servers fail with none opened in between, five servers of different services and failure domains are tried at once (relay.Reach decides). If none is reached, requests, and what is left of streams under way, go to another entry VM: two of the own failure domain are tried, then others. The request goes with what its own entry VM has decided about it (route, service, organisation, version), so that the configuration of the helping one does not matter; that one only sends it, with its own limits and budget, and hands it no further. A lost connection between the two counts as that to a server: a booking is not sent again.

--- a/backend/backend.go
+++ b/backend/backend.go
@@ -446,6 +446,19 @@
 	st.failedAt = now
 }
 
+// ForgetFailures forgets the failures of servers since an instant, which were not theirs.
+func (p *Pool) ForgetFailures(since time.Time) {
+	for _, g := range p.allGroups() {
+		g.mu.Lock()
+		for _, st := range g.servers {
+			if !st.failedAt.Before(since) {
+				st.failedAt, st.failures = time.Time{}, 0
+			}
+		}
+		g.mu.Unlock()
+	}
+}
+
 // MarkHung records that a start of a server accepts requests but does not process them. Such a
 // server looks idle and would attract new requests at once, so it is avoided for longer than
 // after an ordinary failure.
--- a/backend/choice.go
+++ b/backend/choice.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -61,6 +62,7 @@
 	Considered int           // number of servers that were considered
 	Suspect    bool          // the server failed recently, as did all others
 	Limited    bool          // the server has named a limit
+	Peer       bool          // not a server but another entry VM, which sends the request on
 }
 
 // candidate is a server considered by one choice.
@@ -130,6 +132,39 @@
 		(n.Only == nil || slices.Contains(n.Only, st.ID))
 }
 
+// Sample returns up to n servers, of different services and failure domains if possible.
+func (p *Pool) Sample(now time.Time, n int) []Choice {
+	type place struct {
+		service routing.ServiceName
+		domain  names.ID
+	}
+	places := make(map[place][]Choice)
+	for _, g := range p.allGroups() {
+		g.mu.Lock()
+		for _, st := range g.servers {
+			if st.active(now) {
+				k := place{st.Service, st.Domain}
+				places[k] = append(places[k], Choice{Server: st.Server, DialTime: st.dial})
+			}
+		}
+		g.mu.Unlock()
+	}
+	var list []Choice
+	for len(list) < n && len(places) > 0 {
+		for k, all := range places {
+			if len(list) == n {
+				break
+			}
+			i := rand.IntN(len(all))
+			list = append(list, all[i])
+			if places[k] = slices.Delete(all, i, i+1); len(places[k]) == 0 {
+				delete(places, k)
+			}
+		}
+	}
+	return list
+}
+
 // RetryAt returns the instant at which the first server accepts requests again, if all servers
 // that may take the request have refused others until some instant or have no room under their
 // limits. Exclude has no effect.
--- a/feed/members.go
+++ b/feed/members.go
@@ -42,6 +42,8 @@
 	seenAt   time.Time
 	failedAt time.Time
 	failures int
+	// unhelpfulUntil is until when it is not asked to serve requests for this entry VM.
+	unhelpfulUntil time.Time
 }
 
 // Times and limits of members.
@@ -229,6 +231,60 @@
 	return all[rand.IntN(len(all))], true
 }
 
+// unhelpfulFor is how long a member that could not serve a request for this entry VM is not asked
+// again.
+const unhelpfulFor = 2 * time.Second
+
+// MarkUnhelpful records that a member could not serve a request for this entry VM.
+func (m *Members) MarkUnhelpful(now time.Time, id MemberID) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if k := m.known[id]; k != nil {
+		k.unhelpfulUntil = now.Add(unhelpfulFor)
+	}
+}
+
+// nearTries is how many members of the own failure domain are tried before others: all of a failure
+// domain may have the same trouble.
+const nearTries = 2
+
+// Helper returns a random member that may serve a request for this entry VM and was not tried for it:
+// first some of the failure domain, then of the region, then of others. region returns the region of
+// a failure domain.
+func (m *Members) Helper(now time.Time, tried []MemberID, region func(names.ID) names.ID) (Member, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	distance := func(k *member) int {
+		switch {
+		case k.Domain == m.Self.Domain && len(tried) < nearTries:
+			return 0
+		case k.Domain != m.Self.Domain && region(k.Domain) == region(m.Self.Domain):
+			return 1
+		case k.Domain != m.Self.Domain:
+			return 2
+		}
+		return 3
+	}
+	var nearest []Member
+	best := 0
+	for _, k := range m.known {
+		if now.Before(k.unhelpfulUntil) || slices.Contains(tried, k.ID) {
+			continue
+		}
+		d := distance(k)
+		if len(nearest) == 0 || d < best {
+			nearest, best = nearest[:0], d
+		}
+		if d == best {
+			nearest = append(nearest, k.Member)
+		}
+	}
+	if len(nearest) == 0 {
+		return Member{}, false
+	}
+	return nearest[rand.IntN(len(nearest))], true
+}
+
 // List returns the known members in the order of their ids.
 func (m *Members) List() []Member {
 	m.mu.Lock()
--- a/gateway/cutoff_test.go
+++ b/gateway/cutoff_test.go
@@ -224,3 +224,100 @@
 		check(f)
 	})
 }
+
+// longStream requests a stream of 200 events from an entry VM and returns how it ended, and what was
+// to come.
+func (c *cutOffTest) longStream(entry int, id string) (a answer, want string) {
+	for n := range 200 {
+		want += platformtest.EventText(id+":800", n+1)
+	}
+	return c.send(c.transport(), c.entries[entry], "/brief/1", "key-1", id, http.Header{
+		"X-Deadline-Ms": {"25000"}, "X-Token-Count": {"800,1000"}, "X-Prompt-Prefix": {id + ":800"},
+	}), want
+}
+
+// helperOf returns the entry VM that has a request of another one, or -1.
+func (c *cutOffTest) helperOf(id string) int {
+	return slices.IndexFunc(c.entries, func(v *vm) bool {
+		return strings.Contains(v.log.String(), `"event":"stream sent"`) && slices.ContainsFunc(strings.Split(v.log.String(), "\n"), func(line string) bool {
+			return strings.Contains(line, id) && strings.Contains(line, `"event":"stream sent"`) && !strings.Contains(line, `"takenFrom":""`)
+		})
+	})
+}
+
+// TestCutOffLosesStream guards against streams that end early because their entry VM, or the one that
+// helps it, is lost to the servers or to it.
+func TestCutOffLosesStream(t *testing.T) {
+	for _, kind := range cutKinds {
+		inWorld(t, kind.name+", streams under way go on", func(w *world) {
+			f := newCutOffTest(w, kind, 5)
+			for i := range 6 {
+				f.wg.Go(func() {
+					a, want := f.longStream(0, fmt.Sprintf("long-%d", i))
+					f.mu.Lock()
+					defer f.mu.Unlock()
+					f.tries = append(f.tries, firstTry{id: fmt.Sprint(i), status: a.status, served: a.err == nil && a.body == want})
+				})
+			}
+			time.Sleep(700 * time.Millisecond)
+			f.cut(0)
+			f.wg.Wait()
+			So(f.tries, ShouldHaveLength, 6)
+			for _, t := range f.tries {
+				So(t.served, ShouldBeTrue)
+			}
+		})
+		inWorld(t, kind.name+", the helping entry VM is lost", func(w *world) {
+			f := newCutOffTest(w, kind, 5)
+			f.cut(0)
+			f.play(2*time.Second, 5)
+			var a answer
+			var want string
+			f.wg.Go(func() { a, want = f.longStream(0, "long") })
+			time.Sleep(time.Second)
+			helper := f.helperOf("long")
+			So(helper, ShouldBeGreaterThan, 0)
+			w.net.Disconnect(memnet.Host(f.entries[helper].host))
+			f.wg.Wait()
+			w.net.Reconnect(memnet.Host(f.entries[helper].host))
+			So(a.err, ShouldBeNil)
+			So(a.body, ShouldEqual, want)
+		})
+	}
+	inWorld(t, "a booking under way at the helping entry VM is not repeated", func(w *world) {
+		f := newCutOffTest(w, cutKinds[0], 3)
+		f.cut(0)
+		f.play(2*time.Second, 5)
+		for _, s := range f.servers {
+			s.SetFault(platformtest.Fault{Delay: 500 * time.Millisecond})
+		}
+		var a answer
+		f.wg.Go(func() {
+			a = f.send(f.transport(), f.entries[0], "/book/1", "key-1", "slow", http.Header{"X-Deadline-Ms": {"2000"}})
+		})
+		time.Sleep(300 * time.Millisecond)
+		So(f.book.Runs("slow"), ShouldHaveLength, 1)
+		for _, i := range []int{1, 2} {
+			w.net.Reset(memnet.Host(f.entries[0].host), memnet.Host(f.entries[i].host))
+		}
+		f.wg.Wait()
+		So(f.book.Runs("slow"), ShouldHaveLength, 1)
+		So(a.status, ShouldEqual, http.StatusBadGateway)
+	})
+	inWorld(t, "a helping entry VM that stops finishes what it has taken", func(w *world) {
+		f := newCutOffTest(w, cutKinds[0], 3)
+		f.cut(0)
+		f.play(2*time.Second, 5)
+		var a answer
+		var want string
+		f.wg.Go(func() { a, want = f.longStream(0, "long") })
+		time.Sleep(time.Second)
+		helper := f.helperOf("long")
+		So(helper, ShouldBeGreaterThan, 0)
+		f.entries[helper].stop()
+		f.wg.Wait()
+		So(a.err, ShouldBeNil)
+		So(a.body, ShouldEqual, want)
+		So(f.book.Runs("long"), ShouldHaveLength, 1)
+	})
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -123,7 +123,10 @@
 	d.store = platform.NewStore(s.Store, d.dial)
 	d.client = feed.NewClient(d.dial)
 	d.relay = relay.New(d.dial)
+	d.relay.ID = s.ID
 	d.relay.Domain = s.Domain
+	d.relay.Helper = d.helper
+	d.relay.HelperFailed = d.helperFailed
 	d.relay.Region = func(n names.ID) names.ID { return s.Region(n) }
 	d.relay.Pool = &d.pool
 	d.relay.Table = d.table.Load
@@ -206,7 +209,10 @@
 		BaseContext: func(net.Listener) context.Context { return work },
 	}
 	ready := &http.Server{Handler: http.HandlerFunc(d.serveReady), ReadHeaderTimeout: readHeaderTimeout}
-	peers := &http.Server{Handler: d.peerHandler(), ReadHeaderTimeout: readHeaderTimeout}
+	peers := &http.Server{
+		Handler: d.takeRequests(d.peerHandler()), ReadHeaderTimeout: readHeaderTimeout, ErrorLog: errorLog(d.log),
+		BaseContext: func(net.Listener) context.Context { return work },
+	}
 	metrics := &http.Server{Handler: d.metrics.Handler(), ReadHeaderTimeout: readHeaderTimeout}
 	failed := make(chan error, 4)
 	var callers net.Listener
@@ -233,6 +239,7 @@
 	go d.sweep(background)
 	go d.shareBudgets(background)
 	go d.publishCrashes(background)
+	go d.relay.WatchReach(background)
 	d.log.Info("started", zap.Duration("after", time.Since(start)), zap.String("listen", s.Listen))
 	select {
 	case err := <-failed:
@@ -283,12 +290,13 @@
 // drainInterval is how often drain looks for idle connections.
 const drainInterval = 20 * time.Millisecond
 
-// drain closes callers' connections once they are idle, until none is left or ctx ends.
+// drain closes callers' connections once they are idle, until none is left and no request of another
+// entry VM is in flight, or ctx ends.
 // http.Server.Shutdown drops requests whose heads it reads meanwhile.
 func (d *Daemon) drain(ctx context.Context) error {
 	t := time.NewTicker(drainInterval)
 	defer t.Stop()
-	for d.conns.closeIdle(time.Now()) > 0 {
+	for d.conns.closeIdle(time.Now())+d.relay.Taken() > 0 {
 		select {
 		case <-t.C:
 		case <-ctx.Done():
--- a/relay/checkpoint.go
+++ b/relay/checkpoint.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"net/http/httptrace"
 	"slices"
 	"time"
 
@@ -66,6 +67,9 @@
 		return
 	}
 	r := s.cur
+	if r.to.Peer {
+		return
+	}
 	p := CheckpointState{Now: now, Generating: r.started, ReplicaAlive: s.replicaAlive(r, now), InProgress: r.checkpointing, TriedAt: r.triedAt}
 	if r.checkpoint != nil {
 		p.CheckpointAt, p.CheckpointAlive = r.checkpoint.at, s.serverAlive(&r.checkpoint.server, r.sentAt, now)
@@ -195,7 +199,18 @@
 	if len(body) > 0 {
 		req.Header.Set("Content-Type", "application/json")
 	}
+	req = req.WithContext(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(c httptrace.GotConnInfo) {
+			if !c.Reused {
+				r.connected()
+			}
+		},
+	}))
 	resp, err := via.RoundTrip(req)
+	var u dialError
+	if errors.As(err, &u) && !errors.Is(ctx.Err(), context.Canceled) {
+		r.connectionFailed(at.ID)
+	}
 	if err != nil {
 		return nil, nil, fmt.Errorf("%s of %s: %w", path, at.ID, err)
 	}
--- a/relay/detector.go
+++ b/relay/detector.go
@@ -66,6 +66,9 @@
 	ReportAt time.Time
 	// ServerFailed reports whether the server is known to have failed or to be removed.
 	ServerFailed bool
+	// Peer reports whether the run is at another entry VM, which finds out whether its server
+	// fails. Only whether that entry VM answers probes counts here.
+	Peer bool
 	// HasCopy reports whether another server holds a copy of the run's KV cache.
 	HasCopy bool
 	// FromCopy reports whether the run resumes from a copy of the KV cache, so that its first
@@ -83,6 +86,9 @@
 	Report bool
 }
 
+// peerLimit exceeds the time that any request takes.
+const peerLimit = time.Hour
+
 // reasonIdle is the reason for a failover from a server that was sent the request but reports
 // no work at all.
 const reasonIdle = "server does not work on it"
@@ -102,6 +108,8 @@
 	}
 	since, probeAfter, limit := s.LastEventAt, cmp.Or(d.ProbeAfter, defaultProbeAfter), cmp.Or(d.RestartAfter, defaultRestartAfter)
 	switch {
+	case s.Peer:
+		since, limit = later(s.SentAt, s.LastEventAt), peerLimit
 	case s.LastEventAt.IsZero() && s.FromCopy:
 		since = s.SentAt
 	case s.LastEventAt.IsZero():
@@ -142,6 +150,13 @@
 		s.Now.Sub(s.ReportAt) >= cmp.Or(d.ReportEvery, defaultReportEvery)
 }
 
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 func earlier(a, b time.Time) time.Time {
 	if a.Before(b) {
 		return a
--- a/relay/plain.go
+++ b/relay/plain.go
@@ -113,7 +113,10 @@
 		return p.retrier.Conclude()
 	}
 	now := time.Now()
-	to, ok := r.choose(p.job, now, p.tried)
+	to, ok := p.helper()
+	if !ok {
+		to, ok = r.choose(p.job, now, p.tried)
+	}
 	if !ok {
 		// There is no point in waiting for servers that have said until when they refuse.
 		if p.retryAt, ok = r.Pool.RetryAt(r.need(p.job, now, nil, "")); ok {
@@ -136,6 +139,11 @@
 	p.retrier.Sent()
 	p.sentTo = append(p.sentTo, sentTo{server: to.ID, at: now})
 	send := &platform.ServerRequest{Server: to.ID, Organisation: p.organisation, TimeLeft: time.Until(p.deadline), Urgency: -1}
+	if to.Peer {
+		p.logEvent("handed to another entry VM", to.ID)
+		send.Server = ""
+		ctx = p.admitted(ctx, p.retrier.MaxRuns-p.retrier.runs+1, nil)
+	}
 	go func() {
 		rep := reply{server: to}
 		rep.err = telemetry.Guard(r.Log, "exchange", func() error {
@@ -195,6 +203,7 @@
 	for name, values := range platform.EndToEnd(rep.header) {
 		h[name] = slices.Clone(values)
 	}
+	j.setServer(h, rep.server)
 	if j.msg.Method != http.MethodHead && rep.rest == nil {
 		h.Set("Content-Length", strconv.Itoa(len(rep.body)))
 	}
--- a/relay/quarantine.go
+++ b/relay/quarantine.go
@@ -38,7 +38,7 @@
 // the parts may have caused; err is how its answer ended. A server that has answered something else,
 // or not in time, is not lost.
 func (j *job) observeCrash(to backend.Choice, parts []quarantine.Suspect, err error) {
-	if j.sound || errors.Is(err, errForeign) || j.msg.Context().Err() != nil || !time.Now().Before(j.deadline) {
+	if j.sound || to.Peer || errors.Is(err, errForeign) || j.msg.Context().Err() != nil || !time.Now().Before(j.deadline) {
 		return
 	}
 	c, ok := j.relay.Quarantine.Observe(time.Now(), quarantine.Crash{
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.opentelemetry.io/otel/attribute"
@@ -32,6 +33,8 @@
 // Relay is the HTTP handler that forwards callers' requests. Create it with [New]; the
 // exported fields are set before the first request.
 type Relay struct {
+	// ID names this entry VM to others.
+	ID string
 	// Domain is this entry VM's failure domain.
 	Domain names.ID
 	// Region returns a failure domain's region.
@@ -67,6 +70,12 @@
 	// ClaimTrial reports whether this entry VM may send a blocked request as the trial; nil if no
 	// trials are made.
 	ClaimTrial func(context.Context, quarantine.Crash) bool
+	// Helper picks another entry VM that may serve requests while this one reaches no servers, other
+	// than those already tried. Nil if there are none.
+	Helper func(tried []engine.ServerID) (backend.Choice, bool)
+	// HelperFailed is called when an entry VM did not serve a request that was handed to it; may be
+	// nil.
+	HelperFailed func(engine.ServerID)
 	// Closing reports whether callers' connections are closed after their next answer; may be
 	// nil.
 	Closing func() bool
@@ -86,6 +95,9 @@
 	Log      *zap.Logger
 
 	stats            StreamStats
+	reach            Reach
+	checkReach       chan struct{} // wakes WatchReach up
+	taken            atomic.Int64  // requests of other entry VMs in flight
 	dial             engine.Dialer
 	transport        *http.Transport // for requests
 	controlTransport *http.Transport // for control calls, such as load reports
@@ -111,7 +123,7 @@
 
 // reportAnswer calls Answered for a server's answer.
 func (j *job) reportAnswer(by backend.Choice, failed bool, first, gap time.Duration) {
-	if j.relay.Answered != nil {
+	if j.relay.Answered != nil && !by.Peer {
 		j.relay.Answered(ServerAnswer{Service: j.service, Route: j.route.Name, Server: by.ID, Version: by.Version, Failed: failed, First: first, Gap: gap})
 	}
 }
@@ -122,7 +134,7 @@
 	if d == nil {
 		d = (&net.Dialer{}).DialContext
 	}
-	return &Relay{Quarantine: &quarantine.List{}, Log: zap.NewNop(), dial: d, transport: newTransport(d), controlTransport: newControlTransport(d)}
+	return &Relay{checkReach: make(chan struct{}, 1), Quarantine: &quarantine.List{}, Log: zap.NewNop(), dial: d, transport: newTransport(d), controlTransport: newControlTransport(d)}
 }
 
 // CloseIdle closes idle connections.
@@ -149,6 +161,9 @@
 	only         []engine.ServerID // servers to which it may be sent; nil for all
 	copyOnly     []engine.ServerID // servers preferred for copies of its KV cache; nil for all
 	span         trace.Span        // nil if requests are not traced
+	from         string            // the entry VM from which the request was taken; empty if it came from a caller
+	copy         *AdmittedCopy     // of the run that a request taken from another entry VM continues
+	helpers      []engine.ServerID // entry VMs to which it was handed
 }
 
 // trace starts the request's span, as a child of the caller's if it has one.
@@ -170,6 +185,7 @@
 		zap.String("server", string(server)),
 		zap.Int("sends", j.sends),
 		zap.Duration("after", time.Since(j.startedAt)),
+		zap.String("takenFrom", j.from),
 	}, fields...)...)
 }
 
@@ -252,12 +268,7 @@
 		j.model = s.Model
 	}
 	j.tokens = params.PromptTokens + params.AnswerTokens
-	j.deadline = j.startedAt.Add(defaultTimeout)
-	for _, d := range []time.Duration{params.TimeLeft, route.Timeout} {
-		if at := j.startedAt.Add(d); d > 0 && at.Before(j.deadline) {
-			j.deadline = at
-		}
-	}
+	j.setDeadline()
 	if err := j.readBody(w, t.Limits); err != nil {
 		return err
 	}
@@ -266,6 +277,16 @@
 	return nil
 }
 
+// setDeadline sets the request's deadline from the time that the caller has left and its route.
+func (j *job) setDeadline() {
+	j.deadline = j.startedAt.Add(defaultTimeout)
+	for _, d := range []time.Duration{j.msg.params.TimeLeft, j.route.Timeout} {
+		if at := j.startedAt.Add(d); d > 0 && at.Before(j.deadline) {
+			j.deadline = at
+		}
+	}
+}
+
 // How long requests wait after the start for a configuration and servers: for a share of the time
 // that the caller has left. They arrive within milliseconds if the store or another entry VM
 // answers, and callers retry only once after a refusal.
@@ -385,6 +406,7 @@
 	}
 	to := &callerWriter{w: w}
 	r.announceClose(w.Header())
+	j.setError(w.Header(), e)
 	result.Write(w, e)
 	j.end(e.Code, "", zap.Bool("notRun", e.NotRun), zap.String("why", e.Error()), zap.NamedError("writeError", to.flush()))
 }
--- a/relay/send.go
+++ b/relay/send.go
@@ -101,6 +101,9 @@
 	u := *m.URL
 	u.Scheme, u.Host, u.User = "http", to.Address, nil
 	h := send.Headers(m.Header)
+	if a, ok := ctx.Value(admissionKey{}).(string); ok && to.Peer {
+		h.Set(AdmissionHeader, a)
+	}
 	if h.Get("User-Agent") == "" {
 		h["User-Agent"] = nil // keeps net/http from adding its own
 	}
@@ -121,14 +124,17 @@
 // each counts against the server's limit.
 func (r *Relay) roundTrip(ctx context.Context, m *message, to backend.Choice, send *platform.ServerRequest) (*http.Response, error) {
 	begun := time.Now()
-	if !r.Pool.Take(to.ID, begun) {
-		return nil, errNoRoom
+	if !to.Peer {
+		if !r.Pool.Take(to.ID, begun) {
+			return nil, errNoRoom
+		}
+		ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+			GotConn: func(httptrace.GotConnInfo) {
+				r.Pool.RecordDial(to.ID, time.Since(begun))
+				r.connected()
+			},
+		})
 	}
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) {
-			r.Pool.RecordDial(to.ID, time.Since(begun))
-		},
-	})
 	resp, err := r.transport.RoundTrip(m.outgoing(ctx, to, send))
 	if err != nil {
 		return nil, fmt.Errorf("send to %s: %w", to.ID, err)
@@ -142,6 +148,9 @@
 // classify returns the outcome of an attempt that began at sentAt from its error or its response
 // head, and updates the pool with what this shows about the server.
 func (r *Relay) classify(m *message, to backend.Choice, sentAt time.Time, resp *http.Response, err error) (Outcome, error) {
+	if to.Peer {
+		return r.classifyPeer(m, to, sentAt, resp, err)
+	}
 	now := time.Now()
 	var u dialError
 	switch {
@@ -150,6 +159,7 @@
 	case errors.As(err, &u):
 		if m.Context().Err() == nil {
 			r.Pool.MarkFailed(to.ID, now)
+			r.connectionFailed(to.ID)
 		}
 		return NotRun, err
 	case err != nil:
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -80,6 +80,8 @@
 	rounds    int
 	lateSends int    // sends permitted beyond maxSends, for an answer under way
 	failure   *reply // a failure that a server answered with
+	// handedCopy is the copy of the KV cache from which another entry VM is to continue; nil for none.
+	handedCopy *AdmittedCopy
 	// retryAt is when the first engine accepts requests again; zero unless all refuse them.
 	retryAt time.Time
 }
@@ -192,7 +194,7 @@
 	now := time.Now()
 	v, ok := s.relay.Pool.View(s.cur.to.ID, now)
 	state := &s.cur.state
-	state.Now, state.ServerFailed = now, !ok || v.FailedAt.After(s.cur.sentAt)
+	state.Now, state.ServerFailed = now, !state.Peer && (!ok || v.FailedAt.After(s.cur.sentAt))
 	_, _, state.HasCopy = s.liveCopy(s.cur, now)
 	return *state
 }
@@ -273,6 +275,16 @@
 // has begun to generate.
 func (s *streamRun) pick(now time.Time, from *run, exclude []engine.ServerID) (backend.Placement, *platform.KVCopy, bool) {
 	s.only, s.copyOnly = s.permitted(now), s.preferredForCopy(now)
+	if c, ok := s.helper(); ok {
+		s.handedCopy = nil
+		if at, memory, ok := s.liveCopy(from, now); ok {
+			s.handedCopy = &AdmittedCopy{Server: at.ID, Start: at.Start, KVCopy: *memory}
+		}
+		return backend.Placement{Run: backend.Engine{Choice: c}}, nil, true
+	}
+	if c, memory, ok := s.admittedCopy(now); ok {
+		return s.placementAt(c, now, exclude), memory, true
+	}
 	if c, memory, ok := s.liveCopy(from, now); ok {
 		return s.placementAt(c, now, exclude), memory, true
 	}
@@ -306,7 +318,7 @@
 	ctx, cancel := context.WithCancel(s.ctx)
 	to := p.Run.Choice
 	s.cur = &run{to: to, ctx: ctx, cancel: cancel, sentAt: now, parts: make(chan part, maxBufferedParts), checkpoints: make(chan checkpoint, 1), work: backend.Load{Requests: 1, Pending: 1, Tokens: s.tokens}}
-	s.cur.state = StreamState{SentAt: now, FromCopy: memory != nil, FirstEventBy: now.Add(s.firstEventTimeout(p.Run.Report))}
+	s.cur.state = StreamState{SentAt: now, Peer: to.Peer, FromCopy: memory != nil, FirstEventBy: now.Add(s.firstEventTimeout(p.Run.Report))}
 	send := &platform.ServerRequest{Server: to.ID, Organisation: s.organisation, TimeLeft: time.Until(s.deadline), Urgency: s.urgency(), ResumeFrom: memory}
 	if s.lastID > 0 {
 		send.LastEvent = strconv.FormatInt(s.lastID, 10)
@@ -318,6 +330,10 @@
 		send.ReplicateTo = p.Replica.Address
 		s.relay.Pool.Begin(copyID, backend.Load{Tokens: s.tokens})
 	}
+	if to.Peer {
+		send.Server = ""
+		ctx = s.admitted(ctx, s.route.MaxAttempts-s.ran.spent(), s.handedCopy)
+	}
 	s.addAttempt(s.cur)
 	s.relay.Pool.Begin(to.ID, s.cur.work)
 	s.logEvent("stream sent", to.ID, zap.String("why", why), zap.Bool("fromCopy", memory != nil), zap.Int64("lastEvent", s.lastID),
@@ -516,6 +532,7 @@
 		h[name] = slices.Clone(values)
 	}
 	h.Del("Content-Length")
+	s.setServer(h, s.cur.to)
 }
 
 // forward sends an event to the caller at once.
@@ -565,7 +582,7 @@
 // be alive: the answers of a slow engine, or of one that does not work on them, would otherwise be
 // missed.
 func (s *streamRun) reportPartial(hung bool) {
-	if s.cur == nil || s.sends != 1 || s.msg.params.LastEvent != "" || s.relay.Answered == nil {
+	if s.cur == nil || s.cur.to.Peer || s.sends != 1 || s.msg.params.LastEvent != "" || s.relay.Answered == nil {
 		return
 	}
 	a := ServerAnswer{
@@ -767,7 +784,7 @@
 	by := now.Add(usual + probeMargin)
 	state := &s.cur.state
 	state.ProbedAt, state.ProbeDue, state.ProbeOK = now, by, false
-	if report = report && !s.refusesNow(&to, now); report {
+	if report = report && !to.Peer && !s.refusesNow(&to, now); report {
 		state.ReportAt = now
 	}
 	answer := make(chan probeResult, 1)
--- a/result/result.go
+++ b/result/result.go
@@ -63,6 +63,7 @@
 	TooLate                             // 2014
 	PromptBlocked                       // 2015
 	RequestBlocked                      // 2016
+	CutOff                              // 2017
 )
 
 // Codes about plain services.
