relay: a server that is out of reach of a cut-off entry VM has not crashed

An entry VM whose links to servers were reset held crashes against the requests under way, confirmed them by probes that could not arrive either, and wrote them to the store: three such starts block a sound request everywhere. Before a crash is confirmed, other servers are tried where none has been connected to since; if none is reached, the crash is dropped.

Before: TestCutOffHarmsOthers fails where connections are reset before the answers begin (crashes of living servers in the store).

--- a/relay/quarantine.go
+++ b/relay/quarantine.go
@@ -59,11 +59,12 @@
 const confirmDelay = 100 * time.Millisecond
 
 // confirmCrash clears a crash if the server is alive: then it has only broken off an answer. An
-// engine shows it by a load report.
+// engine shows it by a load report. It is also cleared if this entry VM reaches no server at all.
 func (r *Relay) confirmCrash(to backend.Choice, n quarantine.Name, isEngine bool) {
 	time.Sleep(confirmDelay)
+	begun := time.Now()
 	p := r.probe(context.Background(), to, "", time.Now().Add(to.DialTime+probeMargin), to.DialTime+probeRetryDelay, isEngine && !r.Pool.Limited(to.ID))
-	if p.err != nil || !r.Quarantine.Clear(time.Now(), n) {
+	if p.err != nil && !r.cutOffSince(begun) || !r.Quarantine.Clear(time.Now(), n) {
 		return
 	}
 	r.Log.Info("server is not lost", zap.String("server", string(to.ID)), zap.String("crash", string(n)))
--- a/relay/reach.go
+++ b/relay/reach.go
@@ -58,6 +58,14 @@
 	return true
 }
 
+// Known reports whether it is known since an instant that this entry VM reaches servers, or that it is
+// cut off from them.
+func (r *Reach) Known(since time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.cutOff || r.connectedAt.After(since)
+}
+
 // CutOff reports whether this entry VM is cut off from all servers.
 func (r *Reach) CutOff() bool {
 	r.mu.Lock()
@@ -77,13 +85,30 @@
 
 // connectionFailed records that a server could not be connected to.
 func (r *Relay) connectionFailed(id engine.ServerID) {
-	if !r.reach.Failed(time.Now(), id) {
-		return
+	if r.reach.Failed(time.Now(), id) {
+		r.wakeReach()
 	}
+}
+
+func (r *Relay) wakeReach() {
 	select {
 	case r.checkReach <- struct{}{}:
-	default: // a check is under way
+	default: // it has been woken up
+	}
+}
+
+// cutOffSince reports whether this entry VM is cut off from all servers, where a server is not reached
+// since an instant. It tries others if none has been connected to since then.
+func (r *Relay) cutOffSince(at time.Time) bool {
+	r.trying <- struct{}{}
+	defer func() { <-r.trying }()
+	if !r.reach.Known(at) {
+		r.tryServers(context.Background())
+		if r.reach.CutOff() {
+			r.wakeReach()
+		}
 	}
+	return r.reach.CutOff()
 }
 
 // connected records that a connection to a server was opened.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -97,6 +97,7 @@
 	stats            StreamStats
 	reach            Reach
 	checkReach       chan struct{} // wakes WatchReach up
+	trying           chan struct{} // full while servers are tried for cutOffSince
 	taken            atomic.Int64  // requests of other entry VMs in flight
 	dial             engine.Dialer
 	transport        *http.Transport // for requests
@@ -134,7 +135,7 @@
 	if d == nil {
 		d = (&net.Dialer{}).DialContext
 	}
-	return &Relay{checkReach: make(chan struct{}, 1), Quarantine: &quarantine.List{}, Log: zap.NewNop(), dial: d, transport: newTransport(d), controlTransport: newControlTransport(d)}
+	return &Relay{checkReach: make(chan struct{}, 1), trying: make(chan struct{}, 1), Quarantine: &quarantine.List{}, Log: zap.NewNop(), dial: d, transport: newTransport(d), controlTransport: newControlTransport(d)}
 }
 
 // CloseIdle closes idle connections.
