backend: entry VMs choose differently among plain servers that are equal to them

Ties went by the server's ID at every entry VM, so that one server of each failure domain got all calls while the others idled, as long as it was quick: with brittle servers, that one is filled first.

--- a/backend/backend.go
+++ b/backend/backend.go
@@ -81,6 +81,8 @@
 	// OnShort is called if a request lacks a permit for a server with a limit; it may be nil, and
 	// must not block.
 	OnShort func()
+	// Seed differs between entry VMs, so that they don't all choose the same of several equal servers.
+	Seed string
 
 	mu       sync.RWMutex
 	groups   map[routing.ServiceName]*group
--- a/backend/choice.go
+++ b/backend/choice.go
@@ -82,7 +82,7 @@
 	if n.Model != nil {
 		return chooseEngine(&n, all), true
 	}
-	return choosePlain(all), true
+	return choosePlain(all, p.Seed), true
 }
 
 // candidates returns the servers that may take the request. Suspect servers are returned only
@@ -215,8 +215,9 @@
 // plainCallTime is the assumed duration of a plain call in one of a server's slots.
 const plainCallTime = 40 * time.Millisecond
 
-// choosePlain picks the server with the shortest expected wait.
-func choosePlain(all []candidate) Choice {
+// choosePlain picks the server with the shortest expected wait. Entry VMs with different seeds choose
+// differently among equal ones.
+func choosePlain(all []candidate, seed string) Choice {
 	wait := func(c *candidate) time.Duration {
 		slots := max(1, c.Slots)
 		queued := max(0, c.Load.Requests+1-slots)
@@ -230,7 +231,10 @@
 			time.Duration(c.Load.Requests)*plainCallTime/time.Duration(4*slots)
 	}
 	best := slices.MinFunc(all, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(wait(&a), wait(&b)), cmp.Compare(a.ID, b.ID))
+		if c := cmp.Compare(wait(&a), wait(&b)); c != 0 || seed == "" {
+			return cmp.Or(c, cmp.Compare(a.ID, b.ID))
+		}
+		return cmp.Compare(xxhash.Sum64String(seed+"/"+string(a.ID)), xxhash.Sum64String(seed+"/"+string(b.ID)))
 	})
 	return best.Choice
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -137,6 +137,7 @@
 	d.relay.Leaving = d.reportLeaving
 	d.relay.LimitChanged = d.reportLimit
 	d.pool.OnShort = d.reportShort
+	d.pool.Seed = s.ID
 	d.relay.Allowed = d.allowedVersions
 	d.relay.Answered = d.recordAnswer
 	d.relay.Quarantine = &d.quarantine
