backend, feed, gateway, relay: brittle servers are not driven to fall over one refusal after the other

Servers say that they fall over if they refuse more than some requests in a second.

While the servers of a service say so, an entry VM has no more in flight at one than its part of the slots. After a refusal, requests to all servers of the service need permits, as for servers with a limit: for half of what the servers can answer, less with each further refusal of a request that was sent later, and 15% more a second without one. The share is passed on with the reports for permits, the lowest counts. Permits hold for 0.5 s instead of 1 s and add up over 0.25 s, so that a server which comes back is not met with a burst.

--- a/backend/backend.go
+++ b/backend/backend.go
@@ -83,6 +83,8 @@
 	OnShort func()
 	// Seed differs between entry VMs, so that they don't all choose the same of several equal servers.
 	Seed string
+	// EntryVMs returns the number of entry VMs; nil for one.
+	EntryVMs func() int
 
 	mu       sync.RWMutex
 	groups   map[routing.ServiceName]*group
@@ -93,6 +95,7 @@
 type group struct {
 	mu      sync.Mutex
 	servers map[engine.ServerID]*state
+	crowd   crowd
 }
 
 // state is a server with what this entry VM knows about it.
--- a/backend/choice.go
+++ b/backend/choice.go
@@ -92,16 +92,20 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	var healthy, suspect []candidate
+	atOnce := p.mostAtOnce(g, n)
 	for _, st := range g.servers {
 		if !st.eligible(n) || n.Now.Before(st.retryAt) || slices.Contains(n.Exclude, st.ID) {
 			continue
 		}
-		if !st.limit.hasRoom(n.Now) {
+		if !g.hasRoom(n.Now, st) {
 			p.lack(st)
 			continue
 		}
+		if atOnce != nil && st.load.Requests >= atOnce(st.Slots) {
+			continue
+		}
 		c := candidate{
-			Choice:   Choice{Server: st.Server, DialTime: st.dial, Load: st.load, Suspect: st.suspect(n.Now), Limited: st.limit.rate != Unlimited},
+			Choice:   Choice{Server: st.Server, DialTime: st.dial, Load: st.load, Suspect: st.suspect(n.Now), Limited: g.limitedTo(n.Now, st) != Unlimited},
 			avoided:  n.Avoid != "" && st.Domain == n.Avoid,
 			distance: distance(n, st.Domain),
 		}
@@ -126,6 +130,19 @@
 	return healthy
 }
 
+// mostAtOnce returns a function that bounds the requests in flight at a server with some slots; nil
+// if there is no bound.
+func (p *Pool) mostAtOnce(g *group, n *Criteria) func(slots int) int {
+	if n.Model != nil || !g.crowd.brittle(n.Now) {
+		return nil
+	}
+	entryVMs := 1
+	if p.EntryVMs != nil {
+		entryVMs = p.EntryVMs()
+	}
+	return func(slots int) int { return mostAtOnce(slots, entryVMs) }
+}
+
 // eligible reports whether the server may take such requests at all.
 func (st *state) eligible(n *Criteria) bool {
 	return st.active(n.Now) && !st.Draining && (n.Allowed == nil || n.Allowed(st.Version)) &&
@@ -178,8 +195,8 @@
 			continue
 		}
 		at := st.retryAt
-		if !st.limit.hasRoom(n.Now) {
-			at = later(at, n.Now.Add(st.limit.roomIn()))
+		if !g.hasRoom(n.Now, st) {
+			at = later(at, n.Now.Add(g.limitedTo(n.Now, st).roomIn()))
 		}
 		if !n.Now.Before(at) {
 			return time.Time{}, false
--- a/backend/rate.go
+++ b/backend/rate.go
@@ -37,11 +37,22 @@
 	wanted  int         // requests that took or lacked a permit since the last demand
 }
 
-// hasRoom reports whether a request may be sent.
-func (l *rateLimit) hasRoom(now time.Time) bool {
-	if l.rate == Unlimited {
-		return true
+// limitedTo returns the rate to which requests for a server are limited: what it has named, or what
+// the load on the servers of its service requires.
+func (g *group) limitedTo(now time.Time, st *state) Rate {
+	if st.limit.rate != Unlimited {
+		return st.limit.rate
 	}
+	return g.crowd.rate(now, st.Slots)
+}
+
+// hasRoom reports whether a request may be sent to a server.
+func (g *group) hasRoom(now time.Time, st *state) bool {
+	return g.limitedTo(now, st) == Unlimited || st.limit.hasPermit(now)
+}
+
+// hasPermit reports whether there is a permit. It drops those that have ended.
+func (l *rateLimit) hasPermit(now time.Time) bool {
 	i := 0
 	for i < len(l.permits) && !now.Before(l.permits[i]) {
 		i++
@@ -56,9 +67,9 @@
 	maxRoomIn = 2 * time.Second
 )
 
-// roomIn returns how long the server takes to have room for a further request.
-func (l *rateLimit) roomIn() time.Duration {
-	return min(max(time.Duration(float64(time.Second)/float64(l.rate)), minRoomIn), maxRoomIn)
+// roomIn returns how long a server with a limit takes to have room for a further request.
+func (r Rate) roomIn() time.Duration {
+	return min(max(time.Duration(float64(time.Second)/float64(r)), minRoomIn), maxRoomIn)
 }
 
 // SetLimit records a limit and reports whether it has changed. What an earlier answer showed has no
@@ -83,18 +94,39 @@
 	return limited
 }
 
+// LimitOf returns the rate to which requests for a server are limited.
+func (p *Pool) LimitOf(id engine.ServerID, now time.Time) Rate {
+	g := p.groupOf(id)
+	if g == nil {
+		return Unlimited
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if st := g.servers[id]; st != nil {
+		return g.limitedTo(now, st)
+	}
+	return Unlimited
+}
+
 // Take reports whether a request may be sent to a server, and if so uses up a permit where its limit
 // requires one.
 func (p *Pool) Take(id engine.ServerID, now time.Time) bool {
-	ok := true
-	p.withState(id, func(st *state) {
-		l := &st.limit
-		if ok = l.hasRoom(now); ok && l.rate != Unlimited {
-			l.permits = slices.Delete(l.permits, 0, 1)
-			l.wanted++
-		}
-	})
-	return ok
+	g := p.groupOf(id)
+	if g == nil {
+		return true
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	st := g.servers[id]
+	if st == nil || g.limitedTo(now, st) == Unlimited {
+		return true
+	}
+	if !st.limit.hasPermit(now) {
+		return false
+	}
+	st.limit.permits = slices.Delete(st.limit.permits, 0, 1)
+	st.limit.wanted++
+	return true
 }
 
 // lack records that a request lacked a permit for a server.
@@ -129,13 +161,13 @@
 	for _, g := range p.allGroups() {
 		g.mu.Lock()
 		for _, st := range g.servers {
-			l := &st.limit
-			if l.rate == Unlimited || l.wanted == 0 {
+			l, rate := &st.limit, g.limitedTo(now, st)
+			if rate == Unlimited || l.wanted == 0 {
 				continue
 			}
-			l.hasRoom(now) // drops the permits that have ended
+			l.hasPermit(now) // drops those that have ended
 			if n := min(l.wanted, maxDemand) - len(l.permits); n > 0 {
-				all = append(all, Demand{Server: st.ID, Start: st.Start, Rate: l.rate, Count: n})
+				all = append(all, Demand{Server: st.ID, Start: st.Start, Rate: rate, Count: n})
 			}
 			l.wanted = 0
 		}
@@ -155,7 +187,7 @@
 }
 
 // permitValidFor is how long a permit can be used after it was asked for.
-const permitValidFor = time.Second
+const permitValidFor = 500 * time.Millisecond
 
 // AddPermits adds permits that were asked for at an instant.
 func (p *Pool) AddPermits(askedAt time.Time, list []Permit) {
@@ -188,7 +220,7 @@
 	permitShare = 0.9
 	// permitBacklog is the time over which permits may add up that nobody has asked for: entry VMs
 	// ask once in a while.
-	permitBacklog = 500 * time.Millisecond
+	permitBacklog = 250 * time.Millisecond
 	// permitsKept is how long a server is remembered for which no permit is asked for.
 	permitsKept = time.Minute
 )
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -110,6 +110,8 @@
 	Limits []backend.Limit `json:"limits,omitempty"`
 	// Permits are the requester's permits for servers that have named a limit.
 	Permits []backend.Permit `json:"permits,omitempty"`
+	// Crowds are the services whose servers get only a part of what they can answer.
+	Crowds []backend.Crowd `json:"crowds,omitempty"`
 	// Members lists all known entry VMs; it is omitted if the requester already has the list
 	// with MembersDigest.
 	Members       []Member `json:"members,omitempty"`
@@ -184,6 +186,11 @@
 			return result.New(result.OutOfRange, "%d permits for %q", x.Count, x.Server).WithField("permits")
 		}
 	}
+	for _, x := range a.Crowds {
+		if err := checkCrowd(x); err != nil {
+			return err
+		}
+	}
 	for i := range a.Crashes {
 		if err := a.Crashes[i].Check(); err != nil {
 			return err
@@ -195,6 +202,16 @@
 	return nil
 }
 
+// maxShare is above every share of what servers can answer that limits their load.
+const maxShare = 100
+
+func checkCrowd(x backend.Crowd) error {
+	if !(x.Share > 0 && x.Share <= maxShare) || x.AgeMs < 0 || x.AgeMs > maxAge.Milliseconds() {
+		return result.New(result.OutOfRange, "%g of service %q, age %d", x.Share, x.Service, x.AgeMs).WithField("crowd")
+	}
+	return nil
+}
+
 // Age returns the time since the responding entry VM was last known to be up to date with the
 // store.
 func (a *Response) Age() time.Duration { return time.Duration(a.AgeMs) * time.Millisecond }
@@ -216,6 +233,7 @@
 	// ServerLimits are the limits that servers have named to the requester, or the ends of them.
 	ServerLimits []ServerLimit
 	Demands      []backend.Demand // permits that the requester needs
+	Crowds       []backend.Crowd  // services whose servers get only a part of what they can answer
 	// Members is the digest of the list of members that the requester last received.
 	Members uint64
 	Moves   int64 // sequence number of the moves that the requester has
--- a/feed/http.go
+++ b/feed/http.go
@@ -69,6 +69,9 @@
 	for _, d := range q.Demands {
 		v.Add("demand", fmt.Sprintf("%s %d %g %d", d.Server, d.Start, d.Rate, d.Count))
 	}
+	for _, x := range q.Crowds {
+		v.Add("crowd", fmt.Sprintf("%s %g %d", x.Service, x.Share, x.AgeMs))
+	}
 	addStarts(v, "hung", q.Hung)
 	addStarts(v, "leaving", q.Leaving)
 	return v
@@ -106,7 +109,8 @@
 	return u, nil
 }
 
-// parseLimits parses the limits of servers that the requester reports, and its demands for permits.
+// parseLimits parses the limits and the load of servers that the requester reports, and its demands for
+// permits.
 func (q *Request) parseLimits(v url.Values) error {
 	for _, s := range v["serverLimit"] {
 		var l ServerLimit
@@ -128,6 +132,16 @@
 		}
 		q.Demands = append(q.Demands, d)
 	}
+	for _, s := range v["crowd"] {
+		var x backend.Crowd
+		if _, err := fmt.Sscanf(s, "%s %g %d", &x.Service, &x.Share, &x.AgeMs); err != nil {
+			return result.Wrap(result.BadRequest, err, "crowd").WithField("crowd")
+		}
+		if err := checkCrowd(x); err != nil {
+			return err
+		}
+		q.Crowds = append(q.Crowds, x)
+	}
 	return nil
 }
 
--- a/gateway/budgets.go
+++ b/gateway/budgets.go
@@ -112,7 +112,7 @@
 // applies the limits that m grants. It returns m's epoch, and false if m has not answered.
 func (d *Daemon) reportBudgets(ctx context.Context, m feed.Member, known feed.Epoch) (feed.Epoch, bool) {
 	reportedAt := time.Now()
-	q := feed.Request{From: d.members.Self, Brief: true, Epoch: known, Usage: d.usage(reportedAt), Demands: d.pool.Demands(reportedAt)}
+	q := feed.Request{From: d.members.Self, Brief: true, Epoch: known, Usage: d.usage(reportedAt), Demands: d.pool.Demands(reportedAt), Crowds: d.pool.Crowds(reportedAt)}
 	if t := d.table.Load(); t != nil {
 		q.Config = t.Version
 	}
@@ -125,6 +125,7 @@
 	if a.Epoch == known {
 		d.setLimits(now, reportedAt, a.Limits)
 		d.pool.AddPermits(reportedAt, a.Permits)
+		d.pool.ApplyCrowds(now, a.Crowds)
 		return known, true
 	}
 	d.log.Info("retry budgets reported to another entry VM", zap.String("to", string(m.ID)))
@@ -156,6 +157,13 @@
 		return nil, nil
 	}
 	s := d.settings.Load()
+	d.pool.ApplyCrowds(now, q.Crowds)
+	for i := range q.Demands {
+		x := &q.Demands[i]
+		if rate := d.pool.LimitOf(x.Server, now); rate != backend.Unlimited {
+			x.Rate = min(x.Rate, rate)
+		}
+	}
 	limits := d.allotments.Grant(now, s.Bounds.RepeatWindowS.Duration(), string(q.From.ID), q.Usage)
 	return limits, d.permits.Grant(now, len(s.Regions), q.Demands)
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -137,6 +137,7 @@
 	d.relay.Leaving = d.reportLeaving
 	d.relay.LimitChanged = d.reportLimit
 	d.pool.OnShort = d.reportShort
+	d.pool.EntryVMs = d.members.Count
 	d.pool.Seed = s.ID
 	d.relay.Allowed = d.allowedVersions
 	d.relay.Answered = d.recordAnswer
@@ -359,6 +360,7 @@
 			now := time.Now()
 			a := d.changes.Respond(now, q, d.pool.List)
 			a.Limits, a.Permits = d.grant(now, &q)
+			a.Crowds = d.pool.Crowds(now)
 			return a
 		},
 	})
--- a/relay/send.go
+++ b/relay/send.go
@@ -177,6 +177,7 @@
 	}
 	r.recordNoLimit(to, resp, sentAt)
 	if refused {
+		r.recordRefusal(to, resp, now, sentAt)
 		return NotRun, fmt.Errorf("refused with status %d", resp.StatusCode)
 	}
 	return Answered, nil
@@ -192,6 +193,9 @@
 		}
 	}
 	r.recordLimit(to, resp, now)
+	if platform.Brittle(resp.Header) {
+		r.Pool.RecordBrittle(to.ID, now)
+	}
 	until, err := platform.RefusedUntil(resp.StatusCode, resp.Header, now)
 	if err != nil {
 		r.logMalformed.Do(func() {
@@ -225,6 +229,20 @@
 	}
 }
 
+// brittleRetryAfter is how long an engine that is brittle gets no requests after a refusal.
+const brittleRetryAfter = time.Second
+
+// recordRefusal records that a server has refused a request for want of room, if it is brittle.
+func (r *Relay) recordRefusal(to backend.Choice, resp *http.Response, now, sentAt time.Time) {
+	if resp.StatusCode != http.StatusServiceUnavailable || !platform.Brittle(resp.Header) {
+		return
+	}
+	r.Pool.Postpone(to.ID, to.Start, now.Add(brittleRetryAfter))
+	if r.Pool.RecordRefusal(to.ID, now, sentAt) {
+		r.Log.Info("brittle server refuses requests", zap.String("server", string(to.ID)), zap.String("service", string(to.Service)))
+	}
+}
+
 func (r *Relay) setLimit(l backend.RateLimit) {
 	if !r.Pool.SetLimit(l) {
 		return
@@ -286,5 +304,8 @@
 		rep.rest = resp.Body
 	}
 	rep.took = time.Since(begun)
+	if rep.outcome == Answered && !to.Peer {
+		r.Pool.RecordAnswer(to.Service, rep.took)
+	}
 	return rep
 }
