relay, feed: no storm of handed requests where the servers are gone

Where all servers have crashed, each entry VM believes that it is cut off, and hands each request to up to four others that refuse it: 876 for 600 requests at thirty entry VMs (TestServersGoneNotForwarded, less than one each is asked for). After four refusals in a row from other failure domains none is handed over for a second; one's own failure domain is passed over once two of it were of no help. A failure domain of twenty entry VMs that is cut off is a new case of TestCutOffRefusesCallers.

--- a/feed/members.go
+++ b/feed/members.go
@@ -244,19 +244,25 @@
 	}
 }
 
-// nearTries is how many members of the own failure domain are tried before others: all of a failure
-// domain may have the same trouble.
+// nearTries is how many members of the own failure domain may be of no help before others are tried: all
+// of a failure domain may have the same trouble.
 const nearTries = 2
 
 // Helper returns a random member that may serve a request for this entry VM and was not tried for it:
-// first some of the failure domain, then of the region, then of others. region returns the region of
-// a failure domain.
+// first of the failure domain, unless some there were of no help, then of the region, then of others.
+// region returns the region of a failure domain.
 func (m *Members) Helper(now time.Time, tried []MemberID, region func(names.ID) names.ID) (Member, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	unhelpful := 0 // of the failure domain
+	for _, k := range m.known {
+		if k.Domain == m.Self.Domain && now.Before(k.unhelpfulUntil) {
+			unhelpful++
+		}
+	}
 	distance := func(k *member) int {
 		switch {
-		case k.Domain == m.Self.Domain && len(tried) < nearTries:
+		case k.Domain == m.Self.Domain && max(len(tried), unhelpful) < nearTries:
 			return 0
 		case k.Domain != m.Self.Domain && region(k.Domain) == region(m.Self.Domain):
 			return 1
--- a/gateway/cutoff_test.go
+++ b/gateway/cutoff_test.go
@@ -142,24 +142,30 @@
 // TestCutOffRefusesCallers guards against entry VMs that refuse their callers because they have lost
 // their links to all servers, while the others serve theirs.
 func TestCutOffRefusesCallers(t *testing.T) {
+	var half []int // a failure domain
+	for i := 0; i < 40; i += 2 {
+		half = append(half, i)
+	}
 	for _, kind := range cutKinds {
 		for _, c := range []struct {
-			name string
-			cut  []int
+			name               string
+			entries, perSecond int
+			cut                []int
 		}{
-			{"one entry VM", []int{2}},
-			{"four of seven", []int{0, 2, 3, 4}},
-			{"all of a failure domain", []int{0, 2, 4, 6}},
+			{"one entry VM", 7, 10, []int{2}},
+			{"four of seven", 7, 10, []int{0, 2, 3, 4}},
+			{"all of a failure domain", 7, 10, []int{0, 2, 4, 6}},
+			{"all of a large failure domain", 40, 3, half},
 		} {
 			inWorld(t, kind.name+", "+c.name, func(w *world) {
-				f := newCutOffTest(w, kind, 7)
-				f.play(2*time.Second, 10)
+				f := newCutOffTest(w, kind, c.entries)
+				f.play(2*time.Second, c.perSecond)
 				f.cut(c.cut...)
 				begin := time.Now()
-				f.play(12*time.Second, 10)
+				f.play(12*time.Second, c.perSecond)
 				f.heal(c.cut...)
 				healed := time.Now()
-				f.play(4*time.Second, 10)
+				f.play(4*time.Second, c.perSecond)
 				f.wg.Wait()
 				cut := func(entry int) bool { return slices.Contains(c.cut, entry) }
 				others := func(entry int) bool { return !cut(entry) }
@@ -240,6 +246,18 @@
 		}
 		check(f)
 	})
+	inWorld(t, "all servers have crashed, thirty entry VMs", func(w *world) {
+		f := newCutOffTest(w, cutKinds[0], 30)
+		for _, s := range f.servers {
+			w.net.Crash(memnet.Host(strings.TrimSuffix(s.Address, ":80")))
+		}
+		check(f)
+		handed := 0
+		for _, v := range f.entries {
+			handed += strings.Count(v.log.String(), "handed to another entry VM")
+		}
+		So(handed, ShouldBeLessThan, len(f.tries))
+	})
 	inWorld(t, "all entry VMs are cut off", func(w *world) {
 		f := newCutOffTest(w, cutKinds[0], 7)
 		f.cut(0, 1, 2, 3, 4, 5, 6)
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -76,7 +76,7 @@
 // helper picks the entry VM that the request is handed to, if this one is cut off from all servers.
 func (j *job) helper() (backend.Choice, bool) {
 	r := j.relay
-	if j.from != "" || r.Helper == nil || len(j.helpers) >= maxHandOvers || !r.reach.CutOff() {
+	if j.from != "" || r.Helper == nil || len(j.helpers) >= maxHandOvers || !r.reach.CutOff() || r.reach.Alone(time.Now()) {
 		return backend.Choice{}, false
 	}
 	c, ok := r.Helper(j.helpers)
@@ -122,6 +122,9 @@
 		if err != nil {
 			return Lost, fmt.Errorf("answer of %s: %w", peer.ID, err)
 		}
+		if code == result.CutOff && peer.Domain != r.Domain {
+			r.reach.HelperCutOff(time.Now())
+		}
 		if code == result.CutOff || code == result.Stopping || code == result.Overloaded {
 			r.helperFailed(peer, code.String())
 		}
@@ -138,6 +141,7 @@
 		r.recordNoLimit(by, resp, sentAt)
 	}
 	resp.Header.Del(serverHeader)
+	r.reach.HelperAnswered()
 	return Answered, nil
 }
 
--- a/relay/reach.go
+++ b/relay/reach.go
@@ -19,6 +19,8 @@
 	failed      map[engine.ServerID]struct{} // could not be connected to since
 	cutOff      bool
 	since       time.Time // when the first of failed could not
+	alsoCutOff  int       // entry VMs of other failure domains in a row that were cut off as well
+	aloneUntil  time.Time // until when no others are asked for help
 }
 
 // checkAfterFailures is the number of servers without any connection between after which others are
@@ -66,6 +68,37 @@
 	return r.cutOff || r.connectedAt.After(since)
 }
 
+// Where so many entry VMs of other failure domains in a row are cut off as well, the servers are likely to
+// be gone, and no others are asked for help for a while.
+const (
+	alsoCutOffLimit = 4
+	alonePause      = time.Second
+)
+
+// HelperCutOff records that an entry VM of another failure domain that was asked for help is cut off as
+// well.
+func (r *Reach) HelperCutOff(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.alsoCutOff++; r.alsoCutOff >= alsoCutOffLimit {
+		r.alsoCutOff, r.aloneUntil = 0, now.Add(alonePause)
+	}
+}
+
+// HelperAnswered records that another entry VM has passed on the answer of a server.
+func (r *Reach) HelperAnswered() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.alsoCutOff = 0
+}
+
+// Alone reports whether no other entry VM is to be asked for help.
+func (r *Reach) Alone(now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return now.Before(r.aloneUntil)
+}
+
 // CutOff reports whether this entry VM is cut off from all servers.
 func (r *Reach) CutOff() bool {
 	r.mu.Lock()
