--- a/backend/rate.go
+++ b/backend/rate.go
@@ -94,6 +94,21 @@
 	return limited
 }
 
+// LimitedServers returns the number of servers to which requests are limited.
+func (p *Pool) LimitedServers(now time.Time) int {
+	n := 0
+	for _, g := range p.allGroups() {
+		g.mu.Lock()
+		for _, st := range g.servers {
+			if st.active(now) && g.limitedTo(now, st) != Unlimited {
+				n++
+			}
+		}
+		g.mu.Unlock()
+	}
+	return n
+}
+
 // LimitOf returns the rate to which requests for a server are limited.
 func (p *Pool) LimitOf(id engine.ServerID, now time.Time) Rate {
 	g := p.groupOf(id)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -161,6 +161,9 @@
 			}
 			return 0
 		},
+		CutOff:   d.relay.CutOff,
+		Taken:    d.relay.Taken,
+		Limited:  func() int { return d.pool.LimitedServers(time.Now()) },
 		StoreAge: func() time.Duration { return time.Since(d.changes.FreshAt()) },
 		DroppedLines: func() int64 {
 			if d.lines == nil {
--- a/telemetry/gateway.go
+++ b/telemetry/gateway.go
@@ -56,6 +56,9 @@
 	Version      func() int64         // of the configuration in force; 0 for none
 	StoreAge     func() time.Duration // since this entry VM was last known to be up to date with the store
 	DroppedLines func() int64
+	CutOff       func() bool // reports whether no server is reached
+	Taken        func() int  // requests of other entry VMs in flight
+	Limited      func() int  // servers to which requests need a permit
 }
 
 // NewGateway returns metrics that are scraped from [Gateway.Handler].
@@ -106,6 +109,14 @@
 		{"quetzalhold.gateway.members", "{vm}", "Entry VMs that are known.", func() int64 { return int64(g.Members()) }},
 		{"quetzalhold.gateway.configuration", "{version}", "Version of the configuration in force.", g.Version},
 		{"quetzalhold.gateway.news.age", "ms", "Age of what is known of the store.", func() int64 { return g.StoreAge().Milliseconds() }},
+		{"quetzalhold.gateway.cutoff", "1", "1 while no server is reached and requests are handed to other entry VMs.", func() int64 {
+			if g.CutOff() {
+				return 1
+			}
+			return 0
+		}},
+		{"quetzalhold.gateway.taken", "{request}", "Requests in flight that other entry VMs have handed over.", func() int64 { return int64(g.Taken()) }},
+		{"quetzalhold.gateway.servers.limited", "{server}", "Backend servers to which requests need a permit.", func() int64 { return int64(g.Limited()) }},
 		{"quetzalhold.gateway.log.dropped", "{line}", "Log lines dropped because the writer was slow.", g.DroppedLines},
 	} {
 		_, err := m.Int64ObservableGauge(x.name, metric.WithUnit(x.unit), metric.WithDescription(x.text),
