--- a/backend/choice.go
+++ b/backend/choice.go
@@ -61,7 +61,7 @@
 	Load       Load          // load that this entry VM has in flight there
 	Considered int           // number of servers that were considered
 	Suspect    bool          // the server failed recently, as did all others
-	Limited    bool          // the server has named a limit
+	Limited    bool          // a request to the server needs a permit
 	Peer       bool          // not a server but another entry VM, which sends the request on
 }
 
--- a/backend/crowd.go
+++ b/backend/crowd.go
@@ -135,8 +135,8 @@
 }
 
 // RecordRefusal records that a server has refused a request for want of room that was sent at an
-// instant. It reports whether the
-// load on the servers of its service is limited from now on, and was not before.
+// instant. It reports whether the load on the servers of its service is limited from now on, and was
+// not before.
 func (p *Pool) RecordRefusal(id engine.ServerID, now, sentAt time.Time) bool {
 	g := p.groupOf(id)
 	if g == nil {
--- a/backend/rate.go
+++ b/backend/rate.go
@@ -40,10 +40,11 @@
 // limitedTo returns the rate to which requests for a server are limited: what it has named, or what
 // the load on the servers of its service requires.
 func (g *group) limitedTo(now time.Time, st *state) Rate {
-	if st.limit.rate != Unlimited {
-		return st.limit.rate
+	named, crowded := st.limit.rate, g.crowd.rate(now, st.Slots)
+	if named == Unlimited || crowded == Unlimited {
+		return max(named, crowded)
 	}
-	return g.crowd.rate(now, st.Slots)
+	return min(named, crowded)
 }
 
 // hasRoom reports whether a request may be sent to a server.
@@ -168,7 +169,7 @@
 }
 
 // maxDemand bounds the permits that are asked for at once.
-const maxDemand = 16
+const maxDemand = 64
 
 // Demands returns the permits that were needed since the last call and are not in hand.
 func (p *Pool) Demands(now time.Time) []Demand {
--- a/backend/rate_test.go
+++ b/backend/rate_test.go
@@ -102,3 +102,24 @@
 		}
 	})
 }
+
+// TestLowerLimitCounts checks the limit of a brittle server that has also named one.
+func TestLowerLimitCounts(t *testing.T) {
+	Convey("The lower one of what a server names and what its load requires", t, func() {
+		var p backend.Pool
+		s := server("a", "cn-a", "10.0.0.1:1", 5, 10)
+		s.Service, s.Slots = "app", 6
+		p.Apply(s)
+		p.RecordAnswer("app", 60*time.Millisecond) // 100 a second
+		name := func(rate backend.Rate) { p.SetLimit(backend.RateLimit{Server: "a", Start: 5, Rate: rate, At: start}) }
+		name(200)
+		So(p.LimitOf("a", start), ShouldEqual, backend.Rate(200))
+		p.RecordBrittle("a", start)
+		p.RecordRefusal("a", start, start)
+		So(float64(p.LimitOf("a", start)), ShouldAlmostEqual, 50, 0.01)
+		name(4)
+		So(p.LimitOf("a", start), ShouldEqual, backend.Rate(4))
+		name(backend.Unlimited)
+		So(float64(p.LimitOf("a", start)), ShouldAlmostEqual, 50, 0.01)
+	})
+}
