--- a/soak/inject.go
+++ b/soak/inject.go
@@ -61,12 +61,22 @@
 		fault(platformtest.Fault{Refuse: true}), fault(platformtest.Fault{DropConnection: true}), fault(platformtest.Fault{WrongRequest: true}),
 		fault(platformtest.Fault{Truncate: true}), fault(platformtest.Fault{NoLength: true, Truncate: true}), fault(platformtest.Fault{NoStamp: true}),
 		fault(platformtest.Fault{Status: 500}), fault(platformtest.Fault{Hang: true}), fault(platformtest.Fault{TruncateEvent: 7}), fault(platformtest.Fault{SilentAfter: 9}),
+		fault(platformtest.Fault{Limit: "3"}), fault(platformtest.Fault{Limit: "0.5"}), fault(platformtest.Fault{Brittle: 5, Room: 2}),
+		during(func() { w.setAllProxies(Mode{Refuse: true}) }, func() { w.setAllProxies(Mode{}) }),
+		during(func() { w.setAllProxies(Mode{Silent: true}) }, func() { w.setAllProxies(Mode{}) }),
 		during(func() { w.store.Put("servers", s.ID, s.Entry("draining")) }, func() { w.store.Put("servers", s.ID, s.Entry("ready")) }),
 		during(func() { s.Stop(""); via.Reset(); w.recorder.DropCopies(s.Address) }, func() {}),
 	}
 	return all[w.rnd.IntN(len(all))]
 }
 
+// setAllProxies sets the mode of the proxies of all servers.
+func (w *harness) setAllProxies(m Mode) {
+	for _, p := range w.proxies {
+		p.SetMode(m)
+	}
+}
+
 // restart ends a gateway's process with signal s and starts a new one after pause.
 func (w *harness) restart(g *gateway, s syscall.Signal, pause time.Duration) {
 	g.restartMu.Lock()
@@ -85,9 +95,9 @@
 func (w *harness) clearFaults() {
 	w.store.SetFault(platformtest.StoreFault{})
 	w.storeProxy.SetMode(Mode{})
-	for i, s := range w.servers {
+	w.setAllProxies(Mode{})
+	for _, s := range w.servers {
 		s.SetFault(platformtest.Fault{})
-		w.proxies[i].SetMode(Mode{})
 		w.store.Put("servers", s.ID, s.Entry("ready"))
 	}
 	for _, g := range w.gateways {
