--- a/relay/forward.go
+++ b/relay/forward.go
@@ -201,7 +201,7 @@
 	j.trace()
 	defer r.taken.Add(-1)
 	n := r.taken.Add(1)
-	if err := j.takeOver(w); err != nil {
+	if err := j.readAdmitted(w); err != nil {
 		r.refuse(w, j, err)
 		return
 	}
@@ -223,8 +223,8 @@
 // Taken returns how many requests of other entry VMs are in flight.
 func (r *Relay) Taken() int { return int(r.taken.Load()) }
 
-// takeOver reads the request and its admission.
-func (j *job) takeOver(w http.ResponseWriter) error {
+// readAdmitted reads a request of another entry VM and its admission.
+func (j *job) readAdmitted(w http.ResponseWriter) error {
 	var a Admission
 	if err := json.Unmarshal([]byte(j.msg.Header.Get(AdmissionHeader)), &a); err != nil {
 		return result.Wrap(result.BadRequest, err, "admission").AsNotRun()
