--- a/soak/soak.go
+++ b/soak/soak.go
@@ -154,6 +154,7 @@
 		if !s.Engine {
 			s.Service = "app"
 		}
+		s.Crashed = func() { w.revive(s) }
 		behind, err := serve(s)
 		if err != nil {
 			return err
@@ -284,6 +285,19 @@
 	}
 }
 
+// fallTime is how long a server that has fallen over is down.
+const fallTime = 2 * time.Second
+
+// revive starts a server again that has fallen over, after fallTime.
+func (w *harness) revive(s *platformtest.Server) {
+	s.Stop("")
+	w.recorder.DropCopies(s.Address)
+	time.AfterFunc(fallTime, func() {
+		s.Restart(time.Now().UnixMilli())
+		w.store.Put("servers", s.ID, s.Entry("ready"))
+	})
+}
+
 // awaitReady waits until all gateways are ready.
 func (w *harness) awaitReady(ctx context.Context, limit time.Duration) bool {
 	ctx, cancel := context.WithTimeout(ctx, limit)
