--- a/gateway/budgets.go
+++ b/gateway/budgets.go
@@ -80,9 +80,9 @@
 	}
 }
 
-// shareBudgets reports the use of the retry budgets, and the permits needed for servers with limits, to the best-ranked entry VM of the failure
-// domain that answers, until ctx ends, and applies the limits that it grants. That does not depend
-// on the state of the store.
+// shareBudgets reports the use of the retry budgets, and the permits needed for servers with limits,
+// to the best-ranked entry VM of the failure domain that answers, until ctx ends, and applies what it
+// grants. That does not depend on the state of the store.
 func (d *Daemon) shareBudgets(ctx context.Context) {
 	var known feed.Epoch
 	failed := make(map[feed.MemberID]time.Time)
--- a/gateway/cutoff_test.go
+++ b/gateway/cutoff_test.go
@@ -280,7 +280,7 @@
 func (c *cutOffTest) helperOf(id string) int {
 	return slices.IndexFunc(c.entries, func(v *vm) bool {
 		return strings.Contains(v.log.String(), `"event":"stream sent"`) && slices.ContainsFunc(strings.Split(v.log.String(), "\n"), func(line string) bool {
-			return strings.Contains(line, id) && strings.Contains(line, `"event":"stream sent"`) && !strings.Contains(line, `"takenFrom":""`)
+			return strings.Contains(line, id) && strings.Contains(line, `"event":"stream sent"`) && strings.Contains(line, `"takenFrom":`)
 		})
 	})
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -181,12 +181,16 @@
 	if j.span != nil {
 		j.span.AddEvent(what, trace.WithAttributes(attribute.String("server", string(server)), attribute.Int("sends", j.sends)))
 	}
+	takenFrom := zap.Skip()
+	if j.from != "" {
+		takenFrom = zap.String("takenFrom", j.from)
+	}
 	j.relay.Log.Info(what, append([]zap.Field{
 		zap.String("request", string(j.msg.params.ID)),
 		zap.String("server", string(server)),
 		zap.Int("sends", j.sends),
 		zap.Duration("after", time.Since(j.startedAt)),
-		zap.String("takenFrom", j.from),
+		takenFrom,
 	}, fields...)...)
 }
 
