Review: a part of a prompt that crashes engines before a head is never found

Tried: requests with a part that crashes each engine as it begins its answer, the head going out with the first token.

--- a/review/scenario/engine.go
+++ b/review/scenario/engine.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -86,6 +87,10 @@
 	copies *copies
 	// keeps is set if the engine goes on with a request whose channel has closed.
 	keeps bool
+	// crashPart is the part of a prompt on which the engine crashes when it begins an answer.
+	crashPart string
+	// lateHead is set if the head of an answer goes out with its first event.
+	lateHead bool
 	// unframedResumed is set if answers that go on after an event have neither a length nor chunks.
 	unframedResumed bool
 
@@ -93,18 +98,24 @@
 	runs       []*streamRun
 	pausedTill time.Time
 	cached     map[string]bool
-	listener   net.Listener
 	down       bool
+	crashes    []time.Time
 }
 
-func (e *engine) start(ip string) error {
-	l, err := net.Listen("tcp", ip+":0")
+func (e *engine) start(ip string) error { return e.listen(ip + ":0") }
+
+// listen starts the engine at an address, without anything that it knew before.
+func (e *engine) listen(address string) error {
+	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return err
 	}
-	e.listener, e.address, e.born, e.cached = l, l.Addr().String(), time.Now().UnixMilli(), make(map[string]bool)
+	e.runMu.Lock()
+	e.address, e.born, e.cached, e.down = l.Addr().String(), time.Now().UnixMilli(), make(map[string]bool), false
 	e.http = &http.Server{Handler: e, ReadHeaderTimeout: time.Minute}
-	go func() { _ = e.http.Serve(l) }() // ends when the engine crashes
+	h := e.http
+	e.runMu.Unlock()
+	go func() { _ = h.Serve(l) }() // ends when the engine crashes
 	e.store.put("servers", e.id, map[string]any{
 		"service": e.service, "address": e.address, "zone": e.zone, "version": e.version, "slots": engineSlots, "state": "ready",
 		"cold_left_ms": 0, "stage": "both", "models": []any{map[string]any{"name": "m", "version": 1}}, "sequence": 1, "born": e.born,
@@ -123,6 +134,28 @@
 	e.copies.dropOf(e.address)
 }
 
+// downTime is the time in which an engine that has crashed is back.
+const downTime = 3 * time.Second
+
+// fall crashes the engine under a request, and starts it again later.
+func (e *engine) fall(request string) {
+	e.runMu.Lock()
+	if e.down {
+		e.runMu.Unlock()
+		return
+	}
+	e.crashes = append(e.crashes, time.Now())
+	e.runMu.Unlock()
+	e.record.say("engine %s crashes under %s", e.id, request)
+	e.crash()
+	go func() {
+		time.Sleep(downTime)
+		if err := e.listen(e.address); err != nil {
+			e.record.say("engine %s: %v", e.id, err)
+		}
+	}()
+}
+
 // running returns the runs that go on and have made some events.
 func (e *engine) running(least int) []*streamRun {
 	e.runMu.Lock()
@@ -136,6 +169,16 @@
 	return list
 }
 
+// history returns copies of all runs, and when the engine crashed.
+func (e *engine) history() (runs []streamRun, crashes []time.Time) {
+	e.runMu.Lock()
+	defer e.runMu.Unlock()
+	for _, r := range e.runs {
+		runs = append(runs, streamRun{request: r.request, engine: e, first: r.first, begun: r.begun, made: slices.Clone(r.made)})
+	}
+	return runs, slices.Clone(e.crashes)
+}
+
 // pause lets the engine fall silent until an instant, and breaks off the answer of one of its runs.
 func (e *engine) pause(till time.Time, broken *streamRun) {
 	e.runMu.Lock()
@@ -285,11 +328,20 @@
 		e.runMu.Unlock()
 		e.record.note("run of %s at %s ended after %d events", id, e.id, n)
 	}()
-	e.head(w, r, last > 0)
+	if !e.lateHead {
+		e.head(w, r, last > 0)
+	}
 	if !e.work(run, r, time.Duration(read/prefillPerMilli)*time.Millisecond) {
 		panic(http.ErrAbortHandler)
 	}
+	if e.crashPart != "" && strings.Contains(prompt, e.crashPart+":") {
+		e.fall(id)
+		panic(http.ErrAbortHandler)
+	}
 	e.remember(prompt)
+	if e.lateHead {
+		e.head(w, r, last > 0)
+	}
 	e.stream(w, r, run)
 }
 
--- a/review/scenario/main.go
+++ b/review/scenario/main.go
@@ -29,6 +29,7 @@
 	"under-load": underLoad,
 	"kept-run":   keptRun,
 	"early-end":  earlyEnd,
+	"bad-part":   badPart,
 }
 
 func main() {
--- a/review/scenario/streams.go
+++ b/review/scenario/streams.go
@@ -8,6 +8,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -20,6 +21,8 @@
 	promptTokens  = 8200
 	answerEvents  = 130
 	streamSeconds = 25
+	// commonPart is the first part of all prompts.
+	commonPart = "0c0c0c0c"
 )
 
 // streamAnswer is what a caller got of a stream.
@@ -51,8 +54,9 @@
 	}
 }
 
-// stream sends a request for a stream and reads its answer.
-func stream(rec *record, to *machine, request string) streamAnswer {
+// stream sends a request for a stream, with part as the second part of its prompt, and reads its
+// answer.
+func stream(rec *record, to *machine, request, part string) streamAnswer {
 	a := streamAnswer{request: request}
 	ctx, cancel := context.WithTimeout(context.Background(), streamSeconds*time.Second)
 	defer cancel()
@@ -64,7 +68,7 @@
 	req.Host = host
 	for name, value := range map[string]string{
 		"X-Request-Id": request, "X-Api-Key": key, "X-Deadline-Ms": strconv.Itoa(streamSeconds * 1000), "X-Model": "m",
-		"X-Token-Count": fmt.Sprintf("%d,%d", promptTokens, answerEvents*tokensPerEvent), "X-Prompt-Prefix": fmt.Sprintf("%08x:200,%08x:%d", rand.Uint32N(1000), rand.Uint32(), promptTokens-200),
+		"X-Token-Count": fmt.Sprintf("%d,%d", promptTokens, answerEvents*tokensPerEvent), "X-Prompt-Prefix": fmt.Sprintf("%s:100,%s:100,%08x:%d", commonPart, part, rand.Uint32(), promptTokens-200),
 	} {
 		req.Header.Set(name, value)
 	}
@@ -145,7 +149,7 @@
 
 func (l *load) start(rec *record, to *machine) {
 	l.wg.Go(func() {
-		a := stream(rec, to, fmt.Sprintf("%016x", rand.Uint64()))
+		a := stream(rec, to, fmt.Sprintf("%016x", rand.Uint64()), fmt.Sprintf("%08x", rand.Uint32N(1000)))
 		l.mu.Lock()
 		defer l.mu.Unlock()
 		l.answers = append(l.answers, a)
@@ -159,8 +163,9 @@
 func checkTwice(rec *record, engines []*engine) bool {
 	byRequest := make(map[string][]*streamRun)
 	for _, e := range engines {
-		for _, r := range e.runs {
-			byRequest[r.request] = append(byRequest[r.request], r)
+		runs, _ := e.history()
+		for i := range runs {
+			byRequest[runs[i].request] = append(byRequest[runs[i].request], &runs[i])
 		}
 	}
 	broken := 0
@@ -296,3 +301,70 @@
 	}
 	return nil, errors.New("no run of the stream")
 }
+
+// badPart sends requests with a part of a prompt on which engines crash, among sound ones.
+func badPart(rec *record, trouble bool) (bool, error) {
+	s, engines, err := startEngines(rec, 4)
+	if err != nil {
+		return false, err
+	}
+	const part, requests, badEvery, interval = "badbadba", 100, 4, 500 * time.Millisecond
+	for _, e := range engines {
+		e.lateHead, e.crashPart = true, part
+	}
+	time.Sleep(10 * time.Second)
+	l := &load{}
+	bad := make(map[string]bool)
+	for n := range requests {
+		l.start(rec, s.machines[n%len(s.machines)])
+		if trouble && n%badEvery == 0 {
+			id := fmt.Sprintf("%016x", rand.Uint64())
+			bad[id] = true
+			to := s.machines[rand.IntN(len(s.machines))]
+			l.wg.Go(func() { stream(rec, to, id, part) })
+		}
+		time.Sleep(interval)
+	}
+	l.wg.Wait()
+	return checkCrashing(rec, engines, bad), nil
+}
+
+// The rule on parts of prompts that crash servers.
+const (
+	crashesAllowed = 5
+	lateAllowed    = 3
+)
+
+// checkCrashing reports whether no more than some requests reached engines that crash under them after
+// that could be known.
+func checkCrashing(rec *record, engines []*engine, bad map[string]bool) bool {
+	var runs []streamRun
+	var crashes []time.Time
+	for _, e := range engines {
+		r, c := e.history()
+		runs, crashes = append(runs, r...), append(crashes, c...)
+	}
+	slices.SortFunc(crashes, time.Time.Compare)
+	rec.say("BUDGET: %d requests with the part were sent; engines crashed %d times", len(bad), len(crashes))
+	if len(crashes) < crashesAllowed {
+		return true
+	}
+	limit, late := crashes[crashesAllowed-1].Add(contactMs*time.Millisecond), 0
+	var last time.Time
+	for i := range runs {
+		if bad[runs[i].request] && runs[i].begun.After(limit) {
+			late++
+			last = later(last, runs[i].begun)
+		}
+	}
+	rec.say("BUDGET: requests with the part reached engines %d times later than %d ms after crash %d, where %d are allowed; the last one %v after that",
+		late, contactMs, crashesAllowed, lateAllowed, max(0, last.Sub(limit)).Round(time.Millisecond))
+	return late <= lateAllowed
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
