Review: a version that fails on one route is completed

Tried: a version that fails 40 in 100 of the requests of one route; the time budget of the rollout is 12 s.

--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -7,4 +7,4 @@
   echo "run the build of deploy/system.toml and review/build.sh first"
   exit 2
 fi
-exec target/scenario silent review/4/record.txt
+exec target/scenario one-route review/4/record.txt
