--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -7,4 +7,4 @@
   echo "run the build of deploy/system.toml and review/build.sh first"
   exit 2
 fi
-exec target/scenario next-order review/5/record.txt
+exec target/scenario silent review/5/record.txt
