--- a/review/scenario/main.go
+++ b/review/scenario/main.go
@@ -160,15 +160,18 @@
 		}
 	}
 	time.Sleep(contactMs*time.Millisecond + 2*time.Second)
-	const length = 30 * time.Second
-	at, err := r.order("v2", length, same(failing(0.5, booking, status)))
+	at, err := r.order("v2", rolloutLength, same(failing(0.5, booking, status)))
 	if err != nil {
 		return false, err
 	}
-	time.Sleep(length)
-	return rec.check(r.rule("v2", at, length)), nil
+	time.Sleep(watchTime)
+	return rec.check(r.rule("v2", at, rolloutLength)), nil
 }
 
+// watchTime is how long a rollout is watched after its order: until the call that waits for orders
+// has ended at the latest.
+const watchTime = 26 * time.Second
+
 // underLoad orders a version that fails half of its requests once its servers get more than a few.
 func underLoad(rec *record, trouble bool) (bool, error) {
 	r, err := startRollouts(rec)
