relay, telemetry: log lines and a metric for the attempts of requests

Change: 'handed to another entry VM' has attempts, for streams too (they had no such line); 'request ended' has attempts and permitted; a counter of attempts by service.

No decision is changed; tests as before.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -180,7 +180,9 @@
 		return err
 	}
 	d.relay.StreamSent = m.StreamSent
-	d.relay.Ended = func(n routing.ServiceName, c result.Code, took time.Duration) { m.RequestEnded(string(n), c, took) }
+	d.relay.Ended = func(n routing.ServiceName, c result.Code, took time.Duration, attempts int) {
+		m.RequestEnded(string(n), c, took, attempts)
+	}
 	d.store.Observe = func(_ string, took time.Duration, c result.Code) { m.StoreCall(c, took) }
 	return nil
 }
--- a/relay/plain.go
+++ b/relay/plain.go
@@ -54,6 +54,7 @@
 	defer cancel() // also cancels attempts whose reply is no longer needed
 	p := &plainRequest{job: j, replies: make(chan reply, 2*maxRounds+j.route.MaxAttempts+maxSends)}
 	p.retrier = Retrier{Repeatable: j.route.Repeatable(), MaxRuns: j.route.MaxAttempts, GiveUpAt: j.startedAt.Add(j.route.LatencyTarget)}
+	j.spent = func() int { return p.retrier.runs }
 	hedge := time.NewTimer(max(time.Millisecond, time.Duration(hedgeShare*float64(j.route.LatencyTarget))))
 	defer hedge.Stop()
 	silent := time.NewTimer(cmp.Or(j.route.LatencyTarget, defaultSilence))
@@ -140,9 +141,10 @@
 	p.sentTo = append(p.sentTo, sentTo{server: to.ID, at: now})
 	send := &platform.ServerRequest{Server: to.ID, Organisation: p.organisation, TimeLeft: time.Until(p.deadline), Urgency: -1}
 	if to.Peer {
-		p.logEvent("handed to another entry VM", to.ID)
+		attempts := p.retrier.MaxRuns - p.retrier.runs + 1
+		p.logEvent("handed to another entry VM", to.ID, zap.Int("attempts", attempts))
 		send.Server = ""
-		ctx = p.admitted(ctx, p.retrier.MaxRuns-p.retrier.runs+1, nil)
+		ctx = p.admitted(ctx, attempts, nil)
 	}
 	go func() {
 		rep := reply{server: to}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -81,8 +81,9 @@
 	Closing func() bool
 	// Draining reports whether the entry VM ends so soon that new streams are refused; may be nil.
 	Draining func() bool
-	// Ended is called for each request that ended; may be nil.
-	Ended func(service routing.ServiceName, c result.Code, took time.Duration)
+	// Ended is called for each request that ended; may be nil. attempts is how many servers, or other
+	// entry VMs, may have run it.
+	Ended func(service routing.ServiceName, c result.Code, took time.Duration, attempts int)
 	// StreamSent is called for each stream sent to an engine, with the reason; may be nil.
 	StreamSent func(why string)
 	// Answered is called for each answer of a server, including failures; may be nil.
@@ -165,6 +166,7 @@
 	from         string            // the entry VM from which the request was taken; empty if it came from a caller
 	copy         *AdmittedCopy     // of the run that a request taken from another entry VM continues
 	helpers      []engine.ServerID // entry VMs to which it was handed
+	spent        func() int        // returns how many of its attempts were used; nil before the first
 }
 
 // trace starts the request's span, as a child of the caller's if it has one.
@@ -197,10 +199,16 @@
 // end reports and logs how the request ended, and ends its span.
 func (j *job) end(c result.Code, server engine.ServerID, fields ...zap.Field) {
 	took := time.Since(j.startedAt)
+	attempts := 0
+	if j.spent != nil {
+		attempts = j.spent()
+	}
 	if j.relay.Ended != nil {
-		j.relay.Ended(j.service, c, took)
+		j.relay.Ended(j.service, c, took, attempts)
 	}
 	j.logEvent("request ended", server, append([]zap.Field{
+		zap.Int("attempts", attempts),
+		zap.Int("permitted", j.route.MaxAttempts),
 		zap.String("route", string(j.route.Name)),
 		zap.Int64("configuration", int64(j.version)),
 		zap.Int("code", int(c)),
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -94,6 +94,7 @@
 	ctx, cancel := context.WithDeadline(j.msg.Context(), j.deadline)
 	defer cancel()
 	s := &streamRun{job: j, w: w, ctx: ctx}
+	j.spent = func() int { return s.ran.spent() }
 	if id, err := strconv.ParseInt(j.msg.params.LastEvent, 10, 64); err == nil {
 		s.lastID = id
 	}
@@ -331,8 +332,10 @@
 		s.relay.Pool.Begin(copyID, backend.Load{Tokens: s.tokens})
 	}
 	if to.Peer {
+		attempts := s.route.MaxAttempts - s.ran.spent()
+		s.logEvent("handed to another entry VM", to.ID, zap.Int("attempts", attempts))
 		send.Server = ""
-		ctx = s.admitted(ctx, s.route.MaxAttempts-s.ran.spent(), s.handedCopy)
+		ctx = s.admitted(ctx, attempts, s.handedCopy)
 	}
 	s.addAttempt(s.cur)
 	s.relay.Pool.Begin(to.ID, s.cur.work)
--- a/relay/world_test.go
+++ b/relay/world_test.go
@@ -73,7 +73,7 @@
 		return w.table
 	}
 	r.Budget = func(routing.ServiceName) *backend.RetryBudget { return w.budget }
-	r.Ended = func(_ routing.ServiceName, c result.Code, _ time.Duration) {
+	r.Ended = func(_ routing.ServiceName, c result.Code, _ time.Duration, _ int) {
 		w.mu.Lock()
 		defer w.mu.Unlock()
 		w.codes = append(w.codes, c)
--- a/telemetry/gateway.go
+++ b/telemetry/gateway.go
@@ -19,6 +19,7 @@
 // Gateway is the metrics of an entry VM on the users' platform.
 type Gateway struct {
 	requests   metric.Int64Counter
+	attempts   metric.Int64Counter
 	latency    metric.Float64Histogram
 	streams    metric.Int64Counter
 	storeCalls metric.Int64Counter
@@ -75,6 +76,7 @@
 		text       string
 	}{
 		{&t.requests, "quetzalhold.gateway.requests", "{request}", "Ended requests by service and result code."},
+		{&t.attempts, "quetzalhold.gateway.attempts", "{attempt}", "Attempts that ended requests have used, by service."},
 		{&t.streams, "quetzalhold.gateway.takeovers", "{takeover}", "Streams sent to an engine, by reason."},
 		{&t.storeCalls, "quetzalhold.gateway.store.calls", "{call}", "Calls to the platform's store by result code, a watch as one."},
 		{&t.idleClosed, "quetzalhold.gateway.idle.closed", "{connection}", "Callers' connections closed because they were idle for too long."},
@@ -134,10 +136,11 @@
 // Handler serves the metrics for scraping.
 func (t *Gateway) Handler() http.Handler { return t.handler }
 
-// RequestEnded records a request that ended.
-func (t *Gateway) RequestEnded(service string, c result.Code, took time.Duration) {
+// RequestEnded records a request that ended and how many attempts it has used.
+func (t *Gateway) RequestEnded(service string, c result.Code, took time.Duration, attempts int) {
 	s := attribute.String("service", service)
 	t.requests.Add(context.Background(), 1, metric.WithAttributes(s, attribute.Int("code", int(c))))
+	t.attempts.Add(context.Background(), int64(attempts), metric.WithAttributes(s))
 	t.latency.Record(context.Background(), took.Seconds(), metric.WithAttributes(s))
 }
 
