relay: attempts of requests that are handed to other entry VMs come out of one stock

Cause: all attempts left were handed over as a limit, and the hand-over was counted as one. Its class is a budget that is spent in two places which don't see each other.

Change: half of what is left is lent with a hand-over; the answer states how many were used, and the rest goes back. What is not stated is used: a lost answer, one of an earlier version, a stream after its first event. With nothing left there is no hand-over.

--- a/relay/attempts.go
+++ b/relay/attempts.go
@@ -67,25 +67,43 @@
 }
 
 // spent returns how many of the attempts that a route permits were used: one for each server, and
-// one for each run that failed, also where several failed at a server.
+// one for each run that failed, also where several failed at a server. Other entry VMs count with all
+// attempts lent to them, unless they have stated how many they have used.
 func (a attempts) spent() int {
 	n := 0
 	for _, r := range a {
-		if r.ending.failed {
+		switch {
+		case r.to.Peer:
+			n += r.lent
+		case r.ending.failed:
 			n++
 		}
 	}
 	for _, c := range a.servers() {
-		if !a.failed(&c) {
+		if !c.Peer && !a.failed(&c) {
 			n++
 		}
 	}
 	return n
 }
 
+// ids returns the IDs of the servers that may have run the stream.
+func (a attempts) ids() []engine.ServerID {
+	var list []engine.ServerID
+	for _, c := range a.servers() {
+		if !c.Peer {
+			list = append(list, c.ID)
+		}
+	}
+	return list
+}
+
+// attemptsLeft returns how many more attempts the stream's route permits.
+func (s *streamRun) attemptsLeft() int { return s.route.MaxAttempts - s.ran.spent() }
+
 // atLimit reports whether the stream has used the attempts that its route permits, so that it can
 // go on only at servers that ran it before; next is the number of further attempts to allow for.
-func (s *streamRun) atLimit(next int) bool { return s.ran.spent()+next >= s.route.MaxAttempts }
+func (s *streamRun) atLimit(next int) bool { return s.attemptsLeft() <= next }
 
 // mayReplace reports whether another server may take the stream over from the current run.
 func (s *streamRun) mayReplace() bool {
--- a/relay/call.go
+++ b/relay/call.go
@@ -25,14 +25,14 @@
 type Retrier struct {
 	// Repeatable requests may run more than once.
 	Repeatable bool
-	// MaxRuns is the number of servers that may run the request.
+	// MaxRuns is the number of servers that may run the request, at all entry VMs together.
 	MaxRuns int
 	// GiveUpAt is when a request that every server refuses is refused for good: the latency
 	// objective of its route.
 	GiveUpAt time.Time
 
-	pending int // attempts without an outcome
-	runs    int // servers that may have run it
+	pending int // sends without an outcome
+	runs    int // servers that may have run it, or may do so at other entry VMs
 	rounds  int // how often every server has refused
 	failed  bool
 }
@@ -45,19 +45,23 @@
 // of a server.
 const refusalRetryDelay = 30 * time.Millisecond
 
-// Sent records that the request is sent to a server.
-func (r *Retrier) Sent() {
+// Left returns how many more servers may run the request.
+func (r *Retrier) Left() int { return r.MaxRuns - r.runs }
+
+// Sent records that the request is sent to a server, or to another entry VM that may send it to so many
+// servers.
+func (r *Retrier) Sent(attempts int) {
 	r.pending++
-	r.runs++
+	r.runs += attempts
 }
 
-// Replied records the outcome of one attempt and decides what follows. status matters only for
-// Answered.
-func (r *Retrier) Replied(o Outcome, status int) Action {
+// Replied records the outcome of one send, of whose attempts some were not used, and decides what
+// follows. status matters only for Answered.
+func (r *Retrier) Replied(o Outcome, status, unused int) Action {
 	r.pending--
+	r.runs -= unused
 	switch o {
 	case NotRun:
-		r.runs--
 		return TryNext
 	case Answered:
 		if status < http.StatusInternalServerError || !r.Repeatable {
@@ -66,7 +70,7 @@
 		// An error status is delivered if no other server does better.
 		r.failed = true
 	}
-	if r.Repeatable && r.runs < r.MaxRuns {
+	if r.Repeatable && r.Left() > 0 {
 		return TryNext
 	}
 	return r.Conclude()
@@ -98,7 +102,7 @@
 
 // Hedge decides when no server has answered within the hedging delay.
 func (r *Retrier) Hedge() Action {
-	if r.Repeatable && r.runs < r.MaxRuns && r.pending == 1 {
+	if r.Repeatable && r.Left() > 0 && r.pending == 1 {
 		return TryNext
 	}
 	return Await
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -29,14 +29,22 @@
 	errorHeader = "Quetzalhold-Error"
 	// serverHeader holds the ID and the start of the server that answered.
 	serverHeader = "Quetzalhold-Server"
+	// spentHeader holds what has been [Spent] of the attempts lent to the entry VM that answers. An
+	// answer without it has spent all.
+	spentHeader = "Quetzalhold-Attempts"
 )
 
 // Admission is what an entry VM has decided about a request that it hands to another one because it
 // reaches no servers itself. The other one only sends the request: its configuration may be older or
 // newer.
 type Admission struct {
-	From         string               `json:"from"` // the entry VM that the caller reached
-	Route        routing.Route        `json:"route"`
+	From string `json:"from"` // the entry VM that the caller reached
+	// Route permits as many attempts as are lent.
+	Route routing.Route `json:"route"`
+	// Attempts is the number of attempts lent to the other entry VM, which states in its answer what it has
+	// spent. It is 0 from entry VMs of an earlier version, which count a hand-over as one attempt.
+	Attempts     int                  `json:"attempts,omitempty"`
+	Tried        []engine.ServerID    `json:"tried,omitempty"` // servers that are the last to be tried
 	Service      routing.ServiceName  `json:"service"`
 	Model        *routing.Model       `json:"model,omitempty"`
 	Organisation routing.Organisation `json:"organisation,omitempty"`
@@ -61,9 +69,33 @@
 	if a.Route.MaxAttempts < 1 {
 		return result.New(result.OutOfRange, "%d", a.Route.MaxAttempts).WithField("route.maxAttempts")
 	}
+	if a.Attempts < 0 {
+		return result.New(result.OutOfRange, "%d", a.Attempts).WithField("attempts")
+	}
+	return nil
+}
+
+// Spent is what a request has spent of the attempts that its route permits, or of those lent to an
+// entry VM.
+type Spent struct {
+	// Attempts is the number of servers that may have run the request.
+	Attempts int `json:"attempts"`
+	// Servers are those that are known; there may be fewer.
+	Servers []engine.ServerID `json:"servers,omitempty"`
+}
+
+// check returns why it can't have been spent of attempts lent, or nil.
+func (s *Spent) check(lent int) error {
+	if s.Attempts < 1 || s.Attempts > lent {
+		return result.New(result.OutOfRange, "%d of %d", s.Attempts, lent).WithField("attempts")
+	}
 	return nil
 }
 
+// lend returns how many of the attempts that are left are lent to another entry VM: half, so that a second
+// one can be asked if it is lost.
+func lend(left int) int { return (left + 1) / 2 }
+
 // Limits of requests that are handed to other entry VMs.
 const (
 	// maxHandOvers is the number of other entry VMs that a request is handed to, one after the
@@ -73,10 +105,11 @@
 	maxTaken = 256
 )
 
-// helper picks the entry VM that the request is handed to, if this one is cut off from all servers.
-func (j *job) helper() (backend.Choice, bool) {
+// helper picks the entry VM that the request is handed to, if this one is cut off from all servers and
+// some attempts are left to be lent.
+func (j *job) helper(left int) (backend.Choice, bool) {
 	r := j.relay
-	if j.from != "" || r.Helper == nil || len(j.helpers) >= maxHandOvers || !r.reach.CutOff() || r.reach.Alone(time.Now()) {
+	if left < 1 || j.from != "" || r.Helper == nil || len(j.helpers) >= maxHandOvers || !r.reach.CutOff() || r.reach.Alone(time.Now()) {
 		return backend.Choice{}, false
 	}
 	c, ok := r.Helper(j.helpers)
@@ -89,14 +122,13 @@
 
 type admissionKey struct{}
 
-// admitted returns a context for sending the request to another entry VM, which may send it to so
-// many servers.
+// admitted returns a context for sending the request to another entry VM, to which attempts are lent.
 func (j *job) admitted(ctx context.Context, attempts int, from *AdmittedCopy) context.Context {
 	a := Admission{
-		From: j.relay.ID, Route: *j.route, Service: j.service, Model: j.model, Organisation: j.organisation,
-		Priority: j.priority, Version: j.version, Copy: from,
+		From: j.relay.ID, Route: *j.route, Attempts: attempts, Tried: j.tried, Service: j.service, Model: j.model,
+		Organisation: j.organisation, Priority: j.priority, Version: j.version, Copy: from,
 	}
-	a.Route.MaxAttempts = max(1, attempts)
+	a.Route.MaxAttempts = attempts
 	b, err := json.Marshal(&a)
 	if err != nil {
 		panic(err) // an Admission consists of types that can always be encoded
@@ -182,6 +214,48 @@
 	}
 }
 
+// setSpent tells the entry VM from which the request was taken what was spent of the attempts lent.
+func (j *job) setSpent(h http.Header) {
+	if !j.statesSpent || j.spent == nil {
+		return
+	}
+	b, err := json.Marshal(j.spent())
+	if err != nil {
+		panic(err) // a Spent consists of types that can always be encoded
+	}
+	h.Set(spentHeader, string(b))
+}
+
+// takeSpent removes what another entry VM states of the attempts lent to it from its answer, and returns
+// it.
+func takeSpent(to backend.Choice, resp *http.Response) string {
+	if !to.Peer || resp == nil {
+		return ""
+	}
+	defer resp.Header.Del(spentHeader)
+	return resp.Header.Get(spentHeader)
+}
+
+// readSpent decodes what another entry VM states of the attempts lent to it. All are spent unless it
+// states otherwise.
+func (r *Relay) readSpent(text string, lent int) Spent {
+	if text == "" {
+		return Spent{Attempts: lent}
+	}
+	var s Spent
+	err := json.Unmarshal([]byte(text), &s)
+	if err == nil {
+		err = s.check(lent)
+	}
+	if err != nil {
+		r.logMalformed.Do(func() {
+			r.Log.Warn("malformed number of attempts in an entry VM's answer ignored; others are not logged", zap.String("text", text), zap.Error(err))
+		})
+		return Spent{Attempts: lent}
+	}
+	return s
+}
+
 // admittedCopy returns the copy from which a request taken from another entry VM continues, and its
 // server, for its first send.
 func (s *streamRun) admittedCopy(now time.Time) (backend.Choice, *platform.KVCopy, bool) {
@@ -242,6 +316,7 @@
 	}
 	j.msg.params, j.route, j.service, j.model = params, &a.Route, a.Service, a.Model
 	j.organisation, j.priority, j.version, j.copy = a.Organisation, a.Priority, a.Version, a.Copy
+	j.route.MaxAttempts, j.tried, j.statesSpent = max(1, a.Attempts), a.Tried, a.Attempts > 0
 	j.tokens = params.PromptTokens + params.AnswerTokens
 	j.setDeadline()
 	if err := j.readBody(w, routing.Limits{}); err != nil {
--- a/relay/plain.go
+++ b/relay/plain.go
@@ -30,18 +30,20 @@
 	*job
 	retrier Retrier
 	replies chan reply
-	tried   []engine.ServerID
-	sentTo  []sentTo // attempts without an outcome so far
-	best    *reply   // an error status, delivered if no better answer comes
+	sentTo  []sentTo          // sends without an outcome so far
+	ran     []engine.ServerID // servers that have run it, or may have
+	best    *reply            // an error status, delivered if no better answer comes
 	// retryAt is when the first server accepts requests again; zero unless all refuse them.
 	retryAt time.Time
 	block   *quarantine.Block // why it must not be sent; nil if it may
 }
 
-// sentTo is an attempt: a server and when the request was sent to it.
+// sentTo is a send: a server, or another entry VM, when the request was sent to it, and how many
+// attempts that may take.
 type sentTo struct {
-	server engine.ServerID
-	at     time.Time
+	server   engine.ServerID
+	at       time.Time
+	attempts int
 }
 
 // defaultSilence is the time after which a server that has not answered the request, nor anything
@@ -54,7 +56,7 @@
 	defer cancel() // also cancels attempts whose reply is no longer needed
 	p := &plainRequest{job: j, replies: make(chan reply, 2*maxRounds+j.route.MaxAttempts+maxSends)}
 	p.retrier = Retrier{Repeatable: j.route.Repeatable(), MaxRuns: j.route.MaxAttempts, GiveUpAt: j.startedAt.Add(j.route.LatencyTarget)}
-	j.spent = func() int { return p.retrier.runs }
+	j.spent = func() Spent { return Spent{Attempts: p.retrier.runs, Servers: p.ran} }
 	hedge := time.NewTimer(max(time.Millisecond, time.Duration(hedgeShare*float64(j.route.LatencyTarget))))
 	defer hedge.Stop()
 	silent := time.NewTimer(cmp.Or(j.route.LatencyTarget, defaultSilence))
@@ -114,7 +116,7 @@
 		return p.retrier.Conclude()
 	}
 	now := time.Now()
-	to, ok := p.helper()
+	to, ok := p.helper(p.retrier.Left())
 	if !ok {
 		to, ok = r.choose(p.job, now, p.tried)
 	}
@@ -136,16 +138,18 @@
 		return p.retrier.Conclude()
 	}
 	p.sends++
-	p.tried = append(p.tried, to.ID)
-	p.retrier.Sent()
-	p.sentTo = append(p.sentTo, sentTo{server: to.ID, at: now})
+	attempts := 1
 	send := &platform.ServerRequest{Server: to.ID, Organisation: p.organisation, TimeLeft: time.Until(p.deadline), Urgency: -1}
 	if to.Peer {
-		attempts := p.retrier.MaxRuns - p.retrier.runs + 1
+		attempts = lend(p.retrier.Left())
 		p.logEvent("handed to another entry VM", to.ID, zap.Int("attempts", attempts))
 		send.Server = ""
 		ctx = p.admitted(ctx, attempts, nil)
+	} else {
+		p.tried = append(p.tried, to.ID)
 	}
+	p.retrier.Sent(attempts)
+	p.sentTo = append(p.sentTo, sentTo{server: to.ID, at: now, attempts: attempts})
 	go func() {
 		rep := reply{server: to}
 		rep.err = telemetry.Guard(r.Log, "exchange", func() error {
@@ -167,9 +171,26 @@
 	}
 }
 
-// handleReply handles the outcome of one attempt.
+// endSend records that a send has an outcome. It returns how many of its attempts were not used.
+func (p *plainRequest) endSend(rep *reply) (unused int) {
+	i := slices.IndexFunc(p.sentTo, func(s sentTo) bool { return s.server == rep.server.ID })
+	attempts := p.sentTo[i].attempts
+	p.sentTo = slices.Delete(p.sentTo, i, i+1)
+	if rep.outcome == NotRun {
+		return attempts
+	}
+	if !rep.server.Peer {
+		p.ran = append(p.ran, rep.server.ID)
+		return 0
+	}
+	spent := p.relay.readSpent(rep.spent, attempts)
+	p.ran, p.tried = append(p.ran, spent.Servers...), append(p.tried, spent.Servers...)
+	return attempts - spent.Attempts
+}
+
+// handleReply handles the outcome of one send.
 func (p *plainRequest) handleReply(rep reply) Action {
-	p.sentTo = slices.DeleteFunc(p.sentTo, func(s sentTo) bool { return s.server == rep.server.ID })
+	unused := p.endSend(&rep)
 	switch rep.outcome {
 	case Answered:
 		p.observeSound()
@@ -188,7 +209,7 @@
 		p.refundRetry(rep.err)
 		p.logEvent("attempt "+rep.outcome.String(), rep.server.ID, zap.String("fingerprint", string(p.fingerprint)), zap.Error(rep.err))
 	}
-	return p.retrier.Replied(rep.outcome, rep.status)
+	return p.retrier.Replied(rep.outcome, rep.status, unused)
 }
 
 // refundRetry returns a token to the retry budget if the retry reached no server.
@@ -206,6 +227,7 @@
 		h[name] = slices.Clone(values)
 	}
 	j.setServer(h, rep.server)
+	j.setSpent(h)
 	if j.msg.Method != http.MethodHead && rep.rest == nil {
 		h.Set("Content-Length", strconv.Itoa(len(rep.body)))
 	}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -81,8 +81,8 @@
 	Closing func() bool
 	// Draining reports whether the entry VM ends so soon that new streams are refused; may be nil.
 	Draining func() bool
-	// Ended is called for each request that ended; may be nil. attempts is how many servers, or other
-	// entry VMs, may have run it.
+	// Ended is called for each request that ended; may be nil. attempts is how many servers may have run
+	// it.
 	Ended func(service routing.ServiceName, c result.Code, took time.Duration, attempts int)
 	// StreamSent is called for each stream sent to an engine, with the reason; may be nil.
 	StreamSent func(why string)
@@ -166,7 +166,9 @@
 	from         string            // the entry VM from which the request was taken; empty if it came from a caller
 	copy         *AdmittedCopy     // of the run that a request taken from another entry VM continues
 	helpers      []engine.ServerID // entry VMs to which it was handed
-	spent        func() int        // returns how many of its attempts were used; nil before the first
+	tried        []engine.ServerID // servers not to be tried again, as far as there are others
+	statesSpent  bool              // the answer states the attempts spent, to the entry VM from which it was taken
+	spent        func() Spent      // returns the attempts spent so far; nil before the first
 }
 
 // trace starts the request's span, as a child of the caller's if it has one.
@@ -201,7 +203,7 @@
 	took := time.Since(j.startedAt)
 	attempts := 0
 	if j.spent != nil {
-		attempts = j.spent()
+		attempts = j.spent().Attempts
 	}
 	if j.relay.Ended != nil {
 		j.relay.Ended(j.service, c, took, attempts)
@@ -420,6 +422,7 @@
 	to := &callerWriter{w: w}
 	r.announceClose(w.Header())
 	j.setError(w.Header(), e)
+	j.setSpent(w.Header())
 	result.Write(w, e)
 	j.end(e.Code, "", zap.Bool("notRun", e.NotRun), zap.String("why", e.Error()), zap.NamedError("writeError", to.flush()))
 }
--- a/relay/send.go
+++ b/relay/send.go
@@ -276,6 +276,7 @@
 	header  http.Header
 	body    []byte
 	rest    io.Reader // the part of the body after the first maxBuffered bytes; nil if it is complete
+	spent   string    // what another entry VM states of the attempts lent to it
 }
 
 // exchange sends a plain request and reads the answer: a truncated one must not reach the
@@ -292,6 +293,7 @@
 			_ = resp.Body.Close() // its end was read, or it is not needed
 		}
 	}()
+	rep.spent = takeSpent(to, resp)
 	if rep.outcome, rep.err = r.classify(m, to, begun, resp, err); rep.outcome != Answered {
 		return rep
 	}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -24,6 +24,7 @@
 // run is one attempt at a stream: one connection to one engine.
 type run struct {
 	to      backend.Choice
+	lent    int             // attempts that another entry VM may have used; 0 if it was sent to an engine
 	replica *backend.Choice // holds the replica of the KV cache; nil for none
 	work    backend.Load
 	cancel  context.CancelFunc
@@ -61,6 +62,7 @@
 	ended   bool
 	outcome Outcome
 	err     error
+	spent   string // what another entry VM states of the attempts lent to it
 }
 
 // streamRun is a stream in flight to a caller.
@@ -70,8 +72,7 @@
 	ctx       context.Context
 	cur       *run
 	handover  handover
-	tried     []engine.ServerID // servers not to be tried again
-	headSent  bool              // the response head was sent to the caller
+	headSent  bool // the response head was sent to the caller
 	firstAt   time.Time
 	emptyRuns int   // consecutive runs without an event
 	lastID    int64 // id of the last event sent to the caller, or received by it before it resumed
@@ -94,7 +95,7 @@
 	ctx, cancel := context.WithDeadline(j.msg.Context(), j.deadline)
 	defer cancel()
 	s := &streamRun{job: j, w: w, ctx: ctx}
-	j.spent = func() int { return s.ran.spent() }
+	j.spent = func() Spent { return Spent{Attempts: s.ran.spent(), Servers: s.ran.ids()} }
 	if id, err := strconv.ParseInt(j.msg.params.LastEvent, 10, 64); err == nil {
 		s.lastID = id
 	}
@@ -276,7 +277,7 @@
 // has begun to generate.
 func (s *streamRun) pick(now time.Time, from *run, exclude []engine.ServerID) (backend.Placement, *platform.KVCopy, bool) {
 	s.only, s.copyOnly = s.permitted(now), s.preferredForCopy(now)
-	if c, ok := s.helper(); ok {
+	if c, ok := s.helper(s.attemptsLeft()); ok {
 		s.handedCopy = nil
 		if at, memory, ok := s.liveCopy(from, now); ok {
 			s.handedCopy = &AdmittedCopy{Server: at.ID, Start: at.Start, KVCopy: *memory}
@@ -332,10 +333,10 @@
 		s.relay.Pool.Begin(copyID, backend.Load{Tokens: s.tokens})
 	}
 	if to.Peer {
-		attempts := s.route.MaxAttempts - s.ran.spent()
-		s.logEvent("handed to another entry VM", to.ID, zap.Int("attempts", attempts))
+		s.cur.lent = lend(s.attemptsLeft())
+		s.logEvent("handed to another entry VM", to.ID, zap.Int("attempts", s.cur.lent))
 		send.Server = ""
-		ctx = s.admitted(ctx, attempts, s.handedCopy)
+		ctx = s.admitted(ctx, s.cur.lent, s.handedCopy)
 	}
 	s.addAttempt(s.cur)
 	s.relay.Pool.Begin(to.ID, s.cur.work)
@@ -409,9 +410,10 @@
 	if resp != nil {
 		defer resp.Body.Close()
 	}
+	spent := takeSpent(cur.to, resp)
 	outcome, err := r.classify(m, cur.to, cur.sentAt, resp, err)
 	if outcome != Answered {
-		emit(part{ended: true, outcome: outcome, err: err})
+		emit(part{ended: true, outcome: outcome, err: err, spent: spent})
 		return
 	}
 	if resp.StatusCode != http.StatusOK {
@@ -420,7 +422,7 @@
 			emit(part{ended: true, outcome: Lost, err: fmt.Errorf("read failure of %s: %w", cur.to.ID, err)})
 			return
 		}
-		emit(part{head: resp, event: event{raw: body}, ended: true, outcome: Answered, err: errServerFailure})
+		emit(part{head: resp, event: event{raw: body}, ended: true, outcome: Answered, err: errServerFailure, spent: spent})
 		return
 	}
 	if !emit(part{head: resp}) {
@@ -623,6 +625,10 @@
 	s.logEvent("run ended early", r.to.ID, zap.Stringer("outcome", p.outcome), zap.Error(p.err), zap.Int64("lastEvent", s.lastID),
 		zap.Bool("answered", r.answered), zap.Int("events", r.events), zap.Any("parts", s.parts), zap.String("fingerprint", string(s.fingerprint)))
 	r.ending.failed = true
+	if r.to.Peer {
+		spent := s.relay.readSpent(p.spent, r.lent)
+		r.lent, s.tried = spent.Attempts, append(s.tried, spent.Servers...)
+	}
 	switch p.outcome {
 	case NotRun:
 		s.ran.remove(r)
