platform: an object of the store that can't be decoded doesn't cost the others

Cause: a list and the changes of a watch are decoded as a whole, so one value that package json refuses costs all of it, for all kinds of objects.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -184,6 +184,9 @@
 		m.RequestEnded(string(n), c, took, attempts)
 	}
 	d.store.Observe = func(_ string, took time.Duration, c result.Code) { m.StoreCall(c, took) }
+	d.store.Skipped = func(path string, err error) {
+		d.log.Warn("malformed object ignored", zap.String("path", path), zap.Error(err))
+	}
 	return nil
 }
 
