backend, platform: an odd entry that names a server's address doesn't take the server out of use

A server that another entry's start has superseded is used again once it sends a heartbeat: one that has ended sends none. What an answer at the address has shown stays (replaced).

--- a/backend/backend.go
+++ b/backend/backend.go
@@ -66,9 +66,13 @@
 
 // Check returns the first reason why the server cannot be used, or nil.
 func (s *Server) Check() error {
-	if _, err := netip.ParseAddrPort(s.Address); err != nil {
+	a, err := netip.ParseAddrPort(s.Address)
+	if err != nil {
 		return result.Wrap(result.NotIPNumber, err, "address of %s", s.ID).WithField("address")
 	}
+	if a.Port() == 0 || a.Addr().IsUnspecified() || a.Addr().IsMulticast() {
+		return result.New(result.NotIPNumber, "address of %s: %s", s.ID, s.Address).WithField("address")
+	}
 	if s.Service == "" {
 		return result.New(result.MissingField, "%s has no service", s.ID).WithField("service")
 	}
@@ -107,6 +111,8 @@
 	// replaced is set when this start of the server is known to have ended because a different
 	// start answers at its address.
 	replaced bool
+	// superseded is set while the entry of a later start claims its address.
+	superseded bool
 	// held is an entry that was read after a restore of the store but is older than what is
 	// known; nil if there is none. It is applied at heldUntil if the server has not written
 	// another one by then.
@@ -211,10 +217,12 @@
 		// The server restarted under the same id and has lost all its state. In-flight
 		// requests stay counted until they end.
 		st.Server, st.removeAt, st.replaced, st.failedAt, st.failures, st.retryAt = s, time.Time{}, false, time.Time{}, 0, time.Time{}
-		st.limit = rateLimit{}
+		st.limit, st.superseded = rateLimit{}, false
 	case st.Server == s:
 		return learned
 	default:
+		// A server that has ended sends no heartbeats.
+		st.superseded = st.superseded && s.Sequence <= st.Sequence
 		st.Server, st.removeAt = s, time.Time{}
 	}
 	st.held, st.heldUntil = nil, time.Time{}
@@ -263,12 +271,12 @@
 	return released
 }
 
-// supersede marks earlier servers with the same address as replaced, because a later start now
+// supersede marks earlier servers with the same address as superseded, because a later start now
 // uses it.
 func (g *group) supersede(s Server) {
 	for _, st := range g.servers {
 		if st.ID != s.ID && st.Address == s.Address && st.Start < s.Start {
-			st.replaced = true
+			st.superseded = true
 		}
 	}
 }
@@ -366,7 +374,7 @@
 }
 
 func (st *state) active(now time.Time) bool {
-	return !st.replaced && (st.removeAt.IsZero() || now.Before(st.removeAt))
+	return !st.replaced && !st.superseded && (st.removeAt.IsZero() || now.Before(st.removeAt))
 }
 
 // withState calls f with a server's state, holding the group's lock. It does nothing if the
--- a/gateway/world_test.go
+++ b/gateway/world_test.go
@@ -48,6 +48,8 @@
 	http  []*http.Server
 	vms   []*vm
 	seq   int
+	// version is that of the configuration.
+	version int
 	// traced receives the spans of entry VMs that are started after it is set; nil for
 	// none.
 	traced *tracetest.InMemoryExporter
@@ -85,7 +87,8 @@
 	w := &world{net: &memnet.Network{Latency: func(memnet.Host, memnet.Host) time.Duration { return time.Millisecond }}, store: &platformtest.Store{}, book: &platformtest.Recorder{}}
 	w.serve(string(storeHost)+":80", w.store)
 	w.app = w.server("a0", "app", "cn-a", 10)
-	w.configure(1, "key-1")
+	w.version = 1
+	w.configure(w.version, "key-1")
 	return w
 }
 
