relay: a refusal of another request is no refusal of this one

What callers saw (own test, from reports of other operators): a server that runs a request and writes an earlier refusal once more: callers were told 503, 'not run', for calls that had run (REFUSED), or a second server ran them (TWICE); the same for streams.

Cause: classify took a refusal at its word before it asked which request the response names.

Change: a response that names another request is foreign, whatever its status; the attempt is lost. What it says of its server still counts, a 421 in it does not.

--- a/relay/send.go
+++ b/relay/send.go
@@ -166,13 +166,15 @@
 		return Lost, err
 	}
 	r.Pool.MarkResponsive(to.ID, now)
-	if by := platform.AnsweredBy(resp.Header); resp.StatusCode == http.StatusMisdirectedRequest && by != to.ID {
+	foreign := platform.NamesOther(resp.Header, m.params.ID)
+	if by := platform.AnsweredBy(resp.Header); resp.StatusCode == http.StatusMisdirectedRequest && by != to.ID && !foreign {
 		r.markReplaced(to)
 		return NotRun, fmt.Errorf("refused with status %d", resp.StatusCode)
 	}
 	r.recordNotices(to, resp, now)
 	refused := platform.NotRun(resp.StatusCode, resp.Header)
-	if !refused && !platform.Genuine(resp.Header, m.params.ID) {
+	// A refusal that names another request says nothing about this one, which may have run.
+	if foreign || !refused && !platform.Genuine(resp.Header, m.params.ID) {
 		return Lost, fmt.Errorf("status %d: %w", resp.StatusCode, errForeign)
 	}
 	r.recordNoLimit(to, resp, sentAt)
--- a/relay/trouble_test.go
+++ b/relay/trouble_test.go
@@ -222,3 +222,28 @@
 		})
 	}
 }
+
+// TestEarlierRefusal guards against refusals of other requests that are taken for those of a stream which an
+// engine has run.
+func TestEarlierRefusal(t *testing.T) {
+	for _, status := range []int{http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusMisdirectedRequest} {
+		withHarness(t, fmt.Sprintf("a stream that can't be resumed, %d", status), func(w *harness) {
+			w.addEngines()
+			for _, s := range w.servers {
+				s.SetFault(platformtest.Fault{EarlierRefusal: status})
+			}
+			a := w.stream(context.Background(), "/once/1")
+			So(a.status, ShouldEqual, http.StatusBadGateway)
+			So(w.book.Runs("r1"), ShouldHaveLength, 1)
+		})
+		withHarness(t, fmt.Sprintf("a stream that can be resumed, %d", status), func(w *harness) {
+			w.addEngines()
+			for _, s := range w.servers {
+				s.SetFault(platformtest.Fault{EarlierRefusal: status})
+			}
+			a := w.resumableStream(context.Background())
+			So(a.status, ShouldEqual, http.StatusBadGateway)
+			So(len(w.book.Runs("r1")), ShouldBeLessThanOrEqualTo, 5)
+		})
+	}
+}
