relay: errors in the place of the rest of a stream are no part of it, nor its end

Cause: whatever came with status 200 counted as the rest of the stream, and its end as the stream's end.

Change: a run that is to go on has to be of type text/event-stream, and its first event must have an id, as those before. Its end without more ends the stream only if a second engine agrees and both state where their answers end; else another engine goes on, within the route's attempts.

--- a/relay/events.go
+++ b/relay/events.go
@@ -15,6 +15,16 @@
 	id  int64 // 0 if it has none
 }
 
+// isComment reports whether an event consists of comments alone.
+func (e *event) isComment() bool {
+	for line := range bytes.Lines(e.raw) {
+		if line = bytes.TrimSpace(line); len(line) > 0 && line[0] != ':' {
+			return false
+		}
+	}
+	return true
+}
+
 // errTruncated reports that a stream ended in the middle of an event or before the first.
 var errTruncated = errors.New("the stream ended within an event or without any")
 
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -34,9 +34,14 @@
 	started bool // it has sent an event
 
 	answered bool // it has sent its head
+	endless  bool // its head states no end, so that it looks complete whenever it breaks off between events
 	events   int  // events sent, repeated ones included
+	// resumes is set if it is to go on with a stream that has begun.
+	resumes   bool
+	proceeded bool // it has sent an event that no run before has sent
 
-	repeated bool // it has sent an event again
+	repeated   bool  // it has sent an event again
+	repeatedID int64 // id of the last of these
 
 	state        StreamState
 	probeResults chan probeResult
@@ -79,6 +84,7 @@
 	idStep    int64 // difference between the ids of two events; 0 if unknown
 	ran       attempts
 	rounds    int
+	emptyEnds int    // runs that were to go on and have ended without more
 	lateSends int    // sends permitted beyond maxSends, for an answer under way
 	failure   *reply // a failure that a server answered with
 	// handedCopy is the copy of the KV cache from which another entry VM is to continue; nil for none.
@@ -323,7 +329,7 @@
 	s.cur.state = StreamState{SentAt: now, Peer: to.Peer, FromCopy: memory != nil, FirstEventBy: now.Add(s.firstEventTimeout(p.Run.Report))}
 	send := &platform.ServerRequest{Server: to.ID, Organisation: s.organisation, TimeLeft: time.Until(s.deadline), Urgency: s.urgency(), ResumeFrom: memory}
 	if s.lastID > 0 {
-		send.LastEvent = strconv.FormatInt(s.lastID, 10)
+		send.LastEvent, s.cur.resumes = strconv.FormatInt(s.lastID, 10), true
 	}
 	copyID := engine.ServerID("")
 	if p.Replica != nil && s.model != nil && s.model.Replicates && s.route.Resumable {
@@ -425,13 +431,17 @@
 		emit(part{head: resp, event: event{raw: body}, ended: true, outcome: Answered, err: errServerFailure, spent: spent})
 		return
 	}
+	if cur.resumes && !platform.IsEventStream(resp.Header) {
+		emit(part{ended: true, outcome: Lost, err: fmt.Errorf("type %q: %w", resp.Header.Get("Content-Type"), errForeign)})
+		return
+	}
 	if !emit(part{head: resp}) {
 		return
 	}
 	events := newEventReader(resp.Body)
 	for n := 0; ; n++ {
 		e, err := events.next()
-		if errors.Is(err, io.EOF) && n == 0 && send.LastEvent == "" && endsWithConnection(resp) {
+		if errors.Is(err, io.EOF) && n == 0 && endsWithConnection(resp) {
 			err = errTruncated
 		}
 		if errors.Is(err, io.EOF) {
@@ -475,9 +485,11 @@
 func (s *streamRun) handlePart(p part) bool {
 	switch {
 	case p.head != nil && !p.ended:
-		s.cur.answered = true
+		s.cur.answered, s.cur.endless = true, endsWithConnection(p.head)
 		s.holdHead(p.head)
 		return true
+	case p.ended && p.err == nil && s.cur.resumes && !s.cur.proceeded && s.route.Resumable:
+		return s.handleEmptyEnd()
 	case p.ended && p.err == nil:
 		return s.finish()
 	case p.ended:
@@ -493,6 +505,7 @@
 		s.cur.work.Pending = 0
 	}
 	if p.event.id != 0 && p.event.id <= s.lastID {
+		s.cur.repeatedID = p.event.id
 		if !s.cur.repeated {
 			s.cur.repeated = true
 			s.logEvent("event repeated", s.cur.to.ID, zap.Int64("event", p.event.id), zap.Int64("lastEvent", s.lastID))
@@ -505,6 +518,11 @@
 		state.LastEventAt, state.ProbedAt, state.ProbeOK = now, time.Time{}, false
 		s.endSilence()
 	}
+	if p.event.id == 0 && s.cur.resumes && !s.cur.proceeded && !p.event.isComment() {
+		// The events that the caller has received have ids: this is an error, or no event at all.
+		return s.failOver("event without an id")
+	}
+	s.cur.proceeded = s.cur.proceeded || p.event.id != 0
 	if !s.isNext(p.event.id) {
 		s.logEvent("event missing", s.cur.to.ID, zap.Int64("event", p.event.id), zap.Int64("lastEvent", s.lastID))
 		return s.failOver("event missing")
@@ -579,6 +597,22 @@
 	return false
 }
 
+// emptyEndsNeeded is how many engines have to end a stream without more for it to be complete: all of it was
+// received, and only its end was lost.
+const emptyEndsNeeded = 2
+
+// handleEmptyEnd decides what follows a run that was to go on with the stream and has ended without more. It
+// returns false if the request has ended.
+func (s *streamRun) handleEmptyEnd() bool {
+	if !s.cur.endless && (s.cur.repeatedID == 0 || s.cur.repeatedID == s.lastID) {
+		s.emptyEnds++
+	}
+	if s.emptyEnds >= emptyEndsNeeded {
+		return s.finish()
+	}
+	return s.failOver("ended without more")
+}
+
 // minPartialEvents is the number of events from which on the mean gap of a partial answer is
 // reported.
 const minPartialEvents = 16
