feed: times of removals and limits are sent as of now

Ages of limits that servers name had the same fault: a duration that was stored.

Change: the log keeps when an update was added, and its times are worked out when it is sent. The format between entry VMs is as it was.

Evidence: the new case of TestLog fails if updates are sent as they were added (2,500 ms where 2,100 are left).

--- a/feed/feed.go
+++ b/feed/feed.go
@@ -7,6 +7,7 @@
 
 import (
 	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -268,7 +269,7 @@
 	mu       sync.Mutex
 	epoch    Epoch
 	seq      int64
-	updates  []Update         // latest updates; the last one has sequence number seq
+	updates  []logged         // latest updates; the last one has sequence number seq
 	revision backend.Revision // store revision up to which the servers are known
 	config   *routing.Config
 	// freshAt is when this entry VM was last known to be up to date with the store.
@@ -281,6 +282,24 @@
 	changed      chan struct{} // closed on the next change
 }
 
+// logged is an update and when it was added.
+type logged struct {
+	Update
+	at time.Time
+}
+
+// sentAt returns the update as it is sent at an instant.
+func (w *logged) sentAt(now time.Time) Update {
+	u := w.Update
+	if u.Removed {
+		u.RemoveInMs = removeIn(now, u.RemoveAt(w.at))
+	}
+	if u.Limit != nil {
+		u.Limit = &Limit{Rate: u.Limit.Rate, AgeMs: ageMs(now, w.at.Add(-time.Duration(u.Limit.AgeMs)*time.Millisecond))}
+	}
+	return u
+}
+
 func (l *Log) init() {
 	if l.epoch == "" {
 		l.epoch = Epoch(uuid.NewString())
@@ -301,15 +320,15 @@
 	return l.epoch
 }
 
-// Add appends an update.
-func (l *Log) Add(w Update) {
+// Add appends an update, whose times are as of now.
+func (l *Log) Add(now time.Time, w Update) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.init()
 	l.seq++
-	l.updates = append(l.updates, w)
+	l.updates = append(l.updates, logged{w, now})
 	if len(l.updates) > 2*maxUpdates {
-		l.updates = append([]Update(nil), l.updates[len(l.updates)-maxUpdates:]...)
+		l.updates = slices.Clone(l.updates[len(l.updates)-maxUpdates:])
 	}
 	l.notify()
 }
@@ -439,7 +458,9 @@
 	}
 	missed := l.seq - q.Seq
 	if q.Epoch == l.epoch && missed >= 0 && missed <= int64(len(l.updates)) {
-		a.Updates = append(a.Updates, l.updates[int64(len(l.updates))-missed:]...)
+		for i := int64(len(l.updates)) - missed; i < int64(len(l.updates)); i++ {
+			a.Updates = append(a.Updates, l.updates[i].sentAt(now))
+		}
 		return a
 	}
 	a.Full = true
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -37,7 +37,7 @@
 func TestLog(t *testing.T) {
 	Convey("A log of changes", t, func() {
 		var l feed.Log
-		l.Add(update(1))
+		l.Add(start, update(1))
 		l.SetRevision(backend.Revision{Number: 1})
 		l.SetFreshAt(start)
 		whole := l.Respond(start.Add(time.Second), feed.Request{}, listServers)
@@ -51,15 +51,25 @@
 		q := feed.Request{}.Next(&whole)
 		Convey("sends only the changes since a position", func() {
 			So(l.Changed(q), ShouldNotBeNil)
-			l.Add(update(3))
+			l.Add(start, update(3))
 			So(l.Changed(q), ShouldBeNil)
 			a := l.Respond(start, q, listServers)
 			So(a.Full, ShouldBeFalse)
 			So(a.Updates, ShouldResemble, []feed.Update{update(3)})
 		})
+		Convey("sends removals and limits with times as of now, however long ago they were added", func() {
+			l.Add(start, feed.Removal("s4", backend.Revision{Number: 4}, start, start.Add(2500*time.Millisecond)))
+			l.Add(start, feed.ServerUpdate(start, &backend.View{Server: update(5).Server, Limit: 3, LimitAt: start.Add(-time.Second)}))
+			a := l.Respond(start.Add(400*time.Millisecond), q, listServers)
+			So(a.Updates[0].RemoveInMs, ShouldEqual, 2100)
+			So(a.Updates[1].Limit.AgeMs, ShouldEqual, 1400)
+			a = l.Respond(start.Add(time.Minute), q, listServers)
+			So(a.Updates[0].RemoveInMs, ShouldEqual, 0)
+			So(a.Updates[1].Limit.AgeMs, ShouldEqual, 61000)
+		})
 		Convey("sends all servers after more changes than it keeps", func() {
 			for i := range 10000 {
-				l.Add(update(i))
+				l.Add(start, update(i))
 			}
 			So(l.Respond(start, q, listServers).Full, ShouldBeTrue)
 		})
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -322,12 +322,12 @@
 func (d *Daemon) publishServers(now, goneAt time.Time, applied, removed []engine.ServerID) {
 	for _, id := range applied {
 		if v, ok := d.pool.View(id, now); ok {
-			d.changes.Add(feed.Update{Server: v.Server})
+			d.changes.Add(now, feed.Update{Server: v.Server})
 		}
 	}
 	for _, id := range removed {
 		if v, ok := d.pool.View(id, now); ok {
-			d.changes.Add(feed.Removal(id, v.Revision, now, goneAt))
+			d.changes.Add(now, feed.Removal(id, v.Revision, now, goneAt))
 		}
 	}
 }
--- a/gateway/upstream.go
+++ b/gateway/upstream.go
@@ -214,7 +214,7 @@
 // to the other entry VMs of the failure domain.
 func (d *Daemon) reportHung(c backend.Choice) {
 	s := feed.ServerStart{ID: c.ID, Start: c.Start}
-	d.changes.Add(s.HungUpdate())
+	d.changes.Add(time.Now(), s.HungUpdate())
 	d.requeueReports(serverReports{hung: []feed.ServerStart{s}})
 }
 
@@ -258,7 +258,7 @@
 func (d *Daemon) publishServer(id engine.ServerID) {
 	now := time.Now()
 	if v, ok := d.pool.View(id, now); ok {
-		d.changes.Add(feed.ServerUpdate(now, &v))
+		d.changes.Add(now, feed.ServerUpdate(now, &v))
 	}
 }
 
@@ -325,7 +325,7 @@
 	now := time.Now()
 	for _, h := range list {
 		d.pool.MarkHung(h.ID, h.Start, now)
-		d.changes.Add(h.HungUpdate())
+		d.changes.Add(now, h.HungUpdate())
 		d.log.Info("server reported as hung", zap.String("server", string(h.ID)), zap.Uint64("start", uint64(h.Start)))
 	}
 }
@@ -443,6 +443,6 @@
 	if !d.pool.Remove(id, rev, at) {
 		return
 	}
-	d.changes.Add(feed.Removal(id, rev, now, at))
+	d.changes.Add(now, feed.Removal(id, rev, now, at))
 	d.log.Info("server entry removed", zap.String("server", string(id)), zap.Time("goneAt", at), zap.String("from", from))
 }
