relay: a trial of a blocked request is handed over with it

What callers saw (own test): while entry VMs are cut off from all servers, a request that has crashed servers and has become sound stays refused through them, for ten minutes: 65 of 65.

The entry VM that the caller reached claims the trial in the store, and the one that helps, which sends the request, knows the same trial as claimed and refuses.

Change: an admission names the trials that were claimed for its first send. Entry VMs of an earlier version ignore it and refuse, as before; what they hand over names none.

Evidence: five cases of TestSoundRequestStaysBlocked failed before (65 of 65 each), none now. Its other cases are as they were.

--- a/gateway/crashing_test.go
+++ b/gateway/crashing_test.go
@@ -219,28 +219,49 @@
 		mendedAfter = 4 * time.Second
 		backWithin  = 8 * time.Second
 	)
+	mend := func(c *crashingTest) time.Time {
+		for _, s := range c.servers {
+			s.SetFault(platformtest.Fault{})
+		}
+		return time.Now()
+	}
+	check := func(c *crashingTest, mended time.Time) {
+		c.wg.Wait()
+		So(len(c.crashes), ShouldBeGreaterThanOrEqualTo, crashesAllowed)
+		sent, lost := 0, 0
+		for _, r := range c.crashing {
+			if r.at.After(mended.Add(backWithin)) {
+				sent++
+				if !r.answered {
+					lost++
+				}
+			}
+		}
+		So(sent, ShouldBeGreaterThan, 40)
+		So(lost, ShouldEqual, 0)
+	}
 	for _, kind := range requestKinds {
 		inWorld(t, kind.name, func(w *world) {
 			c := newCrashingTest(w, kind)
 			c.playCrashing(40*time.Second, 500*time.Millisecond)
 			time.Sleep(mendedAfter)
-			for _, s := range c.servers {
-				s.SetFault(platformtest.Fault{})
-			}
-			mended := time.Now()
+			check(c, mend(c))
+		})
+		inWorld(t, kind.name+", through entry VMs that are cut off from all servers", func(w *world) {
+			c := newCrashingTest(w, kind)
+			c.playCrashing(2*time.Second, 500*time.Millisecond)
 			c.wg.Wait()
-			So(len(c.crashes), ShouldBeGreaterThanOrEqualTo, crashesAllowed)
-			sent, lost := 0, 0
-			for _, r := range c.crashing {
-				if r.at.After(mended.Add(backWithin)) {
-					sent++
-					if !r.answered {
-						lost++
-					}
+			mended := mend(c)
+			c.entries = c.entries[:3]
+			for _, v := range c.entries {
+				for _, s := range c.servers {
+					w.net.Refuse(memnet.Host(v.host), memnet.Host(s.Address[:len(s.Address)-len(":80")]))
 				}
 			}
-			So(sent, ShouldBeGreaterThan, 40)
-			So(lost, ShouldEqual, 0)
+			c.playSound(time.Second) // they find out that they are cut off
+			time.Sleep(time.Second)
+			c.playCrashing(40*time.Second, 500*time.Millisecond)
+			check(c, mended)
 		})
 	}
 }
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -44,7 +44,8 @@
 	// Attempts is the number of attempts lent to the other entry VM, which states in its answer what it has
 	// spent. It is 0 from entry VMs of an earlier version, which count a hand-over as one attempt.
 	Attempts     int                  `json:"attempts,omitempty"`
-	Tried        []engine.ServerID    `json:"tried,omitempty"` // servers that are the last to be tried
+	Tried        []engine.ServerID    `json:"tried,omitempty"`  // servers that are the last to be tried
+	Trials       []quarantine.Suspect `json:"trials,omitempty"` // blocked, of which the first send is a trial
 	Service      routing.ServiceName  `json:"service"`
 	Model        *routing.Model       `json:"model,omitempty"`
 	Organisation routing.Organisation `json:"organisation,omitempty"`
@@ -125,7 +126,7 @@
 // admitted returns a context for sending the request to another entry VM, to which attempts are lent.
 func (j *job) admitted(ctx context.Context, attempts int, from *AdmittedCopy) context.Context {
 	a := Admission{
-		From: j.relay.ID, Route: *j.route, Attempts: attempts, Tried: j.tried, Service: j.service, Model: j.model,
+		From: j.relay.ID, Route: *j.route, Attempts: attempts, Tried: j.tried, Trials: j.trials, Service: j.service, Model: j.model,
 		Organisation: j.organisation, Priority: j.priority, Version: j.version, Copy: from,
 	}
 	a.Route.MaxAttempts = attempts
@@ -317,6 +318,7 @@
 	j.msg.params, j.route, j.service, j.model = params, &a.Route, a.Service, a.Model
 	j.organisation, j.priority, j.version, j.copy = a.Organisation, a.Priority, a.Version, a.Copy
 	j.route.MaxAttempts, j.tried, j.statesSpent = max(1, a.Attempts), a.Tried, a.Attempts > 0
+	j.claimed = a.Trials
 	j.tokens = params.PromptTokens + params.AnswerTokens
 	j.setDeadline()
 	if err := j.readBody(w, routing.Limits{}); err != nil {
--- a/relay/plain.go
+++ b/relay/plain.go
@@ -110,7 +110,8 @@
 
 // sendPlain sends the request to the next server.
 func (r *Relay) sendPlain(ctx context.Context, p *plainRequest) Action {
-	p.trials, p.block = nil, nil
+	p.block = nil
+	p.beginTrials()
 	if b, ok := p.rejected(); ok {
 		p.block = &b
 		return p.retrier.Conclude()
--- a/relay/quarantine.go
+++ b/relay/quarantine.go
@@ -83,6 +83,9 @@
 	return j.relay.Quarantine.Blocked(time.Now(), j.service, suspects)
 }
 
+// beginTrials makes the next send a trial of what was claimed for it, if anything.
+func (j *job) beginTrials() { j.trials, j.claimed = j.claimed, nil }
+
 // rejected reports whether the request is blocked and no trial is due.
 func (j *job) rejected() (quarantine.Block, bool) {
 	b, ok := j.blocked()
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -157,6 +157,7 @@
 	parts        []quarantine.Suspect // parts of its prompt that other requests may have too
 	sound        bool                 // a server was past the beginning of the answer
 	trials       []quarantine.Suspect // those of which its last send is a trial
+	claimed      []quarantine.Suspect // trials of its first send, claimed by the entry VM from which it was taken
 	startedAt    time.Time
 	deadline     time.Time
 	sends        int
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -233,7 +233,7 @@
 // start sends the stream to an engine: to one that holds a copy of the previous run's KV
 // cache, or to one that the pool chooses. It returns false if it has ended the request.
 func (s *streamRun) start(why string, from *run) bool {
-	s.trials = nil
+	s.beginTrials()
 	for {
 		if s.rejectBlocked() {
 			return false
