relay: a moved run is told to stop unless its engine leaves probes unanswered

Cause: the order to stop was given only to an engine that had answered a probe, and such a move asks none.

Change: the order is given unless the last probe was not answered in time. To an engine that is gone it is a connection that fails.

--- a/relay/detector.go
+++ b/relay/detector.go
@@ -76,6 +76,11 @@
 	FromCopy bool
 }
 
+// probeFailed reports whether the last probe was not answered in time.
+func (s *StreamState) probeFailed(now time.Time) bool {
+	return !s.ProbedAt.IsZero() && !s.ProbeOK && !now.Before(s.ProbeDue)
+}
+
 // Decision is what to do about a stream. For Await, CheckAt is when to decide again unless
 // something happens before.
 type Decision struct {
@@ -102,8 +107,7 @@
 
 // Decide returns what to do about a stream. It is a pure function.
 func (d Detector) Decide(s StreamState) Decision {
-	probing := !s.ProbedAt.IsZero() && !s.ProbeOK
-	if probing && !s.Now.Before(s.ProbeDue) {
+	if s.probeFailed(s.Now) {
 		return Decision{Action: FailOver, Reason: "probe not answered"}
 	}
 	since, probeAfter, limit := s.LastEventAt, cmp.Or(d.ProbeAfter, defaultProbeAfter), cmp.Or(d.RestartAfter, defaultRestartAfter)
@@ -135,7 +139,7 @@
 		probeAt = s.ProbedAt.Add(cmp.Or(d.ProbeEvery, defaultProbeEvery))
 	}
 	switch {
-	case probing:
+	case !s.ProbedAt.IsZero() && !s.ProbeOK:
 		return Decision{Action: Await, CheckAt: earlier(s.ProbeDue, end)}
 	case !s.Now.Before(probeAt):
 		return Decision{Action: Probe, Reason: "silent", Report: d.needsReport(s)}
--- a/relay/handover.go
+++ b/relay/handover.go
@@ -184,10 +184,10 @@
 	return true
 }
 
-// takeOver closes the silent run. Its engine is told to stop if it answers probes: it may not see
-// the connection close.
+// takeOver closes the silent run. Its engine is told to stop unless it leaves probes unanswered: it may
+// not see the connection close.
 func (s *streamRun) takeOver() {
-	if s.handover.held.state.ProbeOK {
+	if !s.handover.held.state.probeFailed(time.Now()) {
 		s.relay.stopRun(s.handover.held, s.msg.params.ID)
 	}
 	s.closeHeld()
--- a/relay/silent_test.go
+++ b/relay/silent_test.go
@@ -14,6 +14,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"quetzalhold/engine"
 	"quetzalhold/platform/platformtest"
 	"quetzalhold/result"
 	"quetzalhold/routing"
@@ -513,3 +514,33 @@
 	}
 	So(len(servers), ShouldBeLessThanOrEqualTo, testConfig().Routes[0].MaxAttempts)
 }
+
+// TestMovedRunGoesOn guards against a run that its engine goes on with although its stream was moved,
+// without a probe, because another answer of the engine was broken.
+func TestMovedRunGoesOn(t *testing.T) {
+	withHarness(t, "the engine does not see that its connection is closed", func(w *harness) {
+		w.addEngines()
+		time.AfterFunc(2*time.Second, func() {
+			s := w.serving("r1")
+			w.net.Blackhole(entryHost, w.host(s))
+			w.pool.MarkFailed(engine.ServerID(s.ID), time.Now())
+		})
+		a := w.resumableStream(context.Background())
+		So(a.err, ShouldBeNil)
+		So(a.body, ShouldEqual, events(1, numEvent))
+		So(len(w.book.Runs("r1")), ShouldEqual, 2)
+		w.checkOverlap("r1")
+	})
+	withHarness(t, "a probe is under way", func(w *harness) {
+		w.addEngines()
+		time.AfterFunc(2*time.Second, func() {
+			s := w.serving("r1")
+			w.net.Blackhole(entryHost, w.host(s))
+			time.AfterFunc(160*time.Millisecond, func() { w.pool.MarkFailed(engine.ServerID(s.ID), time.Now()) })
+		})
+		a := w.resumableStream(context.Background())
+		So(a.err, ShouldBeNil)
+		So(a.body, ShouldEqual, events(1, numEvent))
+		w.checkOverlap("r1")
+	})
+}
