--- a/relay/silent_test.go
+++ b/relay/silent_test.go
@@ -544,3 +544,38 @@
 		w.checkOverlap("r1")
 	})
 }
+
+// TestWaitingRunMoved guards against a run that is moved before it has begun, and so can't be told to stop,
+// because another answer of its engine was broken.
+func TestWaitingRunMoved(t *testing.T) {
+	play := func(w *harness, fail func(*platformtest.Server)) answer {
+		w.addEngines()
+		for _, s := range w.servers {
+			s.SetFault(platformtest.Fault{Delay: time.Second})
+		}
+		time.AfterFunc(1500*time.Millisecond, func() {
+			for _, s := range w.servers {
+				if s.Running() > 0 {
+					fail(s)
+					w.pool.MarkFailed(engine.ServerID(s.ID), time.Now())
+				}
+			}
+		})
+		return w.resumableStream(context.Background())
+	}
+	withHarness(t, "the engine is alive", func(w *harness) {
+		a := play(w, func(*platformtest.Server) {})
+		So(a.body, ShouldEqual, events(1, numEvent))
+		arrived := 0
+		for _, s := range w.servers {
+			arrived += len(s.Arrived())
+		}
+		So(arrived, ShouldEqual, 1)
+	})
+	withHarness(t, "the engine is lost", func(w *harness) {
+		a := play(w, w.blackhole)
+		So(a.body, ShouldEqual, events(1, numEvent))
+		// The prompt takes a second to read, and the delay another one.
+		So(a.first, ShouldBeLessThan, 4*time.Second)
+	})
+}
