--- a/relay/forward.go
+++ b/relay/forward.go
@@ -99,9 +99,9 @@
 
 // Limits of requests that are handed to other entry VMs.
 const (
-	// maxHandOvers is the number of other entry VMs that a request is handed to, one after the
+	// maxHelpers is the number of other entry VMs that a request is handed to, one after the
 	// other.
-	maxHandOvers = 4
+	maxHelpers = 4
 	// maxTaken bounds the requests in flight that were taken from other entry VMs.
 	maxTaken = 256
 )
@@ -110,7 +110,7 @@
 // some attempts are left to be lent.
 func (j *job) helper(left int) (backend.Choice, bool) {
 	r := j.relay
-	if left < 1 || j.from != "" || r.Helper == nil || len(j.helpers) >= maxHandOvers || !r.reach.CutOff() || r.reach.Alone(time.Now()) {
+	if left < 1 || j.from != "" || r.Helper == nil || len(j.helpers) >= maxHelpers || !r.reach.CutOff() || r.reach.Alone(time.Now()) {
 		return backend.Choice{}, false
 	}
 	c, ok := r.Helper(j.helpers)
