relay: no warning about attempts that a refused hand-over has not spent; a field is renamed

A refused stream that was handed over states no attempts, which was logged as malformed; nothing depended on it. openEnd no longer reads like the responses without end of other places.

--- a/relay/stream.go
+++ b/relay/stream.go
@@ -34,7 +34,7 @@
 	started bool // it has sent an event
 
 	answered bool // it has sent its head
-	endless  bool // its head states no end, so that it looks complete whenever it breaks off between events
+	openEnd  bool // its head states no end, so that it looks complete whenever it breaks off between events
 	events   int  // events sent, repeated ones included
 	// resumes is set if it is to go on with a stream that has begun.
 	resumes   bool
@@ -485,7 +485,7 @@
 func (s *streamRun) handlePart(p part) bool {
 	switch {
 	case p.head != nil && !p.ended:
-		s.cur.answered, s.cur.endless = true, endsWithConnection(p.head)
+		s.cur.answered, s.cur.openEnd = true, endsWithConnection(p.head)
 		s.holdHead(p.head)
 		return true
 	case p.ended && p.err == nil && s.cur.resumes && !s.cur.proceeded && s.route.Resumable:
@@ -604,7 +604,7 @@
 // handleEmptyEnd decides what follows a run that was to go on with the stream and has ended without more. It
 // returns false if the request has ended.
 func (s *streamRun) handleEmptyEnd() bool {
-	if !s.cur.endless && (s.cur.repeatedID == 0 || s.cur.repeatedID == s.lastID) {
+	if !s.cur.openEnd && (s.cur.repeatedID == 0 || s.cur.repeatedID == s.lastID) {
 		s.emptyEnds++
 	}
 	if s.emptyEnds >= emptyEndsNeeded {
@@ -659,7 +659,7 @@
 	s.logEvent("run ended early", r.to.ID, zap.Stringer("outcome", p.outcome), zap.Error(p.err), zap.Int64("lastEvent", s.lastID),
 		zap.Bool("answered", r.answered), zap.Int("events", r.events), zap.Any("parts", s.parts), zap.String("fingerprint", string(s.fingerprint)))
 	r.ending.failed = true
-	if r.to.Peer {
+	if r.to.Peer && p.outcome != NotRun {
 		spent := s.relay.readSpent(p.spent, r.lent)
 		r.lent, s.tried = spent.Attempts, append(s.tried, spent.Servers...)
 	}
