--- a/relay/plain.go
+++ b/relay/plain.go
@@ -178,6 +178,7 @@
 	attempts := p.sentTo[i].attempts
 	p.sentTo = slices.Delete(p.sentTo, i, i+1)
 	if rep.outcome == NotRun {
+		p.keepTrials(rep.server)
 		return attempts
 	}
 	if !rep.server.Peer {
--- a/relay/quarantine.go
+++ b/relay/quarantine.go
@@ -86,6 +86,13 @@
 // beginTrials makes the next send a trial of what was claimed for it, if anything.
 func (j *job) beginTrials() { j.trials, j.claimed = j.claimed, nil }
 
+// keepTrials keeps the trials of a send for the next one, where another entry VM has not sent the request.
+func (j *job) keepTrials(to backend.Choice) {
+	if to.Peer {
+		j.claimed = j.trials
+	}
+}
+
 // rejected reports whether the request is blocked and no trial is due.
 func (j *job) rejected() (quarantine.Block, bool) {
 	b, ok := j.blocked()
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -665,6 +665,7 @@
 	}
 	switch p.outcome {
 	case NotRun:
+		s.keepTrials(r.to)
 		s.ran.remove(r)
 		s.refundRetry(p.err)
 	case Answered:
