relay, tests: no flag beside the id that says the same; a clone in place of a loop

No change of behaviour, no assertion changed.

Checked: formatter, vet, staticcheck and revive on both packages; relay's tests with the race detector; TestAttemptsExceedRoute, TestOddEntries and TestCutOff*.

--- a/gateway/attempts_test.go
+++ b/gateway/attempts_test.go
@@ -22,11 +22,10 @@
 	for i := 3; i < 9; i++ {
 		c.servers = append(c.servers, w.server(fmt.Sprintf("a-%d", i), "app", string(domainOf(i)), 50+i))
 	}
-	for i, s := range c.servers {
+	for _, s := range c.servers {
 		s.Crashed = func() {
 			time.AfterFunc(2*time.Second, func() { s.Restart(s.Born + 1) })
 		}
-		c.servers[i] = s
 	}
 	time.Sleep(2 * time.Second)
 	return attemptsTest{c}
--- a/gateway/odd_test.go
+++ b/gateway/odd_test.go
@@ -18,10 +18,7 @@
 // oddEntries returns entries that no server writes, made from a sound one.
 func oddEntries(sound map[string]any) map[string]string {
 	with := func(field string, value any) string {
-		e := make(map[string]any, len(sound))
-		for k, v := range sound {
-			e[k] = v
-		}
+		e := maps.Clone(sound)
 		e[field] = value
 		b := must(json.Marshal(e))
 		return strings.ReplaceAll(string(b), `"HUGE"`, "1e999")
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -40,8 +40,7 @@
 	resumes   bool
 	proceeded bool // it has sent an event that no run before has sent
 
-	repeated   bool  // it has sent an event again
-	repeatedID int64 // id of the last of these
+	repeatedID int64 // id of the last event that it has sent again; 0 for none
 
 	state        StreamState
 	probeResults chan probeResult
@@ -505,11 +504,10 @@
 		s.cur.work.Pending = 0
 	}
 	if p.event.id != 0 && p.event.id <= s.lastID {
-		s.cur.repeatedID = p.event.id
-		if !s.cur.repeated {
-			s.cur.repeated = true
+		if s.cur.repeatedID == 0 {
 			s.logEvent("event repeated", s.cur.to.ID, zap.Int64("event", p.event.id), zap.Int64("lastEvent", s.lastID))
 		}
+		s.cur.repeatedID = p.event.id
 		return true
 	}
 	if p.event.id != 0 || s.lastID == 0 {
