relay: a load report is heard that takes longer than opening a connection

Cause: a probe that asks for a load report also opens a connection, 25 ms after the usual time to do so, and took whichever ended first. The connection for control calls had gone silent, a report on a new one takes two round trips, and the usual time was read as it was when the engine was chosen: 0 for the first stream to it. So the connection always won, the report was cancelled with its connection, and the next one lost in the same way. What hid this is that engines seen to fail lose their streams without a probe.

Change: the outcome of the connection counts at once, and the report when it comes. The usual time is the one known at the probe.

Evidence: TestReportNotHeard fails before (first event after 7.3 s, now below 4.5 s).

--- a/relay/quarantine.go
+++ b/relay/quarantine.go
@@ -63,8 +63,9 @@
 func (r *Relay) confirmCrash(to backend.Choice, n quarantine.Name, isEngine bool) {
 	time.Sleep(confirmDelay)
 	begun := time.Now()
-	p := r.probe(context.Background(), to, "", time.Now().Add(to.DialTime+probeMargin), to.DialTime+probeRetryDelay, isEngine && !r.Pool.Limited(to.ID))
-	if p.err != nil && !r.cutOffSince(begun) || !r.Quarantine.Clear(time.Now(), n) {
+	usual, results := r.dialTime(&to), make(chan probeResult, 2)
+	go r.probe(context.Background(), to, "", begun.Add(usual+probeMargin), usual+probeRetryDelay, isEngine && !r.Pool.Limited(to.ID), results)
+	if p := <-results; p.err != nil && !r.cutOffSince(begun) || !r.Quarantine.Clear(time.Now(), n) {
 		return
 	}
 	r.Log.Info("server is not lost", zap.String("server", string(to.ID)), zap.String("crash", string(n)))
--- a/relay/silent_test.go
+++ b/relay/silent_test.go
@@ -545,6 +545,23 @@
 	})
 }
 
+// TestReportNotHeard guards against a stream that waits long on a silent connection to an engine in another
+// region, as the engine's load report, which takes longer than opening a connection, is not heard.
+func TestReportNotHeard(t *testing.T) {
+	withHarness(t, "silent before the first event", func(w *harness) {
+		s := w.add("e0", "models", 1, 30*time.Millisecond)
+		go w.requestAt(s, "other")
+		time.Sleep(3 * time.Second)
+		time.AfterFunc(500*time.Millisecond, func() { w.net.Blackhole(entryHost, w.host(s)) })
+		time.AfterFunc(time.Second, func() { w.add("e1", "models", 1, 30*time.Millisecond) })
+		a := w.resumableStream(context.Background())
+		So(a.err, ShouldBeNil)
+		So(a.body, ShouldEqual, events(1, numEvent))
+		// The prompt takes a second to read at each engine. Reports are two seconds apart at most.
+		So(a.first, ShouldBeLessThan, 4500*time.Millisecond)
+	})
+}
+
 // TestWaitingRunMoved guards against a run that is moved before it has begun, and so can't be told to stop,
 // because another answer of its engine was broken.
 func TestWaitingRunMoved(t *testing.T) {
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -822,19 +823,24 @@
 // probe is a request for the server's load report, which shows whether it works at all.
 func (s *streamRun) probe(report bool) {
 	now := time.Now()
-	to, usual := s.cur.to, s.cur.to.DialTime
+	to, usual := s.cur.to, s.relay.dialTime(&s.cur.to)
 	by := now.Add(usual + probeMargin)
 	state := &s.cur.state
 	state.ProbedAt, state.ProbeDue, state.ProbeOK = now, by, false
 	if report = report && !to.Peer && !s.refusesNow(&to, now); report {
 		state.ReportAt = now
 	}
-	answer := make(chan probeResult, 1)
-	s.cur.probeResults = answer
+	results := make(chan probeResult, 2)
+	s.cur.probeResults = results
 	ctx, id := s.ctx, s.msg.params.ID
-	go func() {
-		answer <- s.relay.probe(ctx, to, id, by, usual+probeRetryDelay, report)
-	}()
+	go s.relay.probe(ctx, to, id, by, usual+probeRetryDelay, report, results)
+}
+
+// dialTime returns the usual time to open a connection to a server, which may have become known since
+// it was chosen; 0 if it is unknown.
+func (r *Relay) dialTime(to *backend.Choice) time.Duration {
+	v, _ := r.Pool.View(to.ID, time.Now())
+	return cmp.Or(v.DialTime, to.DialTime)
 }
 
 // The times of a probe, beyond the usual time to open a connection.
@@ -845,40 +851,51 @@
 	probeRetryDelay = 25 * time.Millisecond
 )
 
-// probe probes a server until the deadline, with a second try after retryAfter, and returns the
-// outcome of the first try that ends. The second try opens a new connection, as the one for
-// control calls may be silent.
-func (r *Relay) probe(ctx context.Context, to backend.Choice, id engine.RequestID, deadline time.Time, retryAfter time.Duration, report bool) probeResult {
-	ctx, cancel := context.WithDeadline(ctx, deadline)
+// probe probes a server until the deadline, with a second try after retryAfter, and sends the outcome
+// of the first try that ends to results, which must have room for two. The second try opens a new
+// connection, as the one for control calls may be silent. A load report that comes later, within the
+// time of a control call, is sent as well: it takes longer than opening a connection.
+func (r *Relay) probe(ctx context.Context, to backend.Choice, id engine.RequestID, deadline time.Time, retryAfter time.Duration, report bool, results chan<- probeResult) {
+	dialCtx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
-	results := make(chan probeResult, 2)
+	connections, reports := make(chan probeResult, 2), make(chan probeResult, 1)
 	connect := func() {
-		c, err := r.dial(ctx, "tcp", to.Address)
+		c, err := r.dial(dialCtx, "tcp", to.Address)
 		if err == nil {
 			_ = c.Close() // nothing was sent on it
 		}
-		results <- probeResult{err: err}
+		connections <- probeResult{err: err}
 	}
-	first := connect
 	if report {
-		first = func() {
+		go func() {
 			var rep backend.Report
 			err := telemetry.Guard(r.Log, "probe", func() (err error) {
 				rep, err = r.Report(ctx, to)
 				return err
 			})
-			results <- probeResult{err: err, idle: err == nil && rep.Waiting+rep.Prefilling+rep.Generating == 0, events: rep.Events[id]}
-		}
+			reports <- probeResult{err: err, idle: err == nil && rep.Waiting+rep.Prefilling+rep.Generating == 0, events: rep.Events[id]}
+		}()
+	} else {
+		go connect()
 	}
-	go first()
 	second := time.NewTimer(retryAfter)
 	defer second.Stop()
-	select {
-	case p := <-results:
-		return p
-	case <-second.C:
-		go connect()
-		return <-results
+	for waiting := true; waiting; {
+		select {
+		case p := <-connections:
+			results <- p
+			waiting = false
+		case p := <-reports:
+			results <- p
+			return
+		case <-second.C:
+			go connect()
+		}
+	}
+	if report {
+		if p := <-reports; p.err == nil {
+			results <- p
+		}
 	}
 }
 
