relay: a run that has not begun is probed before it is moved

Cause: that an engine was seen to fail, maybe by one answer, counted as evidence about each of its runs.

Runs that have begun are moved as before, and told to stop.

--- a/relay/detector.go
+++ b/relay/detector.go
@@ -66,6 +66,8 @@
 	ReportAt time.Time
 	// ServerFailed reports whether the server is known to have failed or to be removed.
 	ServerFailed bool
+	// FailedAt is when something at the server failed last, maybe another run; zero if nothing has.
+	FailedAt time.Time
 	// Peer reports whether the run is at another entry VM, which finds out whether its server
 	// fails. Only whether that entry VM answers probes counts here.
 	Peer bool
@@ -127,8 +129,14 @@
 	if s.LastEventAt.IsZero() && s.Unheard {
 		return Decision{Action: FailOver, Reason: reasonUnheard}
 	}
-	if s.ServerFailed && s.Now.Sub(since) >= probeAfter {
+	waiting := s.LastEventAt.IsZero() && !s.FromCopy
+	switch {
+	case !s.ServerFailed || s.Now.Sub(since) < probeAfter:
+	case !waiting || s.FailedAt.IsZero():
 		return Decision{Action: FailOver, Reason: "server known to be lost"}
+	case s.ProbedAt.Before(s.FailedAt):
+		// A run that has not begun can't be told to stop if the server is alive.
+		return Decision{Action: Probe, Reason: "server may be lost"}
 	}
 	end := since.Add(limit)
 	if !s.Now.Before(end) {
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -202,7 +202,7 @@
 	now := time.Now()
 	v, ok := s.relay.Pool.View(s.cur.to.ID, now)
 	state := &s.cur.state
-	state.Now, state.ServerFailed = now, !state.Peer && (!ok || v.FailedAt.After(s.cur.sentAt))
+	state.Now, state.ServerFailed, state.FailedAt = now, !state.Peer && (!ok || v.FailedAt.After(s.cur.sentAt)), v.FailedAt
 	_, _, state.HasCopy = s.liveCopy(s.cur, now)
 	return *state
 }
