relay: orders to stop a run are repeated until it is over

Cause: the one order to stop is a move of the run, which the engine answers 404 before the run has begun. A run without a replica was never told to stop, as the order names a target.

Change: the order is repeated every 200 ms, for 5 s at most, until the engine confirms it, the run is forgotten after it has begun, or a load report shows neither the run nor requests that wait. It ends if the engine has restarted, or gets the stream again.

--- a/relay/attempts.go
+++ b/relay/attempts.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"sync/atomic"
 	"time"
 
 	"quetzalhold/backend"
@@ -13,19 +12,14 @@
 // sent. The zero value is none.
 type attempts []*run
 
-// ending is how a run ended. The zero value is a run that goes on.
-type ending struct {
-	failed  bool        // by itself, or its output was wrong
-	stopped atomic.Bool // its server was told to stop and did
-}
-
-// over reports whether the run is known to have been stopped, by this entry VM, at a server that
-// worked on it. That its connection was closed does not show it: the connection may be silent.
-func (e *ending) over() bool { return !e.failed && e.stopped.Load() }
-
 // addAttempt records that a run was sent. At the limit of the stream's route, servers that were left
 // out because they were silent may be tried again.
 func (s *streamRun) addAttempt(r *run) {
+	for _, x := range s.ran {
+		if x.to.ID == r.to.ID {
+			x.ending.reused.Store(true)
+		}
+	}
 	before := s.atLimit(0)
 	s.ran = append(s.ran, r)
 	if !before && s.atLimit(0) {
--- a/relay/checkpoint.go
+++ b/relay/checkpoint.go
@@ -14,7 +14,6 @@
 	"go.uber.org/zap"
 
 	"quetzalhold/backend"
-	"quetzalhold/engine"
 	"quetzalhold/platform"
 	"quetzalhold/telemetry"
 )
@@ -136,31 +135,6 @@
 	return ok && !v.Removed && !v.Draining && !now.Before(v.RetryAt) && v.Start == c.Start && !v.FailedAt.After(since)
 }
 
-// stopRun stops a silent run at an engine that answers probes: if only the connection was
-// lost, the engine does not see it close. Only a move ends a run, so stopRun orders one and
-// deletes the copy that it makes. The request uses a new connection, since kept ones may be
-// silent too. It returns at once.
-func (r *Relay) stopRun(from *run, id engine.RequestID) {
-	if from.replica == nil {
-		return
-	}
-	at, target, started := from.to, from.replica.Address, from.started
-	go func() {
-		err := telemetry.Guard(r.Log, "stop of a run", func() error {
-			m, err := r.moveCache(context.Background(), at, platform.KVMove{Run: id, Target: target, StopRun: true})
-			var status statusError
-			// A run that has sent events and is unknown has ended.
-			stopped := err == nil || started && errors.As(err, &status) && status == http.StatusNotFound
-			if err == nil {
-				_, _, err = r.control(context.Background(), r.transport, at, http.MethodDelete, platform.KVHandlePath(m.Handle), nil)
-			}
-			from.ending.stopped.Store(stopped)
-			return err
-		})
-		r.Log.Info("silent run stopped", zap.String("request", string(id)), zap.String("server", string(at.ID)), zap.Error(err))
-	}()
-}
-
 // statusError is the status of a control call's answer that reports a failure.
 type statusError int
 
--- a/relay/handover.go
+++ b/relay/handover.go
@@ -174,7 +174,7 @@
 	case turnGoBack:
 		s.logEvent("silent run goes on", s.handover.held.to.ID, zap.Int64("lastEvent", s.lastID))
 		// The dropped run's connection may be silent too, so that its engine does not see it close.
-		s.relay.stopRun(s.cur, s.msg.params.ID)
+		s.stopRun(s.cur, s.handover.held)
 		s.goBack()
 		return s.handlePart(p)
 	case turnDrop:
@@ -188,7 +188,7 @@
 // not see the connection close.
 func (s *streamRun) takeOver() {
 	if !s.handover.held.state.probeFailed(time.Now()) {
-		s.relay.stopRun(s.handover.held, s.msg.params.ID)
+		s.stopRun(s.handover.held, s.cur)
 	}
 	s.closeHeld()
 }
--- a/relay/silent_test.go
+++ b/relay/silent_test.go
@@ -562,6 +562,33 @@
 	})
 }
 
+// TestWaitingRunGoesOn guards against a run that had not begun when its stream was moved, and that its engine
+// goes on with, as it knows no such run when it is told to stop.
+func TestWaitingRunGoesOn(t *testing.T) {
+	withHarness(t, "it begins later", func(w *harness) {
+		s := w.add("e0", "models", 0, 30*time.Millisecond)
+		s.SetFault(platformtest.Fault{Delay: 7 * time.Second, KeepsRuns: true})
+		time.AfterFunc(time.Second, func() { w.add("e1", "models", 1, 30*time.Millisecond) })
+		a := w.resumableStream(context.Background())
+		So(a.err, ShouldBeNil)
+		So(a.body, ShouldEqual, events(1, numEvent))
+		runs := w.book.Runs("r1")
+		So(runs, ShouldHaveLength, 2)
+		late := runs[1] // it is recorded when it begins
+		So(late.Server, ShouldEqual, "e0")
+		So(late.Events, ShouldBeLessThan, int(stopBound/s.Work))
+	})
+	withHarness(t, "it has no replica", func(w *harness) {
+		s := w.add("e0", "models", 0, 30*time.Millisecond)
+		time.AfterFunc(500*time.Millisecond, func() { w.net.Blackhole(entryHost, w.host(s)) })
+		time.AfterFunc(time.Second, func() { w.add("e1", "models", 1, 30*time.Millisecond) })
+		a := w.resumableStream(context.Background())
+		So(a.err, ShouldBeNil)
+		So(a.body, ShouldEqual, events(1, numEvent))
+		w.checkOverlap("r1")
+	})
+}
+
 // TestWaitingRunMoved guards against a run that is moved before it has begun, and so can't be told to stop,
 // because another answer of its engine was broken.
 func TestWaitingRunMoved(t *testing.T) {
