relay: a run is told to stop unless its engine has ended it

Cause: only runs that were replaced while they were silent were told to stop. A lost connection was taken for the end of the run.

Change: whatever moves a stream tells the engine of the run before to stop, unless the run was refused or answered to its end. An entry VM tells the engine of a stream that it took from another one, as the other one can't.

--- a/relay/handover.go
+++ b/relay/handover.go
@@ -159,6 +159,9 @@
 		if p.outcome == NotRun {
 			s.sends--
 		}
+		if s.cur.done = p.outcome != Lost; !s.cur.done {
+			s.stopRun(s.cur, s.handover.held)
+		}
 		s.tried = append(s.tried, s.cur.to.ID)
 		s.goBack()
 		s.cur.recheckAt = time.Now().Add(recheckDelay)
@@ -178,8 +181,11 @@
 		s.goBack()
 		return s.handlePart(p)
 	case turnDrop:
-		s.recordEnd(s.handover.held, p)
+		held := s.handover.held
+		s.recordEnd(held, p)
+		held.done = p.outcome != Lost
 		s.closeHeld()
+		s.stopRun(held, s.cur)
 	}
 	return true
 }
--- a/relay/silent_test.go
+++ b/relay/silent_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -16,6 +17,7 @@
 
 	"quetzalhold/engine"
 	"quetzalhold/platform/platformtest"
+	"quetzalhold/relay"
 	"quetzalhold/result"
 	"quetzalhold/routing"
 )
@@ -562,6 +564,49 @@
 	})
 }
 
+// TestBrokenRunGoesOn guards against a run that its engine goes on with after its connection was reset, or was
+// closed because of an event that did not fit, while its stream goes on elsewhere.
+func TestBrokenRunGoesOn(t *testing.T) {
+	for _, x := range []struct {
+		name string
+		end  func(*harness, *platformtest.Server)
+	}{
+		{"the connection is reset", func(w *harness, s *platformtest.Server) { w.net.Reset(entryHost, w.host(s)) }},
+		{"an event is missing", func(_ *harness, s *platformtest.Server) {
+			s.SetFault(platformtest.Fault{SkipEvent: 40})
+		}},
+	} {
+		withHarness(t, x.name, func(w *harness) {
+			w.addEngines()
+			w.faultOthers(nil, platformtest.Fault{KeepsRuns: true})
+			time.AfterFunc(2*time.Second, func() { x.end(w, w.serving("r1")) })
+			a := w.resumableStream(context.Background())
+			So(a.err, ShouldBeNil)
+			So(a.body, ShouldEqual, events(1, numEvent))
+			So(w.book.Runs("r1"), ShouldHaveLength, 2)
+			w.checkOverlap("r1")
+		})
+	}
+}
+
+// TestHandedRunGoesOn guards against a run that an engine goes on with after the entry VM that handed the
+// stream to this one has closed the connection.
+func TestHandedRunGoesOn(t *testing.T) {
+	withHarness(t, "handed on after some events", func(w *harness) {
+		w.addEngines()
+		w.faultOthers(nil, platformtest.Fault{KeepsRuns: true})
+		w.frontend.Handler = http.HandlerFunc(w.relay.ServeAdmitted)
+		c := testConfig()
+		admission, err := json.Marshal(relay.Admission{From: "vm-0", Route: c.Routes[0], Attempts: 2, Service: "models", Model: c.Services[0].Model})
+		So(err, ShouldBeNil)
+		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+		defer cancel()
+		w.resumableStream(ctx, relay.AdmissionHeader, string(admission))
+		time.Sleep(stopBound)
+		So(w.serving("r1").Running(), ShouldEqual, 0)
+	})
+}
+
 // TestWaitingRunGoesOn guards against a run that had not begun when its stream was moved, and that its engine
 // goes on with, as it knows no such run when it is told to stop.
 func TestWaitingRunGoesOn(t *testing.T) {
--- a/relay/stop.go
+++ b/relay/stop.go
@@ -51,18 +51,20 @@
 	return false, true
 }
 
-// stopRun tells the engine of a run whose stream goes on at another engine to stop. It returns at once.
-// The engine may not see that the connection is closed, or go on regardless. Only a move ends a run, so
-// stopRun orders one, to the run's replica or to the other engine, and deletes the copy that it makes.
-// The order is repeated until the run is known to be over.
+// stopRun tells the engine of a run to stop whose stream goes on at another engine, or may do so at
+// another entry VM if next is nil. It returns at once. The engine may not see that the connection is closed, or go
+// on regardless. Only a move ends a run, so stopRun orders one, to the run's replica or to the other
+// engine, and deletes the copy that it makes. The order is repeated until the run is known to be over.
 func (s *streamRun) stopRun(from, next *run) {
-	target := next.to.Address
+	var target string
 	switch {
-	case from.to.Peer:
-		return // the other entry VM stops it
+	case from.done || from.to.Peer: // another entry VM stops it
 	case from.replica != nil:
 		target = from.replica.Address
-	case next.to.Peer || sameStart(&from.to, &next.to):
+	case next != nil && !next.to.Peer && !sameStart(&from.to, &next.to):
+		target = next.to.Address
+	}
+	if target == "" {
 		return
 	}
 	began, until := from.started, earlier(s.deadline, time.Now().Add(stopLimit))
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -33,6 +33,7 @@
 	ctx     context.Context // ends with the run
 	parts   chan part
 	started bool // it has sent an event
+	done    bool // its engine has ended it
 
 	answered bool // it has sent its head
 	openEnd  bool // its head states no end, so that it looks complete whenever it breaks off between events
@@ -483,6 +484,7 @@
 // handlePart handles a part of the current run's output. It returns false if the request has
 // ended.
 func (s *streamRun) handlePart(p part) bool {
+	s.cur.done = p.ended && p.outcome != Lost
 	switch {
 	case p.head != nil && !p.ended:
 		s.cur.answered, s.cur.openEnd = true, endsWithConnection(p.head)
@@ -694,7 +696,11 @@
 	}
 	s.tried = append(s.tried, from.to.ID)
 	s.closeRun()
-	return s.start(why, from)
+	if !s.start(why, from) {
+		return false
+	}
+	s.stopRun(from, s.cur)
+	return true
 }
 
 // countEmpty counts a run that another one follows if it has sent no event.
@@ -797,8 +803,11 @@
 	}
 }
 
-// closeRuns closes all runs.
+// closeRuns closes all runs. The entry VM that the request was taken from may let the stream go on elsewhere.
 func (s *streamRun) closeRuns() {
+	if s.from != "" && s.cur != nil {
+		s.stopRun(s.cur, nil)
+	}
 	s.closeHeld()
 	s.closeRun()
 }
