quarantine, relay: parts that crash engines before the head of an answer are found

Cause: a crash before the head was held against the whole request alone, and no two are alike.

Change: a crash before anything of an answer is held against the parts of the prompt as a crash of its own (Crash.OfWaiting). Those less than 2 s apart count once, a part that was sound in the last 3 s is left out, and a success with the part clears it though the lost request never ends. A head counts as the beginning of an answer only as late as events usually begin. Crashes of a part are explained by what any request on the engine had. Entry VMs of an earlier version read such a crash as one under a request that nobody sends.

--- a/gateway/quarantine_test.go
+++ b/gateway/quarantine_test.go
@@ -4,12 +4,14 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"quetzalhold/memnet"
 	"quetzalhold/names"
 	"quetzalhold/platform/platformtest"
 )
@@ -26,6 +28,7 @@
 // crashTest is a fleet of engines that crash under one part of a prompt.
 type crashTest struct {
 	*world
+	fault   platformtest.Fault
 	engines []*platformtest.Server
 	vms     []*vm
 
@@ -33,11 +36,22 @@
 	crashes []time.Time
 	sound   []time.Time // when sound requests were sent that got their whole answer
 	failed  []time.Time // the same for the others
+	blocked []string    // answers to sound requests with a blocked part
 	wg      sync.WaitGroup
 }
 
-func newCrashTest(w *world) *crashTest {
-	c := &crashTest{world: w}
+// partFaults are the ways in which engines crash under the part.
+var partFaults = []struct {
+	name  string
+	fault platformtest.Fault
+}{
+	{"within the first event", platformtest.Fault{CrashPart: crashPart}},
+	{"before the head", platformtest.Fault{CrashPart: crashPart, CrashEarly: true}},
+	{"after the head", platformtest.Fault{CrashPart: crashPart, CrashEarly: true, EarlyHead: true}},
+}
+
+func newCrashTest(w *world, f platformtest.Fault) *crashTest {
+	c := &crashTest{world: w, fault: f}
 	for i := range 18 {
 		c.addEngine(i, string(domainOf(i)))
 	}
@@ -52,7 +66,7 @@
 
 func (c *crashTest) addEngine(i int, domain string) {
 	e := c.server(fmt.Sprintf("e%d", i), "models", domain, 20+i)
-	e.SetFault(platformtest.Fault{CrashPart: crashPart})
+	e.SetFault(c.fault)
 	e.Crashed = func() {
 		c.mu.Lock()
 		c.crashes = append(c.crashes, time.Now())
@@ -76,7 +90,10 @@
 	}
 }
 
-func (c *crashTest) request(i int, v *vm, crashing bool) {
+func (c *crashTest) request(i int, v *vm, crashing bool) { c.requestLong(i, v, crashing, 1000) }
+
+// requestLong sends a request whose own part has so many tokens.
+func (c *crashTest) requestLong(i int, v *vm, crashing bool, tokens int) {
 	shared := fmt.Sprintf("first:200,s%d:100", i%7)
 	if crashing {
 		shared += "," + crashPart + ":300"
@@ -84,7 +101,7 @@
 	at := time.Now()
 	id := fmt.Sprintf("p%d", i)
 	a := c.sendBody(c.transport(), v, "/brief/1", "key-1", id, "the prompt of "+id, http.Header{
-		"X-Token-Count": {"1600,50"}, "X-Prompt-Prefix": {fmt.Sprintf("%s,own%d:1000", shared, i)}, "X-Deadline-Ms": {"25000"},
+		"X-Token-Count": {fmt.Sprintf("%d,50", 600+tokens)}, "X-Prompt-Prefix": {fmt.Sprintf("%s,own%d:%d", shared, i, tokens)}, "X-Deadline-Ms": {"25000"},
 	})
 	if crashing {
 		return
@@ -96,6 +113,9 @@
 	} else {
 		c.failed = append(c.failed, at)
 	}
+	if strings.Contains(a.body, " crashed ") && !strings.Contains(a.body, "request:") {
+		c.blocked = append(c.blocked, a.body)
+	}
 }
 
 // sentAfterBound returns how many requests with the part reached engines later than contactBound
@@ -132,21 +152,33 @@
 }
 
 // TestPromptPartCrashesEngines guards against requests with one part in their prompts that crash
-// one engine after the other.
+// one engine after the other, however far the answer has come.
 func TestPromptPartCrashesEngines(t *testing.T) {
-	inWorld(t, "all entry VMs stop sending requests with the part, and serve the others", func(w *world) {
-		c := newCrashTest(w)
-		begin := time.Now()
-		c.play(25*time.Second, 0)
-		c.wg.Wait()
-		So(len(c.crashes), ShouldBeGreaterThanOrEqualTo, 1)
-		So(c.sentAfterBound(), ShouldBeLessThanOrEqualTo, maxSentAfter)
-		answered, failed := c.soundSince(begin.Add(12 * time.Second))
-		So(answered, ShouldBeGreaterThan, 80)
-		So(failed, ShouldEqual, 0)
-	})
+	for _, x := range partFaults {
+		inWorld(t, x.name, func(w *world) {
+			c := newCrashTest(w, x.fault)
+			begin := time.Now()
+			c.play(25*time.Second, 0)
+			c.wg.Wait()
+			So(len(c.crashes), ShouldBeGreaterThanOrEqualTo, 1)
+			So(c.sentAfterBound(), ShouldBeLessThanOrEqualTo, maxSentAfter)
+			answered, failed := c.soundSince(begin.Add(12 * time.Second))
+			So(answered, ShouldBeGreaterThan, 80)
+			So(failed, ShouldEqual, 0)
+		})
+		inWorld(t, x.name+", rarely", func(w *world) {
+			c := newCrashTest(w, x.fault)
+			for i := range 12 {
+				c.wg.Go(func() { c.request(i, c.vms[i%len(c.vms)], true) })
+				time.Sleep(6 * time.Second)
+			}
+			c.wg.Wait()
+			So(len(c.crashes), ShouldBeGreaterThanOrEqualTo, crashesTolerated)
+			So(c.sentAfterBound(), ShouldBeLessThanOrEqualTo, maxSentAfter)
+		})
+	}
 	inWorld(t, "entry VMs that start know the part from the store", func(w *world) {
-		c := newCrashTest(w)
+		c := newCrashTest(w, partFaults[0].fault)
 		c.play(15*time.Second, 0)
 		c.wg.Wait()
 		w.replaceVMs()
@@ -160,3 +192,70 @@
 		So(failed, ShouldEqual, 0)
 	})
 }
+
+// TestLossesBlockParts guards against parts of prompts that are blocked because engines were lost for other
+// reasons, again and again, under requests that share them.
+func TestLossesBlockParts(t *testing.T) {
+	for _, early := range []bool{false, true} {
+		for _, x := range []struct {
+			name  string
+			every time.Duration
+			lost  func(i int) []int // the engines of a loss
+		}{
+			{"a failure domain", 6 * time.Second, func(i int) []int {
+				var list []int
+				for n := range 9 {
+					list = append(list, 2*n+i%2)
+				}
+				return list
+			}},
+			{"one after the other", 400 * time.Millisecond, func(i int) []int { return []int{i * 7 % 18} }},
+			{"all", 10 * time.Second, func(int) []int {
+				var list []int
+				for n := range 18 {
+					list = append(list, n)
+				}
+				return list
+			}},
+		} {
+			inWorld(t, fmt.Sprintf("%s, head at once %v", x.name, early), func(w *world) {
+				c := newCrashTest(w, platformtest.Fault{EarlyHead: early})
+				for i := len(c.vms); i < 16; i++ { // each sees few requests
+					c.vms = append(c.vms, w.vm(fmt.Sprintf("vm-%d", i), domainOf(i), 40+i))
+				}
+				time.Sleep(time.Second)
+				end := time.Now().Add(30 * time.Second)
+				c.wg.Go(func() {
+					for i := 0; time.Now().Before(end); i++ {
+						for _, n := range x.lost(i) {
+							c.lose(c.engines[n])
+						}
+						time.Sleep(x.every)
+					}
+				})
+				for i := 1; time.Now().Before(end); i++ {
+					c.wg.Go(func() { c.requestLong(i, c.vms[i%len(c.vms)], false, 8000) })
+					time.Sleep(110 * time.Millisecond)
+				}
+				c.wg.Wait()
+				So(len(c.sound), ShouldBeGreaterThan, 80)
+				So(c.blocked, ShouldBeEmpty)
+			})
+		}
+	}
+}
+
+// lose ends an engine. It starts again some seconds later.
+func (c *crashTest) lose(e *platformtest.Server) {
+	host := memnet.Host(e.Address[:len(e.Address)-len(":80")])
+	e.Stop("")
+	c.net.Crash(host)
+	c.wg.Go(func() {
+		time.Sleep(restartDelay)
+		e.Restart(time.Now().UnixMilli())
+		c.mu.Lock()
+		c.serve(e.Address, e)
+		c.mu.Unlock()
+		c.store.Put("servers", e.ID, e.Entry("ready"))
+	})
+}
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -69,6 +69,9 @@
 	Start   engine.Incarnation  `json:"start"`
 	// Suspects are what may have caused it: the request, and parts of its prompt.
 	Suspects []Suspect `json:"parts"`
+	// Waiting are the parts of its prompt in a crash made by [Crash.OfWaiting]. Entry VMs of an earlier
+	// version neither send nor read them.
+	Waiting []Suspect `json:"waitingParts,omitempty"`
 	// Until is when the crash is no longer held against its suspects.
 	Until UnixMilli `json:"untilMs"`
 	// Trial is set for the claim of a trial, which is no crash: Start is then its number.
@@ -88,8 +91,10 @@
 		return result.New(result.MissingField, "crash of server %q of service %q with %d suspects", c.Server, c.Service, len(c.Suspects))
 	case len(c.Suspects) > maxSuspects:
 		return result.New(result.OutOfRange, "%d suspects", len(c.Suspects)).WithField("parts")
+	case len(c.Waiting) > maxSuspects:
+		return result.New(result.OutOfRange, "%d suspects", len(c.Waiting)).WithField("waitingParts")
 	}
-	for _, s := range c.Suspects {
+	for _, s := range slices.Concat(c.Suspects, c.Waiting) {
 		if len(s) > maxIDSize {
 			return result.New(result.OutOfRange, "a suspect's id of %d bytes", len(s)).WithField("parts")
 		}
@@ -97,6 +102,29 @@
 	return nil
 }
 
+// OfWaiting returns the crash as it is held against the parts of the request's prompt if nothing of an
+// answer had come: then the server may have been lost for any reason. Its only other suspect matches no
+// request, so that the two crashes are cleared apart.
+func (c Crash) OfWaiting(parts []Suspect) Crash {
+	c.Waiting = parts
+	c.Suspects = []Suspect{c.Suspects[0] + waitingSuffix}
+	c.Request += waitingSuffix
+	return c
+}
+
+const waitingSuffix = "/waiting"
+
+// waiting reports whether it is a crash made by OfWaiting.
+func (c *Crash) waiting() bool { return len(c.Waiting) > 0 }
+
+// held returns the suspects against which the crash is held.
+func (c *Crash) held() []Suspect {
+	if c.waiting() {
+		return c.Waiting
+	}
+	return c.Suspects
+}
+
 // Name returns the crash's name.
 func (c *Crash) Name() Name {
 	return Name(fmt.Sprintf("%s.%d.%016x", c.Server, c.Start, xxhash.Sum64String(string(c.Request))))
@@ -139,6 +167,9 @@
 // request returns the request that was lost with the server: its suspect, or the caller's name
 // for it if it is not known as a suspect; "" if it was found sound.
 func (r *record) request() Suspect {
+	if r.waiting() {
+		return r.Suspects[0]
+	}
 	if i := slices.IndexFunc(r.Suspects, Suspect.IsRequest); i < 0 {
 		return Suspect(r.Request)
 	} else if slices.Contains(r.suspects, r.Suspects[i]) {
@@ -152,10 +183,14 @@
 	// blockAfter is the number of servers that may crash under a suspect before it is blocked.
 	// One or two may have crashed for another reason at that moment.
 	blockAfter = 3
+	// lossSpan is how far apart servers may be lost for one reason, such as the loss of a failure domain.
+	lossSpan = 2 * time.Second
 	// holdFor is how long a crash is held against its suspects.
 	holdFor = 10 * time.Minute
-	// soundFor is how long after an answer began under a suspect a crash is not attributed to it.
-	soundFor = time.Second
+	// soundFor is how long after an answer began under a suspect a crash is not attributed to it, and
+	// soundWaitingFor the same for a server of whose answer nothing had come.
+	soundFor        = time.Second
+	soundWaitingFor = 3 * time.Second
 	// settleFor is how long the only crash of its suspects is not listed for others: most are
 	// found sound by then, when the request runs at another server.
 	settleFor = 1500 * time.Millisecond
@@ -190,9 +225,9 @@
 	mu      sync.RWMutex
 	records map[Name]*record
 	// sound holds the suspects that servers got past the beginning of an answer to, in the
-	// current period of soundFor and in the one before.
+	// current period of soundWaitingFor and in the one before.
 	sound, soundBefore map[key]time.Time
-	soundSince         time.Time
+	soundTurn          time.Time
 	changed            chan struct{} // closed when a suspect becomes blocked
 }
 
@@ -202,25 +237,33 @@
 func (l *List) Observe(now time.Time, c Crash) (Crash, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	list, since := &c.Suspects, now.Add(-soundFor)
+	if c.waiting() {
+		list, since = &c.Waiting, now.Add(-soundWaitingFor)
+	}
 	var suspects []Suspect
-	for _, s := range c.Suspects {
-		if !l.soundLately(now, keyOf(c.Service, s)) && !slices.Contains(suspects, s) {
+	for _, s := range *list {
+		if !l.soundSince(since, keyOf(c.Service, s)) && !slices.Contains(suspects, s) {
 			suspects = append(suspects, s)
 		}
 	}
-	c.Suspects, c.Until = suspects, UnixMilli(now.Add(holdFor).UnixMilli())
+	if len(suspects) == 0 {
+		return c, false
+	}
+	*list, c.Until = suspects, UnixMilli(now.Add(holdFor).UnixMilli())
 	if c.Check() != nil || !l.add(now, c, false) {
 		return c, false
 	}
 	return c, true
 }
 
-func (l *List) soundLately(now time.Time, k key) bool {
+// soundSince reports whether a server got past the beginning of an answer to a suspect since an instant.
+func (l *List) soundSince(then time.Time, k key) bool {
 	at, ok := l.sound[k]
 	if !ok {
 		at, ok = l.soundBefore[k]
 	}
-	return ok && now.Sub(at) < soundFor
+	return ok && at.After(then)
 }
 
 // Add adds a crash that another entry VM has observed. It reports whether it is new.
@@ -241,8 +284,8 @@
 	if len(l.records) >= maxCrashes {
 		l.dropOldest()
 	}
-	l.records[c.Name()] = &record{Crash: c, suspects: slices.Clone(c.Suspects), addedAt: now, shared: shared}
-	if l.changed != nil && slices.ContainsFunc(c.Suspects, func(s Suspect) bool { return len(l.starts(now, c.Service, s)) >= blockAfter }) {
+	l.records[c.Name()] = &record{Crash: c, suspects: slices.Clone(c.held()), addedAt: now, shared: shared}
+	if l.changed != nil && slices.ContainsFunc(c.held(), func(s Suspect) bool { return len(l.starts(now, c.Service, s)) >= blockAfter }) {
 		close(l.changed)
 		l.changed = nil
 	}
@@ -315,8 +358,8 @@
 func (l *List) MarkSound(now time.Time, service routing.ServiceName, suspects []Suspect) (cleared bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.sound == nil || now.Sub(l.soundSince) >= soundFor {
-		l.sound, l.soundBefore, l.soundSince = make(map[key]time.Time), l.sound, now
+	if l.sound == nil || now.Sub(l.soundTurn) >= soundWaitingFor {
+		l.sound, l.soundBefore, l.soundTurn = make(map[key]time.Time), l.sound, now
 	}
 	for _, s := range suspects {
 		l.sound[keyOf(service, s)] = now
@@ -396,7 +439,7 @@
 		return false
 	}
 	return r.shared || now.Sub(r.addedAt) >= settleFor ||
-		slices.ContainsFunc(r.suspects, func(s Suspect) bool { return len(l.starts(now, r.Service, s)) > 1 })
+		slices.ContainsFunc(r.suspects, func(s Suspect) bool { return l.crashes(now, r.Service, s) > 1 })
 }
 
 // Report returns crashes that are in no other list as far as is known, and the names of crashes
@@ -440,7 +483,7 @@
 // Block is the reason why a request is blocked.
 type Block struct {
 	Suspect Suspect
-	Crashes int // servers that crashed under the suspect
+	Crashes int // servers that crashed under the suspect, as counted
 	// Until is when the request may be sent again: as a trial, or since crashes have expired.
 	Until time.Time
 	// Trial is to be claimed from Until on by the entry VM that sends the request then.
@@ -460,7 +503,7 @@
 	}
 	var longest Block
 	for _, s := range suspects {
-		n := len(l.starts(now, service, s))
+		n := l.crashes(now, service, s)
 		if n < blockAfter || !s.IsRequest() && (l.requests(now, service, s) < blockAfter || l.explained(now, service, s, suspects)) {
 			continue
 		}
@@ -472,6 +515,37 @@
 	return longest, longest.Crashes > 0
 }
 
+// crashes returns how many servers crashed under a suspect. Those that were lost before anything of an
+// answer had come count once if they were lost together: whatever takes many servers takes requests
+// with common parts along.
+func (l *List) crashes(now time.Time, service routing.ServiceName, s Suspect) int {
+	begun := make(map[incarnation]bool)
+	waiting := make(map[incarnation]UnixMilli)
+	l.each(now, service, s, func(r *record) bool {
+		if !r.waiting() {
+			begun[r.incarnation()] = true
+		} else if until, ok := waiting[r.incarnation()]; !ok || r.Until < until {
+			waiting[r.incarnation()] = r.Until
+		}
+		return true
+	})
+	var lost []UnixMilli
+	for i, until := range waiting {
+		if !begun[i] {
+			lost = append(lost, until)
+		}
+	}
+	n := len(begun)
+	slices.Sort(lost)
+	for i, first := 0, UnixMilli(0); i < len(lost); i++ {
+		if i == 0 || lost[i]-first > UnixMilli(lossSpan.Milliseconds()) {
+			first = lost[i]
+			n++
+		}
+	}
+	return n
+}
+
 // each calls f for the crashes held against a suspect, until f returns false.
 func (l *List) each(now time.Time, service routing.ServiceName, s Suspect, f func(*record) bool) {
 	at := UnixMilli(now.UnixMilli())
@@ -542,16 +616,29 @@
 }
 
 // explained reports whether all crashes of a part are explained by other parts that the request
-// lacks.
+// lacks, and that requests on the servers had.
 func (l *List) explained(now time.Time, service routing.ServiceName, part Suspect, suspects []Suspect) bool {
-	all, n := true, len(l.starts(now, service, part))
-	l.each(now, service, part, func(r *record) bool {
-		all = slices.ContainsFunc(r.suspects, func(o Suspect) bool {
-			return !o.IsRequest() && !slices.Contains(suspects, o) && len(l.starts(now, service, o)) >= n
-		})
-		return all
-	})
-	return all
+	left, n, at := l.starts(now, service, part), l.crashes(now, service, part), UnixMilli(now.UnixMilli())
+	others := make(map[Suspect]bool) // whether they explain crashes of the part
+	for _, r := range l.records {
+		if r.Trial || r.Service != service || at >= r.Until || !left[r.incarnation()] {
+			continue
+		}
+		if slices.ContainsFunc(r.suspects, func(o Suspect) bool {
+			if o.IsRequest() || slices.Contains(suspects, o) {
+				return false
+			}
+			does, ok := others[o]
+			if !ok {
+				does = l.crashes(now, service, o) >= n
+				others[o] = does
+			}
+			return does
+		}) {
+			delete(left, r.incarnation())
+		}
+	}
+	return len(left) == 0
 }
 
 // blockedUntil returns until when a suspect is blocked: until its next trial, whose claim it
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -1,6 +1,7 @@
 package quarantine_test
 
 import (
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"strings"
@@ -318,3 +319,84 @@
 		})
 	}
 }
+
+// lossSpan is how far apart servers may be lost for one reason.
+const lossSpan = 2 * time.Second
+
+// waitingCrash returns the crash of server n under a request of whose answer nothing had come.
+func waitingCrash(n int, request string, parts ...quarantine.Suspect) quarantine.Crash {
+	c := crash(n, requestNamed(request))
+	c.Request += engine.RequestID("-" + request)
+	return c.OfWaiting(parts)
+}
+
+// TestWaitingCrashes guards against parts that crash servers before anything of an answer has come and are
+// never blocked, and against parts that are blocked as servers with many requests were lost.
+func TestWaitingCrashes(t *testing.T) {
+	at := func(l *quarantine.List, after time.Duration, ids ...quarantine.Suspect) bool {
+		_, ok := l.Blocked(start.Add(after), "models", ids)
+		return ok
+	}
+	Convey("Servers that are lost together count once", t, func() {
+		var l quarantine.List
+		for i := range 9 {
+			l.Observe(start.Add(time.Duration(i)*lossSpan/10), waitingCrash(i, fmt.Sprintf("r%d", i), "first"))
+		}
+		So(at(&l, lossSpan, "first"), ShouldBeFalse)
+	})
+	Convey("Three losses of three requests block a part", t, func() {
+		var l quarantine.List
+		for i := range 3 {
+			after := time.Duration(i) * (lossSpan + time.Millisecond)
+			So(at(&l, after, "bad"), ShouldBeFalse)
+			l.Observe(start.Add(after), waitingCrash(i, fmt.Sprintf("r%d", i), "bad"))
+		}
+		So(at(&l, 3*lossSpan, "bad"), ShouldBeTrue)
+		So(at(&l, 3*lossSpan, "first"), ShouldBeFalse)
+		l.MarkSound(start.Add(3*lossSpan), "models", parts("bad"))
+		So(at(&l, 3*lossSpan, "bad"), ShouldBeFalse)
+	})
+	Convey("Three losses of one request don't", t, func() {
+		var l quarantine.List
+		for i := range 3 {
+			l.Observe(start.Add(time.Duration(i)*(lossSpan+time.Millisecond)), waitingCrash(i, "r", "first"))
+		}
+		So(at(&l, 3*lossSpan, "first"), ShouldBeFalse)
+	})
+	Convey("A part is cleared though the request that was lost with the server never ends", t, func() {
+		var l quarantine.List
+		c := waitingCrash(1, "r", "first")
+		l.Observe(start, c)
+		So(l.MarkSound(start, "models", parts("first")), ShouldBeTrue)
+		So(l.Listed(settled), ShouldBeEmpty)
+	})
+	Convey("A part that was sound in the last seconds is not held to blame", t, func() {
+		var l quarantine.List
+		l.MarkSound(start, "models", parts("first"))
+		_, ok := l.Observe(start.Add(lossSpan), waitingCrash(1, "r", "first"))
+		So(ok, ShouldBeFalse)
+	})
+	Convey("Sound requests that are lost with the servers of a bad part don't blame theirs", t, func() {
+		var l quarantine.List
+		for i := range 4 {
+			now := start.Add(time.Duration(i) * (lossSpan + time.Millisecond))
+			l.Observe(now, waitingCrash(i, fmt.Sprintf("bad-%d", i), "first", "bad"))
+			l.Observe(now, waitingCrash(i, fmt.Sprintf("sound-%d", i), "first", quarantine.Suspect(fmt.Sprintf("x%d", i))))
+		}
+		So(at(&l, 4*lossSpan, "first", "bad"), ShouldBeTrue)
+		So(at(&l, 4*lossSpan, "first", "x1"), ShouldBeFalse)
+		So(at(&l, 4*lossSpan, "first"), ShouldBeFalse)
+	})
+	Convey("Entry VMs of an earlier version hold it against no request and no part", t, func() {
+		c := waitingCrash(1, "r", "first")
+		b, err := json.Marshal(c)
+		So(err, ShouldBeNil)
+		var earlier struct {
+			Parts []quarantine.Suspect `json:"parts"`
+		}
+		So(json.Unmarshal(b, &earlier), ShouldBeNil)
+		So(earlier.Parts, ShouldHaveLength, 1)
+		So(earlier.Parts[0].IsRequest(), ShouldBeTrue)
+		So(earlier.Parts[0], ShouldNotEqual, requestNamed("r"))
+	})
+}
--- a/relay/events.go
+++ b/relay/events.go
@@ -34,13 +34,20 @@
 // eventReader splits a stream into complete events and leaves their bytes unchanged: the
 // caller checks them against the server's digest, so a decoder that drops line ends or
 // comments can't be used.
-type eventReader struct{ scan *bufio.Scanner }
+type eventReader struct {
+	scan    *bufio.Scanner
+	partial bool // a part of the next event has come
+}
 
 func newEventReader(body io.Reader) *eventReader {
-	s := bufio.NewScanner(body)
-	s.Buffer(make([]byte, 0, 4<<10), maxEvent)
-	s.Split(splitEvents)
-	return &eventReader{s}
+	e := &eventReader{scan: bufio.NewScanner(body)}
+	e.scan.Buffer(make([]byte, 0, 4<<10), maxEvent)
+	e.scan.Split(func(data []byte, atEOF bool) (int, []byte, error) {
+		n, raw, err := splitEvents(data, atEOF)
+		e.partial = n == 0 && len(data) > 0
+		return n, raw, err
+	})
+	return e
 }
 
 // splitEvents is a bufio.SplitFunc for events, each of which ends with an empty line.
--- a/relay/plain.go
+++ b/relay/plain.go
@@ -206,7 +206,7 @@
 		}
 	default:
 		if rep.outcome == Lost {
-			p.observeCrash(rep.server, nil, rep.err)
+			p.observeCrash(rep.server, false, rep.err)
 		}
 		p.refundRetry(rep.err)
 		p.logEvent("attempt "+rep.outcome.String(), rep.server.ID, zap.String("fingerprint", string(p.fingerprint)), zap.Error(rep.err))
--- a/relay/quarantine.go
+++ b/relay/quarantine.go
@@ -34,41 +34,62 @@
 	}
 }
 
-// observeCrash records that a server was lost while it began to answer, which the request or one of
-// the parts may have caused; err is how its answer ended. A server that has answered something else,
-// or not in time, is not lost.
-func (j *job) observeCrash(to backend.Choice, parts []quarantine.Suspect, err error) {
+// observeCrash records that a server was lost before it was past the beginning of its answer, which the
+// request or a part of its prompt may have caused; begun is whether something of the answer has come,
+// and err how it ended. A server that has answered something else, or not in time, is not lost.
+func (j *job) observeCrash(to backend.Choice, begun bool, err error) {
 	if j.sound || to.Peer || errors.Is(err, errForeign) || j.msg.Context().Err() != nil || !time.Now().Before(j.deadline) {
 		return
 	}
-	c, ok := j.relay.Quarantine.Observe(time.Now(), quarantine.Crash{
-		Service: j.service, Request: j.msg.params.ID, Server: to.ID, Start: to.Start,
-		Suspects: append([]quarantine.Suspect{j.fingerprint.Suspect()}, parts...),
-	})
-	if !ok {
+	c := quarantine.Crash{Service: j.service, Request: j.msg.params.ID, Server: to.ID, Start: to.Start}
+	var crashes []quarantine.Crash
+	if begun {
+		c.Suspects = j.suspects()
+		crashes = append(crashes, c)
+	} else {
+		c.Suspects = []quarantine.Suspect{j.fingerprint.Suspect()}
+		crashes = append(crashes, c)
+		if len(j.parts) > 0 {
+			crashes = append(crashes, c.OfWaiting(j.parts))
+		}
+	}
+	var names []quarantine.Name
+	for _, c := range crashes {
+		if c, ok := j.relay.Quarantine.Observe(time.Now(), c); ok {
+			names = append(names, c.Name())
+			j.logEvent("server lost at the beginning of an answer", to.ID, zap.Any("suspects", c.Suspects), zap.Any("waiting", c.Waiting))
+		}
+	}
+	if len(names) == 0 {
 		return
 	}
-	j.logEvent("server lost at the beginning of an answer", to.ID, zap.Any("suspects", c.Suspects))
 	if j.relay.QuarantineChanged != nil {
 		j.relay.QuarantineChanged()
 	}
-	go j.relay.confirmCrash(to, c.Name(), j.model != nil)
+	go j.relay.confirmCrash(to, names, j.model != nil)
 }
 
 // confirmDelay leaves a server that crashes the time to stop listening.
 const confirmDelay = 100 * time.Millisecond
 
-// confirmCrash clears a crash if the server is alive: then it has only broken off an answer. An
-// engine shows it by a load report. It is also cleared if this entry VM reaches no server at all.
-func (r *Relay) confirmCrash(to backend.Choice, n quarantine.Name, isEngine bool) {
+// confirmCrash clears crashes of a server if it is alive: then it has only broken off an answer. An
+// engine shows it by a load report. They are also cleared if this entry VM reaches no server at all.
+func (r *Relay) confirmCrash(to backend.Choice, names []quarantine.Name, isEngine bool) {
 	time.Sleep(confirmDelay)
 	begun := time.Now()
 	usual, results := r.dialTime(&to), make(chan probeResult, 2)
 	go r.probe(context.Background(), to, "", begun.Add(usual+probeMargin), usual+probeRetryDelay, isEngine && !r.Pool.Limited(to.ID), results)
-	if p := <-results; p.err != nil && !r.cutOffSince(begun) || !r.Quarantine.Clear(time.Now(), n) {
+	if p := <-results; p.err != nil && !r.cutOffSince(begun) {
+		return
+	}
+	cleared := false
+	for _, n := range names {
+		cleared = r.Quarantine.Clear(time.Now(), n) || cleared
+	}
+	if !cleared {
 		return
 	}
-	r.Log.Info("server is not lost", zap.String("server", string(to.ID)), zap.String("crash", string(n)))
+	r.Log.Info("server is not lost", zap.String("server", string(to.ID)), zap.Any("crashes", names))
 	if r.QuarantineChanged != nil {
 		r.QuarantineChanged()
 	}
@@ -140,18 +161,20 @@
 	return err
 }
 
-// observeCrash records that a run's engine was lost while it began to answer. Before its head, it
-// may not have read the prompt.
+// observeCrash records that a run's engine was lost, unless it was past the beginning of its answer.
 func (s *streamRun) observeCrash(r *run, err error) {
-	switch {
-	case r.events >= beginEvents:
-	case r.answered:
-		s.job.observeCrash(r.to, s.parts, err)
-	default:
-		s.job.observeCrash(r.to, nil, err)
+	if r.events < beginEvents {
+		s.job.observeCrash(r.to, r.events > 0 || r.partial || s.readPrompt(r), err)
 	}
 }
 
+// readPrompt reports whether the head of a run's answer shows that its engine had read the prompt: some
+// engines send it at once.
+func (s *streamRun) readPrompt(r *run) bool {
+	usual, ok := s.relay.stats.FirstEventTime(s.route.Name, s.msg.params.PromptTokens)
+	return ok && r.answered && r.headAt.Sub(r.sentAt) >= usual/2
+}
+
 // rejectBlocked ends a blocked request. It reports whether it did.
 func (s *streamRun) rejectBlocked() bool {
 	b, ok := s.rejected()
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -36,8 +36,10 @@
 	done    bool // its engine has ended it
 
 	answered bool // it has sent its head
+	headAt   time.Time
 	openEnd  bool // its head states no end, so that it looks complete whenever it breaks off between events
 	events   int  // events sent, repeated ones included
+	partial  bool // it broke off within an event
 	// resumes is set if it is to go on with a stream that has begun.
 	resumes   bool
 	proceeded bool // it has sent an event that no run before has sent
@@ -66,6 +68,7 @@
 	event     event
 	// ended reports that this is the last part; err is nil only after a complete stream.
 	ended   bool
+	partial bool // it ended within an event
 	outcome Outcome
 	err     error
 	spent   string // what another entry VM states of the attempts lent to it
@@ -450,7 +453,7 @@
 			return
 		}
 		if err != nil {
-			emit(part{ended: true, outcome: Lost, err: err})
+			emit(part{ended: true, partial: events.partial, outcome: Lost, err: err})
 			return
 		}
 		r.Pool.MarkResponsive(cur.to.ID, time.Now())
@@ -487,7 +490,7 @@
 	s.cur.done = p.ended && p.outcome != Lost
 	switch {
 	case p.head != nil && !p.ended:
-		s.cur.answered, s.cur.openEnd = true, endsWithConnection(p.head)
+		s.cur.answered, s.cur.headAt, s.cur.openEnd = true, time.Now(), endsWithConnection(p.head)
 		s.holdHead(p.head)
 		return true
 	case p.ended && p.err == nil && s.cur.resumes && !s.cur.proceeded && s.route.Resumable:
@@ -658,8 +661,8 @@
 // recordEnd records that a run ended early.
 func (s *streamRun) recordEnd(r *run, p part) {
 	s.logEvent("run ended early", r.to.ID, zap.Stringer("outcome", p.outcome), zap.Error(p.err), zap.Int64("lastEvent", s.lastID),
-		zap.Bool("answered", r.answered), zap.Int("events", r.events), zap.Any("parts", s.parts), zap.String("fingerprint", string(s.fingerprint)))
-	r.ending.failed = true
+		zap.Bool("answered", r.answered), zap.Int("events", r.events), zap.Bool("withinEvent", p.partial), zap.Any("parts", s.parts), zap.String("fingerprint", string(s.fingerprint)))
+	r.ending.failed, r.partial = true, p.partial
 	if r.to.Peer && p.outcome != NotRun {
 		spent := s.relay.readSpent(p.spent, r.lent)
 		r.lent, s.tried = spent.Attempts, append(s.tried, spent.Servers...)
