gateway: an order is heard though the channel that it would come on is silent

Cause: a watch of orders waits 20 s without moves, so that its silence shows as late; the watches of servers and configuration find it within 2 s, but nobody told the others. Servers of a version that no order is known for get requests without a bound.

Change: when a call to the store succeeds after one has failed, idle connections are closed and the orders are listed and watched anew. Servers of a version that is new to a service are held back until the orders were listed since; where there is none they are used. An entry VM that starts lists the orders first if a service has several versions.

Calls: one when the store is back, one for each new version.

--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -127,14 +127,17 @@
 // ends. It returns at once.
 func (d *Daemon) watch(ctx context.Context) {
 	tried := make(chan struct{}) // closed after the first call for servers
-	go d.watchKind(ctx, platform.Servers, func(p platform.Page) { d.applyServerList(ctx, p) }, d.applyServerChange, func() { close(tried) })
+	held := make(heldServers)
+	go d.watchKind(ctx, platform.Servers,
+		func(p platform.Page) { d.applyServerList(ctx, p, held) }, func(c platform.Change) { d.applyServerChange(c, held) },
+		func() { close(tried) }, func() { d.release(ctx, held) })
 	go func() {
 		limit := d.standbyBackoff()
 		if d.table.Load() == nil {
 			limit = recoveryCheckLimit
 		}
 		d.awaitFirstCall(ctx, tried, limit)
-		d.watchKind(ctx, platform.Configuration, d.applyConfigList, d.applyConfigChange, func() {})
+		d.watchKind(ctx, platform.Configuration, d.applyConfigList, d.applyConfigChange, func() {}, func() {})
 	}()
 	go func() {
 		d.awaitFirstCall(ctx, tried, orderWatchWait)
@@ -165,8 +168,8 @@
 }
 
 // watchKind lists the objects of a kind and then watches the kind from the list's
-// revision on. It calls tried after the first call.
-func (d *Daemon) watchKind(ctx context.Context, k platform.Kind, list func(platform.Page), change func(platform.Change), tried func()) {
+// revision on. It calls tried after the first call, and applied after each that succeeded.
+func (d *Daemon) watchKind(ctx context.Context, k platform.Kind, list func(platform.Page), change func(platform.Change), tried, applied func()) {
 	backoff := minBackoff
 	var once sync.Once
 	wait := func() {
@@ -190,6 +193,7 @@
 			continue
 		}
 		d.guard("list of "+string(k), func() { list(page) })
+		applied()
 		rev := page.Revision
 		watch := watchWait
 		for ctx.Err() == nil {
@@ -208,6 +212,7 @@
 			for _, ch := range c.Changes {
 				d.guard("change of "+string(k), func() { change(ch) })
 			}
+			applied()
 			rev = backend.Latest(rev, c.Revision)
 			if k == platform.Servers {
 				d.changes.SetRevision(rev)
@@ -278,16 +283,20 @@
 		d.log.Warn("store unreachable", zap.String("source", source), zap.Error(err))
 	} else {
 		d.log.Info("receiving changes again", zap.String("source", source))
+		d.renewWatches()
 	}
 }
 
-func (d *Daemon) applyServerList(ctx context.Context, page platform.Page) {
+func (d *Daemon) applyServerList(ctx context.Context, page platform.Page, held heldServers) {
 	var servers []backend.Server
 	for i := range page.Objects {
-		if s, ok := d.readServer(&page.Objects[i]); ok {
+		if s, ok := d.readServer(&page.Objects[i]); ok && !d.holds(held, &s) {
 			servers = append(servers, s)
 		}
 	}
+	if !d.isLoaded() {
+		d.checkVersions(ctx, servers)
+	}
 	now := time.Now()
 	if known := d.changes.Revision(); known.Era < page.Revision.Era && known.Number > 0 {
 		d.health.recordRestore(now)
@@ -371,12 +380,15 @@
 	return s, true
 }
 
-func (d *Daemon) applyServerChange(c platform.Change) {
+func (d *Daemon) applyServerChange(c platform.Change, held heldServers) {
 	now := time.Now()
 	if s, ok := d.readServer(&c.Object); ok && !c.Removed {
-		d.applyServer(s, "store")
+		if !d.holds(held, &s) {
+			d.applyServer(s, "store")
+		}
 		return
 	}
+	delete(held, engine.ServerID(c.Object.Name()))
 	id, rev := engine.ServerID(c.Object.Name()), c.Object.Revision()
 	if v, ok := d.pool.View(id, now); ok && rev.Number == 0 {
 		rev = v.Revision // the event names no revision
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -59,6 +59,7 @@
 	health     storeHealth
 	conns      idleConns
 	moves      moves
+	orders     orderChecks
 	quarantine quarantine.List
 	// crashesChanged wakes publishCrashes up, and unwritten writeCrashes.
 	crashesChanged, unwritten chan struct{}
--- a/gateway/moves.go
+++ b/gateway/moves.go
@@ -12,7 +12,6 @@
 
 	"go.uber.org/zap"
 
-	"quetzalhold/backend"
 	"quetzalhold/clock"
 	"quetzalhold/engine"
 	"quetzalhold/feed"
@@ -417,45 +416,6 @@
 	d.changes.SetMoves(d.moves.list)
 }
 
-// watchMoves follows the operator's orders to move services until ctx ends.
-func (d *Daemon) watchMoves(ctx context.Context) {
-	var era backend.Era
-	var relistAt time.Time // zero unless the store was just restored
-	for ctx.Err() == nil {
-		page, err := d.store.List(ctx, platform.Moves, false)
-		rev := page.Revision
-		if err == nil {
-			if relistAt = (time.Time{}); era < rev.Era && len(d.moves.list(time.Now())) > 0 {
-				relistAt = time.Now().Add(restoredOrderHold)
-			}
-			era = rev.Era
-			d.applyMoveList(page, relistAt.IsZero())
-		}
-		for err == nil && ctx.Err() == nil && (relistAt.IsZero() || time.Now().Before(relistAt)) {
-			wait := orderWatchWait
-			if len(d.moves.active()) > 0 {
-				wait = watchWait // a connection that has gone silent is noticed sooner
-			}
-			start := time.Now()
-			var c platform.Changes
-			c, err = d.store.Watch(ctx, platform.Moves, rev, wait)
-			for _, ch := range c.Changes {
-				d.applyMoveChange(ch, false)
-			}
-			rev = backend.Latest(rev, c.Revision)
-			if err == nil {
-				// A watch that ends at once must not be repeated at once.
-				_ = clock.Until(ctx, start.Add(watchInterval)) // the loop condition checks ctx
-			}
-		}
-		if ctx.Err() == nil && err != nil && result.CodeOf(err) != result.HistoryGone {
-			d.log.Info("orders of version moves not received", zap.Error(err))
-			_ = clock.Sleep(ctx, maxBackoff) // the loop condition checks ctx
-			d.awaitStore(ctx, orderWatchWait)
-		}
-	}
-}
-
 // restoredOrderHold is how long orders that a restored store lacks are kept: the operator
 // writes those again that the copy lacks.
 const restoredOrderHold = 10 * time.Second
--- a/gateway/moves_test.go
+++ b/gateway/moves_test.go
@@ -10,6 +10,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"quetzalhold/memnet"
 	"quetzalhold/platform/platformtest"
 )
 
@@ -235,3 +236,77 @@
 		So(string(raw), ShouldContainSubstring, "worse than the old version")
 	})
 }
+
+// startNewServers starts three servers of a version that fail every second request or none.
+func (m *moveWorld) startNewServers(version string, from int, f platformtest.Fault) {
+	for i := range 3 {
+		s := m.server(fmt.Sprintf("%s-%d", version, i), "app", "wv-a", from+i)
+		s.Version = version
+		s.SetFault(f)
+		m.store.Put("servers", s.ID, s.Entry("ready"))
+		m.newServers = append(m.newServers, s)
+	}
+}
+
+// newOldWorld has entry VMs of two failure domains and servers of the old version only.
+func newOldWorld(w *world) *moveWorld {
+	m := &moveWorld{world: w, statuses: make(map[int]int)}
+	w.app.Work = 20 * time.Millisecond
+	for i := range 2 {
+		w.server(fmt.Sprintf("old%d", i), "app", "cn-a", 20+i)
+	}
+	for i, domain := range []string{"cn-a", "cn-a", "wv-a"} {
+		w.vm(fmt.Sprintf("e%d", i), namesID(domain), 1+i)
+	}
+	time.Sleep(3 * time.Second)
+	return m
+}
+
+func (m *moveWorld) silenceStore() {
+	for _, v := range m.vms {
+		m.net.Blackhole(memnet.Host(v.host), storeHost)
+	}
+}
+
+// TestOrderNotHeard guards against servers of a new version that get requests without a bound because the
+// channel on which its order would come has gone silent.
+func TestOrderNotHeard(t *testing.T) {
+	const length = 12 * time.Second
+	order := func(m *moveWorld) {
+		m.store.Put("rollouts", "app", map[string]any{"service": "app", "target": "v2", "duration_s": length.Seconds()})
+	}
+	check := func(m *moveWorld) {
+		state, _ := m.state()
+		So(state, ShouldEqual, "rolled_back")
+		So(len(m.newVersionRequests()), ShouldBeLessThanOrEqualTo, int(badShare*moveRate*length.Seconds())+badSlack)
+	}
+	for _, before := range []time.Duration{time.Second, 6 * time.Second, 15 * time.Second} {
+		inWorld(t, fmt.Sprintf("all channels to the store are silent %v before", before), func(w *world) {
+			m := newOldWorld(w)
+			m.load(time.Second)
+			m.silenceStore()
+			m.load(before)
+			order(m)
+			m.startNewServers("v2", 30, platformtest.Fault{Status: 500})
+			m.load(length + 3*time.Second)
+			check(m)
+		})
+	}
+	inWorld(t, "the servers have registered before", func(w *world) {
+		m := newMoveWorld(w)
+		m.load(time.Second)
+		m.silenceStore()
+		time.Sleep(6 * time.Second)
+		m.failNewServers(platformtest.Fault{Status: 500})
+		order(m)
+		m.load(length + 3*time.Second)
+		check(m)
+	})
+	inWorld(t, "servers of several versions and no order are served", func(w *world) {
+		m := newOldWorld(w)
+		m.startNewServers("v2", 30, platformtest.Fault{})
+		time.Sleep(2 * time.Second)
+		m.load(5 * time.Second)
+		So(len(m.newVersionRequests()), ShouldBeGreaterThan, moveRate*5/4)
+	})
+}
