gateway, platform, feed: a version that was rolled back stays withdrawn under the next order

Cause: moves.ensure and moves.retain forget what is known of a version with the move to it.

Change: a version that is known to be bad, or whose move another order replaces before its end, is withdrawn until an order names it. Entry VMs that start learn it from others and from the status of the next order. Both fields are unknown to entry VMs of an earlier version, which write the status without it. Where only withdrawn versions have servers, they serve.

--- a/feed/feed.go
+++ b/feed/feed.go
@@ -140,6 +140,9 @@
 	// Bad is the reason why the version is known to be bad, which the store may not have
 	// recorded yet; empty if it is not known to be bad.
 	Bad string `json:"bad,omitempty"`
+	// Withdrawn are other versions of the service that get no requests, such as one that was rolled
+	// back before. Entry VMs of an earlier version have none.
+	Withdrawn []engine.Version `json:"withdrawn,omitempty"`
 }
 
 // ServiceCounts holds an entry VM's counts of a service's requests during a move.
--- a/gateway/moves.go
+++ b/gateway/moves.go
@@ -164,6 +164,8 @@
 	all map[routing.ServiceName]*serviceMove
 	// baselines are the requests of the last seconds, also of services without a move.
 	baselines map[routing.ServiceName]*move.Baseline
+	// withdrawn are versions that get no requests, though no move to them is known any more.
+	withdrawn map[routing.ServiceName]map[engine.Version]bool
 }
 
 // baseline returns the requests of a service in the last seconds. The caller holds m.mu.
@@ -185,9 +187,14 @@
 	if m.all == nil {
 		m.all = make(map[routing.ServiceName]*serviceMove)
 	}
-	if sm := m.all[service]; sm != nil && sm.plan.To == to {
-		return sm, false
+	before := m.all[service]
+	if before != nil && before.plan.To == to {
+		return before, false
 	}
+	if before != nil {
+		m.withdraw(service, before, true)
+	}
+	delete(m.withdrawn[service], to)
 	sm := &serviceMove{
 		plan: move.Plan{
 			Deployment: string(service), To: to, Start: start, FinishBy: start.Add(length), MaxExposure: exposure, State: move.Started,
@@ -224,7 +231,7 @@
 		f := feed.Move{
 			Service: service, To: sm.plan.To, AgeMs: now.Sub(sm.plan.Start).Milliseconds(),
 			LengthMs: sm.plan.FinishBy.Sub(sm.plan.Start).Milliseconds(), Step: sm.plan.Step, State: sm.plan.State, Reason: sm.plan.Reason,
-			Bad: sm.badReason,
+			Bad: sm.badReason, Withdrawn: slices.Sorted(maps.Keys(m.withdrawn[service])),
 		}
 		list = append(list, f)
 	}
@@ -236,7 +243,13 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	before := len(m.all)
-	maps.DeleteFunc(m.all, func(service routing.ServiceName, _ *serviceMove) bool { return !keep(service) })
+	maps.DeleteFunc(m.all, func(service routing.ServiceName, sm *serviceMove) bool {
+		if keep(service) {
+			return false
+		}
+		m.withdraw(service, sm, false)
+		return true
+	})
 	return len(m.all) < before
 }
 
@@ -282,18 +295,18 @@
 func (d *Daemon) allowedVersions(service routing.ServiceName, route routing.RouteName, id engine.RequestID) func(engine.Version) bool {
 	d.moves.mu.Lock()
 	defer d.moves.mu.Unlock()
-	sm := d.moves.all[service]
+	sm, now := d.moves.all[service], time.Now()
 	if sm == nil {
-		return nil
+		return d.unlessWithdrawn(service, now)
 	}
-	now := time.Now()
-	to := sm.plan.To
+	to, withdrawn := sm.plan.To, maps.Clone(d.moves.withdrawn[service])
 	isNew := d.choosesNew(sm, service, move.Route(route), id, now)
 	bad := sm.badReason != "" || sm.plan.State == move.RolledBack
-	if !bad && !d.pool.HasUsable(service, now, func(v engine.Version) bool { return (v == to) == isNew }) {
-		return nil
+	allowed := func(v engine.Version) bool { return (v == to) == isNew && !withdrawn[v] }
+	if !bad && !d.pool.HasUsable(service, now, allowed) {
+		return d.unlessWithdrawn(service, now)
 	}
-	return func(v engine.Version) bool { return (v == to) == isNew }
+	return allowed
 }
 
 // recordAnswer counts a server's answer, also for the service's move if it has one in progress.
@@ -371,7 +384,7 @@
 		start := now.Add(-time.Duration(f.AgeMs) * time.Millisecond)
 		d.applyMove(now, platform.MoveOrder{
 			Service: f.Service, To: f.To, Duration: time.Duration(f.LengthMs) * time.Millisecond,
-			Progress: &platform.MoveProgress{State: f.State, Step: f.Step, Reason: f.Reason},
+			Progress: &platform.MoveProgress{State: f.State, Step: f.Step, Reason: f.Reason}, Withdrawn: f.Withdrawn,
 		}, start, f.Bad, from, false)
 	}
 }
@@ -386,6 +399,11 @@
 		exposure = defaultExposure
 	}
 	sm, changed := d.moves.ensure(o.Service, o.To, start, o.Duration, exposure)
+	for _, v := range o.Withdrawn {
+		if v != o.To {
+			d.moves.withdrawVersion(o.Service, v)
+		}
+	}
 	switch newEra := sm.order.Revision.Era < o.Revision.Era; {
 	case o.Revision.Number == 0: // from another entry VM
 	case !sm.aheadOf(o.Progress):
@@ -479,11 +497,16 @@
 	}
 	d.moves.mu.Unlock()
 	for i, p := range due {
-		err := d.store.SetMove(ctx, orders[i], platform.MoveProgress{State: p.State, Step: p.Step, Reason: p.Reason})
+		err := d.store.SetMove(ctx, orders[i], d.progress(&p))
 		d.log.Info("progress of a version move written again", zap.String("service", p.Deployment), zap.String("state", string(p.State)), zap.Int("step", p.Step), zap.Error(err))
 	}
 }
 
+// progress returns the progress of a move as the store has it.
+func (d *Daemon) progress(p *move.Plan) platform.MoveProgress {
+	return platform.MoveProgress{State: p.State, Step: p.Step, Reason: p.Reason, Withdrawn: d.moves.withdrawnOf(routing.ServiceName(p.Deployment))}
+}
+
 // deleteEvidence deletes from the store this failure domain's evidence of moves that
 // have ended.
 func (d *Daemon) deleteEvidence(ctx context.Context) {
@@ -631,7 +654,7 @@
 	if tooEarly || order.Revision.Number == 0 { // without a revision the write would not be conditional
 		return
 	}
-	err := d.store.SetMove(ctx, order, platform.MoveProgress{State: next.State, Step: next.Step, Reason: next.Reason})
+	err := d.store.SetMove(ctx, order, d.progress(&next))
 	if err != nil {
 		// Another failure domain may have written first; the watch delivers its write.
 		d.log.Info("progress of a version move not written", zap.String("service", string(service)), zap.Stringer("action", dec.Action), zap.Error(err))
--- a/gateway/moves_test.go
+++ b/gateway/moves_test.go
@@ -310,3 +310,45 @@
 		So(len(m.newVersionRequests()), ShouldBeGreaterThan, moveRate*5/4)
 	})
 }
+
+// TestWithdrawnVersion guards against servers of a version that was rolled back which get requests again once its
+// order is gone, or another one has taken its place.
+func TestWithdrawnVersion(t *testing.T) {
+	for _, next := range []string{"v3", ""} {
+		for _, restart := range []bool{false, true} {
+			if restart && next == "" {
+				continue // nothing tells of it then
+			}
+			inWorld(t, fmt.Sprintf("next order %q, entry VMs restart %v", next, restart), func(w *world) {
+				m := newMoveWorld(w)
+				m.failNewServers(platformtest.Fault{Status: 500})
+				m.orderMove()
+				m.load(5 * time.Second)
+				state, _ := m.state()
+				So(state, ShouldEqual, "rolled_back")
+				bad := len(m.newServers)
+				if next == "" {
+					m.store.Remove("rollouts", "app")
+				} else {
+					m.store.Put("rollouts", "app", map[string]any{"service": "app", "target": next, "duration_s": 30.0})
+					m.startNewServers(next, 33, platformtest.Fault{})
+				}
+				m.newServers = m.newServers[:bad]
+				time.Sleep(time.Second)
+				if restart {
+					for i, v := range w.vms {
+						v.stop()
+						<-v.done
+						v.host = fmt.Sprintf("10.1.0.%d", 40+i)
+						w.run(v)
+						time.Sleep(3 * time.Second)
+					}
+				}
+				before := len(m.newVersionRequests())
+				m.load(10 * time.Second)
+				So(len(m.newVersionRequests()), ShouldEqual, before)
+				So(m.statuses[200], ShouldBeGreaterThan, 10*moveRate*9/10)
+			})
+		}
+	}
+}
--- a/gateway/orders.go
+++ b/gateway/orders.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -10,6 +12,7 @@
 	"quetzalhold/backend"
 	"quetzalhold/clock"
 	"quetzalhold/engine"
+	"quetzalhold/move"
 	"quetzalhold/platform"
 	"quetzalhold/result"
 	"quetzalhold/routing"
@@ -210,3 +213,45 @@
 	sm := m.all[service]
 	return sm != nil && sm.plan.To == v
 }
+
+// withdraw keeps requests from the version of a move that another order replaces, or whose order is gone,
+// if the version is known to be bad: its servers may be there for a while. The caller holds m.mu.
+func (m *moves) withdraw(service routing.ServiceName, sm *serviceMove, replaced bool) {
+	bad := sm.badReason != "" || sm.plan.State == move.RolledBack
+	if bad || replaced && sm.plan.State == move.Started {
+		m.withdrawVersion(service, sm.plan.To)
+	}
+}
+
+// withdrawVersion keeps requests from a version until it is ordered. The caller holds m.mu.
+func (m *moves) withdrawVersion(service routing.ServiceName, v engine.Version) {
+	if m.withdrawn == nil {
+		m.withdrawn = make(map[routing.ServiceName]map[engine.Version]bool)
+	}
+	if m.withdrawn[service] == nil {
+		m.withdrawn[service] = make(map[engine.Version]bool)
+	}
+	m.withdrawn[service][v] = true
+}
+
+// withdrawnOf returns the versions of a service that were withdrawn.
+func (m *moves) withdrawnOf(service routing.ServiceName) []engine.Version {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return slices.Sorted(maps.Keys(m.withdrawn[service]))
+}
+
+// unlessWithdrawn returns a function that allows the versions that were not withdrawn; nil for all if
+// there are no others.
+func (d *Daemon) unlessWithdrawn(service routing.ServiceName, now time.Time) func(engine.Version) bool {
+	withdrawn := d.moves.withdrawn[service]
+	if len(withdrawn) == 0 {
+		return nil
+	}
+	withdrawn = maps.Clone(withdrawn)
+	allowed := func(v engine.Version) bool { return !withdrawn[v] }
+	if !d.pool.HasUsable(service, now, allowed) {
+		return nil
+	}
+	return allowed
+}
