relay, gateway: calls that can't end before a planned stop does are refused

What was seen (report of another operator, trial of the users): in a planned stop of one entry VM, in calm, calls that came late in the grace were run and then broken off with 502, among them calls that may not be repeated; a call whose body ended after that was answered 502 though it was not run.

Cause: streams are refused from 2.3 s after the signal on, plain calls were taken until the end.

Change: a plain call is refused as not run, with its connection closed and to be repeated at once, if the longest of its route's last 64 answers, plus 0.2 s, would end after the requests in flight are broken off; where there are no answers the route's objective counts. That is decided once the body was read.

Without calm a call may still take longer than usual and be broken off.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -68,6 +68,7 @@
 	identifying sync.Map // addresses of servers whose identity is being queried
 	// fetchingConfig is set while a newer configuration is fetched from another entry VM.
 	fetchingConfig atomic.Bool
+	stopsAt        atomic.Pointer[time.Time]
 
 	mu      sync.Mutex
 	reports serverReports // since the last poll of another entry VM
@@ -147,6 +148,7 @@
 	d.relay.ClaimTrial = d.claimTrial
 	d.relay.Closing = d.stopping.Load
 	d.relay.Draining = d.draining.Load
+	d.relay.StopAt = d.stopAt
 	d.relay.Log = d.log
 	return d, d.initTelemetry()
 }
@@ -317,14 +319,24 @@
 	return nil
 }
 
+// stopAt returns when the requests in flight are broken off; zero before a stop.
+func (d *Daemon) stopAt() time.Time {
+	if at := d.stopsAt.Load(); at != nil {
+		return *at
+	}
+	return time.Time{}
+}
+
 // shutDown stops accepting callers and waits for the in-flight requests.
 func (d *Daemon) shutDown(callers net.Listener, stopWork context.CancelCauseFunc) {
 	start := time.Now()
 	killAt := start.Add(d.settings.Load().Bounds.GraceS.Duration())
+	stopAt := killAt.Add(-killMargin)
+	d.stopsAt.Store(&stopAt)
 	d.stopping.Store(true)
 	d.log.Info("stopping", zap.Time("killAt", killAt))
 	time.Sleep(min(unreadyNotice, time.Until(killAt)/2))
-	ctx, cancel := context.WithDeadline(context.Background(), killAt.Add(-killMargin))
+	ctx, cancel := context.WithDeadline(context.Background(), stopAt)
 	defer cancel()
 	d.draining.Store(true)
 	// The server fails to accept from here on, however Close ends.
--- a/gateway/trouble_test.go
+++ b/gateway/trouble_test.go
@@ -266,3 +266,61 @@
 		So(time.Since(start), ShouldBeLessThan, time.Second)
 	})
 }
+
+// TestStopBreaksOffCalls guards against calls that come so late in a planned stop that they are run, and broken
+// off at its end, and against calls that are answered as if they might have run.
+func TestStopBreaksOffCalls(t *testing.T) {
+	inWorld(t, "on connections that were opened before the listener closed", func(w *world) {
+		w.app.Work = 900 * time.Millisecond
+		v := w.vm("e1", "cn-a", 1)
+		time.Sleep(settle)
+		for range 8 {
+			So(w.postBooking(v, "key-1"), ShouldEqual, http.StatusOK)
+		}
+		v.stop()
+		time.Sleep(2 * time.Second)
+		start := time.Now()
+		statuses, run := make(map[int]int), 0 // of calls that have got no answer of a server
+		var mu sync.Mutex
+		var wg sync.WaitGroup
+		for i := range 60 {
+			c := must(w.net.Dialer(callerHost)(context.Background(), "tcp", v.host+":80"))
+			defer func() { _ = c.Close() }()
+			wg.Go(func() {
+				// From 4 s after the signal until its grace ends.
+				time.Sleep(time.Until(start.Add(2*time.Second + time.Duration(i)*55*time.Millisecond)))
+				id := fmt.Sprintf("late-%d", i)
+				body := "body"
+				if i%2 == 0 {
+					body = "bo"
+				}
+				_, err := fmt.Fprintf(c, "POST /book/1 HTTP/1.1\r\nHost: h.example\r\nX-Api-Key: key-1\r\nX-Request-Id: %s\r\nContent-Length: 4\r\n\r\n%s", id, body)
+				if err == nil && len(body) < 4 {
+					time.Sleep(50 * time.Millisecond) // the rest of the body comes later
+					_, err = io.WriteString(c, "dy")
+				}
+				var resp *http.Response
+				if err == nil {
+					resp, err = http.ReadResponse(bufio.NewReader(c), nil)
+				}
+				mu.Lock()
+				defer mu.Unlock()
+				status := 0
+				if err == nil {
+					status = resp.StatusCode
+					_ = resp.Body.Close()
+				}
+				statuses[status]++
+				if status != http.StatusOK {
+					run += len(w.book.Runs(id))
+				}
+			})
+		}
+		wg.Wait()
+		<-v.done
+		So(run, ShouldEqual, 0)
+		So(statuses, ShouldNotContainKey, http.StatusBadGateway)
+		So(statuses[http.StatusOK], ShouldBeGreaterThan, 20)
+		So(statuses[http.StatusServiceUnavailable], ShouldBeGreaterThan, 5)
+	})
+}
--- a/relay/plain.go
+++ b/relay/plain.go
@@ -196,6 +196,7 @@
 	switch rep.outcome {
 	case Answered:
 		p.observeSound()
+		p.relay.calls.Add(p.route.Name, rep.took)
 		if rep.status >= http.StatusInternalServerError {
 			p.reportAnswer(rep.server, true, 0, 0)
 		} else {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -81,6 +81,9 @@
 	Closing func() bool
 	// Draining reports whether the entry VM ends so soon that new streams are refused; may be nil.
 	Draining func() bool
+	// StopAt returns when the requests in flight are broken off, as the entry VM stops; zero if it does
+	// not. May be nil.
+	StopAt func() time.Time
 	// Ended is called for each request that ended; may be nil. attempts is how many servers may have run
 	// it.
 	Ended func(service routing.ServiceName, c result.Code, took time.Duration, attempts int)
@@ -96,6 +99,7 @@
 	Log      *zap.Logger
 
 	stats            StreamStats
+	calls            CallStats
 	reach            Reach
 	checkReach       chan struct{} // wakes WatchReach up
 	trying           chan struct{} // full while servers are tried for cutOffSince
@@ -249,6 +253,10 @@
 		r.refuse(w, j, result.New(result.Stopping, "no time for a new stream").AsNotRun().WithRetryAt(time.Now().Add(retryDelay)))
 		return
 	}
+	if j.route.Kind != routing.Stream && r.endsBefore(j) {
+		r.refuse(w, j, result.New(result.Stopping, "no time for a call").AsNotRun().WithRetryAt(time.Now()))
+		return
+	}
 	r.Budget(j.service).Request(j.startedAt)
 	if j.route.Kind == routing.Stream {
 		r.serveStream(w, j)
@@ -257,6 +265,26 @@
 	r.servePlain(w, j)
 }
 
+// callMargin is how much longer than the recent calls of its route a call may take.
+const callMargin = 200 * time.Millisecond
+
+// endsBefore reports whether the entry VM stops before a call is likely to be answered. Its server may
+// then have run it although the caller gets no answer.
+func (r *Relay) endsBefore(j *job) bool {
+	if r.StopAt == nil {
+		return false
+	}
+	at := r.StopAt()
+	if at.IsZero() {
+		return false
+	}
+	usual, ok := r.calls.Longest(j.route.Name)
+	if !ok {
+		usual = j.route.LatencyTarget
+	}
+	return time.Now().Add(usual + callMargin).After(at)
+}
+
 // admit reads the request, finds its route and caller, and checks whether it may run. Its
 // errors are final for the caller; nothing was run.
 func (r *Relay) admit(w http.ResponseWriter, j *job) error {
--- a/relay/stats.go
+++ b/relay/stats.go
@@ -89,3 +89,36 @@
 	gap := low(func(s Sample) int64 { return int64(s.Gap) })
 	return time.Duration(first + max(0, events-last)*gap), true
 }
+
+// CallStats keeps how long the servers of each route took for recent calls. Its zero value is ready to
+// use and has no samples.
+type CallStats struct {
+	mu    sync.Mutex
+	times map[routing.RouteName][]time.Duration // the latest ones, at most maxSamples
+	next  map[routing.RouteName]int
+}
+
+// Add adds a sample to a route.
+func (c *CallStats) Add(r routing.RouteName, took time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.times == nil {
+		c.times, c.next = make(map[routing.RouteName][]time.Duration), make(map[routing.RouteName]int)
+	}
+	if len(c.times[r]) < maxSamples {
+		c.times[r] = append(c.times[r], took)
+		return
+	}
+	c.times[r][c.next[r]%maxSamples] = took
+	c.next[r]++
+}
+
+// Longest returns the longest time of a route's recent calls; false if there are too few.
+func (c *CallStats) Longest(r routing.RouteName) (time.Duration, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.times[r]) < minSamples {
+		return 0, false
+	}
+	return slices.Max(c.times[r]), true
+}
