relay, tests: answers that break off in chunk heads, in trailers or after an informational answer

A report of another operator: a server stopped in the middle of its answer's head, and callers got an empty body framed as whole.

--- a/relay/world_test.go
+++ b/relay/world_test.go
@@ -43,6 +43,7 @@
 	book           *platformtest.Recorder
 	servers        map[string]*platformtest.Server
 	running        map[string]*http.Server
+	cut            []net.Listener // of serveCut
 	frontend       *http.Server
 	cancelRequests context.CancelCauseFunc // ends the requests in flight
 
@@ -268,6 +269,9 @@
 	for _, h := range w.running {
 		_ = h.Close()
 	}
+	for _, l := range w.cut {
+		_ = l.Close()
+	}
 	w.relay.CloseIdle()
 }
 
