--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -130,7 +130,7 @@
 	held := make(heldServers)
 	go d.watchKind(ctx, platform.Servers,
 		func(p platform.Page) { d.applyServerList(ctx, p, held) }, func(c platform.Change) { d.applyServerChange(c, held) },
-		func() { close(tried) }, func() { d.release(ctx, held) })
+		func() { close(tried) }, func() { d.guard("servers of a new version", func() { d.release(ctx, held) }) })
 	go func() {
 		limit := d.standbyBackoff()
 		if d.table.Load() == nil {
--- a/gateway/orders.go
+++ b/gateway/orders.go
@@ -24,8 +24,10 @@
 	// and their number: a kept connection may have gone silent.
 	orderListInterval = 300 * time.Millisecond
 	orderListCalls    = 3
-	// orderCheckLimit is how long servers wait for a list of orders where no others are known.
+	// orderCheckLimit is how long an entry VM that starts waits for a list of orders, and
+	// orderCheckTime how long the watch of servers does: others may have left meanwhile.
 	orderCheckLimit = 1500 * time.Millisecond
+	orderCheckTime  = 500 * time.Millisecond
 )
 
 // orderChecks are requests to list the orders of version moves now. The zero value has none.
@@ -176,7 +178,7 @@
 	if len(held) == 0 {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, orderCheckLimit)
+	ctx, cancel := context.WithTimeout(ctx, orderCheckTime)
 	defer cancel()
 	err := d.checkOrders(ctx)
 	d.log.Info("orders listed for servers of a new version", zap.Int("servers", len(held)), zap.Error(err))
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -253,7 +253,7 @@
 		r.refuse(w, j, result.New(result.Stopping, "no time for a new stream").AsNotRun().WithRetryAt(time.Now().Add(retryDelay)))
 		return
 	}
-	if j.route.Kind != routing.Stream && r.endsBefore(j) {
+	if j.route.Kind != routing.Stream && r.stopsBeforeEnd(j) {
 		r.refuse(w, j, result.New(result.Stopping, "no time for a call").AsNotRun().WithRetryAt(time.Now()))
 		return
 	}
@@ -268,9 +268,9 @@
 // callMargin is how much longer than the recent calls of its route a call may take.
 const callMargin = 200 * time.Millisecond
 
-// endsBefore reports whether the entry VM stops before a call is likely to be answered. Its server may
+// stopsBeforeEnd reports whether the entry VM stops before a call is likely to be answered. Its server may
 // then have run it although the caller gets no answer.
-func (r *Relay) endsBefore(j *job) bool {
+func (r *Relay) stopsBeforeEnd(j *job) bool {
 	if r.StopAt == nil {
 		return false
 	}
