--- a/gateway/orders.go
+++ b/gateway/orders.go
@@ -194,17 +194,18 @@
 // checkVersions lists the orders if the first list of servers has several versions of a service.
 func (d *Daemon) checkVersions(ctx context.Context, list []backend.Server) {
 	first := make(map[routing.ServiceName]engine.Version)
-	for i := range list {
-		s := &list[i]
-		if v, ok := first[s.Service]; ok && v != s.Version && !d.moves.isOrdered(s.Service, s.Version) && !d.moves.isOrdered(s.Service, v) {
-			ctx, cancel := context.WithTimeout(ctx, orderCheckLimit)
-			defer cancel()
-			if err := d.checkOrders(ctx); err != nil {
-				d.log.Info("orders not known for several versions", zap.String("service", string(s.Service)), zap.Error(err))
-			}
-			return
-		}
+	unordered := func(s backend.Server) bool {
+		v, ok := first[s.Service]
 		first[s.Service] = s.Version
+		return ok && v != s.Version && !d.moves.isOrdered(s.Service, s.Version) && !d.moves.isOrdered(s.Service, v)
+	}
+	if !slices.ContainsFunc(list, unordered) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, orderCheckLimit)
+	defer cancel()
+	if err := d.checkOrders(ctx); err != nil {
+		d.log.Info("orders not known for several versions", zap.Error(err))
 	}
 }
 
