gateway: an entry VM in a planned stop learns of changes until its last answer

Cause: Serve derived the context of following, reach, budgets, permits, crashes and decisions of moves from the one that the signal ends, though calls are taken for up to seven seconds more; the command did the same with the settings.

Change: that context ends after the last answer.

TestStoppingReload: not reloaded before.

--- a/cmd/quetzalhold/gateway.go
+++ b/cmd/quetzalhold/gateway.go
@@ -33,7 +33,7 @@
 	if err != nil {
 		return err
 	}
-	ctx, stop := context.WithCancel(c.ctx)
+	ctx, stop := context.WithCancel(context.WithoutCancel(c.ctx))
 	defer stop()
 	go c.reload(ctx, d, hup)
 	return d.Serve(c.ctx)
@@ -44,7 +44,7 @@
 const settingsPollInterval = 2 * time.Second
 
 // reload reloads the settings after each hang-up signal and whenever the file has
-// changed, until ctx is done.
+// changed, until ctx is done. The settings are those of a stopping daemon too.
 func (c *gatewayCommand) reload(ctx context.Context, d *gateway.Daemon, hup <-chan os.Signal) {
 	changed := c.modTime()
 	t := time.NewTicker(settingsPollInterval)
--- a/cmd/quetzalhold/gateway_test.go
+++ b/cmd/quetzalhold/gateway_test.go
@@ -37,12 +37,44 @@
 	}
 }
 
+// settingsText returns settings of a gateway that is ready at an address.
+func settingsText(ready string) string {
+	return fmt.Sprintf(`{"id":"e","domain":"d","regions":{"d":"r"},"listen":%q,"readiness":%q,"peers":%q,"metrics":%q,"store":%q,"heartbeatMs":1200,`+
+		`"bounds":{"drainMs":3000,"graceS":1,"configMs":3000,"repeatRatio":0.8,"repeatSlack":150,"repeatWindowS":10}}`,
+		freeAddress(), ready, freeAddress(), freeAddress(), freeAddress())
+}
+
+// TestStoppingReload guards against settings that a stopping gateway, which still serves, does not take over.
+func TestStoppingReload(t *testing.T) {
+	Convey("A gateway that was told to stop takes over changed settings", t, func() {
+		ready := freeAddress()
+		file := filepath.Join(t.TempDir(), "settings.json")
+		So(os.WriteFile(file, []byte(settingsText(ready)), 0o600), ShouldBeNil)
+		lines, err := os.Create(filepath.Join(t.TempDir(), "log"))
+		So(err, ShouldBeNil)
+		defer lines.Close()
+		stdout := os.Stdout
+		os.Stdout = lines
+		defer func() { os.Stdout = stdout }()
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan error, 1)
+		c := &gatewayCommand{ctx: ctx, Settings: file}
+		go func() { done <- c.Execute(nil) }()
+		awaitServing(ready)
+		cancel()
+		time.Sleep(100 * time.Millisecond)
+		So(syscall.Kill(os.Getpid(), syscall.SIGHUP), ShouldBeNil)
+		So(<-done, ShouldBeNil)
+		log, err := os.ReadFile(lines.Name())
+		So(err, ShouldBeNil)
+		So(string(log), ShouldContainSubstring, "settings reloaded")
+	})
+}
+
 func TestGatewayReload(t *testing.T) {
 	Convey("The gateway keeps running after a hang-up signal and after a change of its settings file", t, func() {
 		ready := freeAddress()
-		text := fmt.Sprintf(`{"id":"e","domain":"d","regions":{"d":"r"},"listen":%q,"readiness":%q,"peers":%q,"metrics":%q,"store":%q,"heartbeatMs":1200,`+
-			`"bounds":{"drainMs":3000,"graceS":1,"configMs":3000,"repeatRatio":0.8,"repeatSlack":150,"repeatWindowS":10}}`,
-			freeAddress(), ready, freeAddress(), freeAddress(), freeAddress())
+		text := settingsText(ready)
 		file := filepath.Join(t.TempDir(), "settings.json")
 		So(os.WriteFile(file, []byte(text), 0o600), ShouldBeNil)
 		ctx, cancel := context.WithCancel(context.Background())
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -246,7 +246,8 @@
 	defer ready.Close()
 	defer peers.Close()
 	defer metrics.Close()
-	background, stop := context.WithCancel(ctx)
+	// Until its last answer a stopping entry VM learns of changes as any other.
+	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	go d.follow(background)
 	go d.sweep(background)
