relay: an entry VM hands on requests of a service of which it reaches no server

Cause: reach was judged for all servers together, so that one server of another service in reach hid that none of the called service was.

Change: reach is kept for each service beside that of all (reaches). Whether a crash is held against a request still depends on all servers: one request may have crashed all those of its service.

TestServiceGoneNotForwarded: where all engines are gone, hand-overs stay below 5 a second of an entry VM, and calls of the other service are all served.

--- a/backend/backend.go
+++ b/backend/backend.go
@@ -459,9 +459,18 @@
 	st.failedAt = now
 }
 
-// ForgetFailures forgets the failures of servers since an instant, which were not theirs.
-func (p *Pool) ForgetFailures(since time.Time) {
-	for _, g := range p.allGroups() {
+// groupsOf returns the servers of a service, or of all services if it is empty.
+func (p *Pool) groupsOf(service routing.ServiceName) []*group {
+	if service == "" {
+		return p.allGroups()
+	}
+	return []*group{p.group(service)}
+}
+
+// ForgetFailures forgets the failures of servers of a service, or of all services if it is empty, since an
+// instant, which were not theirs.
+func (p *Pool) ForgetFailures(service routing.ServiceName, since time.Time) {
+	for _, g := range p.groupsOf(service) {
 		g.mu.Lock()
 		for _, st := range g.servers {
 			if !st.failedAt.Before(since) {
--- a/backend/choice.go
+++ b/backend/choice.go
@@ -149,14 +149,15 @@
 		(n.Only == nil || slices.Contains(n.Only, st.ID))
 }
 
-// Sample returns up to n servers, of different services and failure domains if possible.
-func (p *Pool) Sample(now time.Time, n int) []Choice {
+// Sample returns up to n servers of a service, or of all services if it is empty, of different services and
+// failure domains if possible.
+func (p *Pool) Sample(now time.Time, service routing.ServiceName, n int) []Choice {
 	type place struct {
 		service routing.ServiceName
 		domain  names.ID
 	}
 	places := make(map[place][]Choice)
-	for _, g := range p.allGroups() {
+	for _, g := range p.groupsOf(service) {
 		g.mu.Lock()
 		for _, st := range g.servers {
 			if st.active(now) {
--- a/gateway/cutoff_test.go
+++ b/gateway/cutoff_test.go
@@ -361,3 +361,72 @@
 		So(f.book.Runs("long"), ShouldHaveLength, 1)
 	})
 }
+
+// TestCutOffFromOneService guards against entry VMs that refuse calls of a service of which they reach no server,
+// as they reach one of another service.
+func TestCutOffFromOneService(t *testing.T) {
+	for _, kind := range cutKinds {
+		for _, reached := range []string{"a-0", "e-0"} {
+			inWorld(t, kind.name+", only "+reached+" is reached", func(w *world) {
+				f := newCutOffTest(w, kind, 7)
+				// It is the only one of its service.
+				f.servers = slices.DeleteFunc(f.servers, func(s *platformtest.Server) bool {
+					same := s.ID[0] == reached[0]
+					if same && s.ID != reached {
+						w.store.Remove("servers", s.ID)
+					}
+					return same
+				})
+				time.Sleep(drainBound)
+				f.play(2*time.Second, 6)
+				f.cut(2)
+				begin := time.Now()
+				f.play(12*time.Second, 6)
+				f.heal(2)
+				healed := time.Now()
+				f.play(4*time.Second, 6)
+				f.wg.Wait()
+				cut := func(entry int) bool { return entry == 2 }
+				others := func(entry int) bool { return entry != 2 }
+				served, tried := f.served(begin.Add(contactBound), healed, cut)
+				So(tried, ShouldBeGreaterThan, 40)
+				So(served, ShouldBeGreaterThanOrEqualTo, tried*2/3)
+				served, tried = f.served(begin, time.Now(), others)
+				So(served, ShouldEqual, tried)
+				// A second after the cut all is as before.
+				served, tried = f.served(healed.Add(time.Second), time.Now(), func(int) bool { return true })
+				So(served, ShouldEqual, tried)
+				f.checkOnce()
+			})
+		}
+	}
+}
+
+// TestServiceGoneNotForwarded guards against requests of a service whose servers are gone that all go from one entry
+// VM to another, and against harm to another service.
+func TestServiceGoneNotForwarded(t *testing.T) {
+	const (
+		seconds, perSecond = 6, 25 // a fifth of them streams
+		most               = 5     // hand-overs a second of an entry VM
+	)
+	for _, entries := range []int{7, 30} {
+		inWorld(t, fmt.Sprintf("all engines have crashed, %d entry VMs", entries), func(w *world) {
+			f := newCutOffTest(w, cutKinds[0], entries)
+			for _, s := range f.servers {
+				if s.Engine {
+					w.net.Crash(memnet.Host(strings.TrimSuffix(s.Address, ":80")))
+				}
+			}
+			f.play(seconds*time.Second, perSecond)
+			f.wg.Wait()
+			for _, t := range f.tries {
+				SoMsg(t.id, t.served, ShouldEqual, t.path != "/brief/1")
+			}
+			handed := 0
+			for _, v := range f.entries {
+				handed += strings.Count(v.log.String(), "handed to another entry VM")
+			}
+			So(handed, ShouldBeLessThan, entries*seconds*most)
+		})
+	}
+}
--- a/relay/checkpoint.go
+++ b/relay/checkpoint.go
@@ -176,14 +176,14 @@
 	req = req.WithContext(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(c httptrace.GotConnInfo) {
 			if !c.Reused {
-				r.connected()
+				r.connected(at.Service)
 			}
 		},
 	}))
 	resp, err := via.RoundTrip(req)
 	var u dialError
 	if errors.As(err, &u) && !errors.Is(ctx.Err(), context.Canceled) {
-		r.connectionFailed(at.ID)
+		r.connectionFailed(&at)
 	}
 	if err != nil {
 		return nil, nil, fmt.Errorf("%s of %s: %w", path, at.ID, err)
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -106,16 +106,16 @@
 	maxTaken = 256
 )
 
-// helper picks the entry VM that the request is handed to, if this one is cut off from all servers and
+// helper picks the entry VM that the request is handed to, if this one is cut off from all servers of its service and
 // some attempts are left to be lent.
 func (j *job) helper(left int) (backend.Choice, bool) {
 	r := j.relay
-	if left < 1 || j.from != "" || r.Helper == nil || len(j.helpers) >= maxHelpers || !r.reach.CutOff() || r.reach.Alone(time.Now()) {
+	if left < 1 || j.from != "" || r.Helper == nil || len(j.helpers) >= maxHelpers || !r.cutOffFrom(j.service) || r.reach.widest(j.service).Alone(time.Now()) {
 		return backend.Choice{}, false
 	}
 	c, ok := r.Helper(j.helpers)
 	if ok {
-		c.Peer = true
+		c.Peer, c.Service = true, j.service
 		j.helpers = append(j.helpers, c.ID)
 	}
 	return c, ok
@@ -156,7 +156,7 @@
 			return Lost, fmt.Errorf("answer of %s: %w", peer.ID, err)
 		}
 		if code == result.CutOff && peer.Domain != r.Domain {
-			r.reach.HelperCutOff(time.Now())
+			r.reach.widest(peer.Service).HelperCutOff(time.Now())
 		}
 		if code == result.CutOff || code == result.Stopping || code == result.Overloaded {
 			r.helperFailed(peer, code.String())
@@ -174,7 +174,7 @@
 		r.recordNoLimit(by, resp, sentAt)
 	}
 	resp.Header.Del(serverHeader)
-	r.reach.HelperAnswered()
+	r.reach.widest(peer.Service).HelperAnswered()
 	return Answered, nil
 }
 
@@ -282,7 +282,7 @@
 	}
 	retryAt := time.Now().Add(retryDelay)
 	switch {
-	case r.reach.CutOff():
+	case r.cutOffFrom(j.service):
 		r.refuse(w, j, result.New(result.CutOff, "no server is reached").AsNotRun().WithRetryAt(retryAt))
 	case r.Closing != nil && r.Closing():
 		r.refuse(w, j, result.New(result.Stopping, "takes no requests of others").AsNotRun().WithRetryAt(retryAt))
--- a/relay/reach.go
+++ b/relay/reach.go
@@ -9,12 +9,14 @@
 
 	"quetzalhold/backend"
 	"quetzalhold/engine"
+	"quetzalhold/routing"
 )
 
-// Reach decides whether this entry VM is cut off from all servers. It does no I/O. The zero value is
-// an entry VM that reaches servers.
+// Reach decides whether this entry VM is cut off from all servers of a service, or of all services. It does
+// no I/O. The zero value is an entry VM that reaches servers.
 type Reach struct {
 	mu          sync.Mutex
+	suspected   bool                         // others are to be tried
 	connectedAt time.Time                    // when a connection to a server was last opened
 	failed      map[engine.ServerID]struct{} // could not be connected to since
 	cutOff      bool
@@ -24,7 +26,7 @@
 }
 
 // checkAfterFailures is the number of servers without any connection between after which others are
-// tried: one may have failed by itself.
+// tried, where there are as many: one may have failed by itself.
 const checkAfterFailures = 2
 
 // Connected records that a connection to a server was opened. It reports whether this entry VM was
@@ -33,19 +35,27 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	since, was = r.since, r.cutOff
-	r.connectedAt, r.failed, r.cutOff = now, nil, false
+	r.connectedAt, r.failed, r.cutOff, r.suspected = now, nil, false, false
 	return since, was
 }
 
-// Failed records that a server could not be connected to. It reports whether to try others.
-func (r *Reach) Failed(now time.Time, id engine.ServerID) bool {
+// Failed records that one of a number of servers could not be connected to. It reports whether to try others.
+func (r *Reach) Failed(now time.Time, id engine.ServerID, servers int) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if len(r.failed) == 0 {
 		r.failed, r.since = make(map[engine.ServerID]struct{}), now
 	}
 	r.failed[id] = struct{}{}
-	return !r.cutOff && len(r.failed) >= checkAfterFailures
+	r.suspected = !r.cutOff && len(r.failed) >= min(checkAfterFailures, servers)
+	return r.suspected
+}
+
+// Due reports whether servers are to be tried: whether this entry VM may be cut off, or is.
+func (r *Reach) Due() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.suspected || r.cutOff
 }
 
 // Checked records that none of several servers could be connected to, in a check that began at an
@@ -56,7 +66,7 @@
 	if r.cutOff || r.connectedAt.After(begun) {
 		return false
 	}
-	r.cutOff = true
+	r.cutOff, r.suspected = true, false
 	return true
 }
 
@@ -99,15 +109,64 @@
 	return now.Before(r.aloneUntil)
 }
 
-// CutOff reports whether this entry VM is cut off from all servers.
+// CutOff reports whether this entry VM is cut off from all the servers.
 func (r *Reach) CutOff() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.cutOff
 }
 
+// allServices stands for the servers of all services together. Links are mostly lost to all at once, which
+// shows sooner than by those of one service.
+const allServices routing.ServiceName = ""
+
+// reaches holds the [Reach] of each service, and that of allServices. The zero value is ready to use.
+type reaches struct {
+	mu  sync.Mutex
+	all map[routing.ServiceName]*Reach
+}
+
+func (r *reaches) of(service routing.ServiceName) *Reach {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	x := r.all[service]
+	if x == nil {
+		x = &Reach{}
+		if r.all == nil {
+			r.all = make(map[routing.ServiceName]*Reach)
+		}
+		r.all[service] = x
+	}
+	return x
+}
+
+// due returns the services of which servers are to be tried.
+func (r *reaches) due() []routing.ServiceName {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var list []routing.ServiceName
+	for service, x := range r.all {
+		if x.Due() {
+			list = append(list, service)
+		}
+	}
+	return list
+}
+
 // CutOff reports whether this entry VM is cut off from all servers.
-func (r *Relay) CutOff() bool { return r.reach.CutOff() }
+func (r *Relay) CutOff() bool { return r.reach.of(allServices).CutOff() }
+
+// widest returns the [Reach] of all services if this entry VM is cut off from all of them, else that of a
+// service.
+func (r *reaches) widest(service routing.ServiceName) *Reach {
+	if all := r.of(allServices); all.CutOff() {
+		return all
+	}
+	return r.of(service)
+}
+
+// cutOffFrom reports whether this entry VM is cut off from all servers of a service.
+func (r *Relay) cutOffFrom(service routing.ServiceName) bool { return r.reach.widest(service).CutOff() }
 
 const (
 	// checkedServers is how many servers are tried to tell whether this entry VM is cut off.
@@ -117,8 +176,13 @@
 )
 
 // connectionFailed records that a server could not be connected to.
-func (r *Relay) connectionFailed(id engine.ServerID) {
-	if r.reach.Failed(time.Now(), id) {
+func (r *Relay) connectionFailed(to *backend.Choice) {
+	now, wake := time.Now(), false
+	for _, service := range []routing.ServiceName{allServices, to.Service} {
+		servers := len(r.Pool.Sample(now, service, checkAfterFailures))
+		wake = r.reach.of(service).Failed(now, to.ID, servers) || wake
+	}
+	if wake {
 		r.wakeReach()
 	}
 }
@@ -131,74 +195,76 @@
 }
 
 // cutOffSince reports whether this entry VM is cut off from all servers, where a server is not reached
-// since an instant. It tries others if none has been connected to since then.
+// since an instant. It tries others if none has been connected to since then. All servers of one service
+// may have crashed under one request, and that is no sign.
 func (r *Relay) cutOffSince(at time.Time) bool {
 	r.trying <- struct{}{}
 	defer func() { <-r.trying }()
-	if !r.reach.Known(at) {
-		r.tryServers(context.Background())
-		if r.reach.CutOff() {
-			r.wakeReach()
-		}
+	if !r.reach.of(allServices).Known(at) {
+		r.tryServers(context.Background(), allServices)
 	}
-	return r.reach.CutOff()
+	return r.CutOff()
 }
 
-// connected records that a connection to a server was opened.
-func (r *Relay) connected() {
-	since, was := r.reach.Connected(time.Now())
-	if !was {
-		return
+// connected records that a connection to a server of a service was opened.
+func (r *Relay) connected(to routing.ServiceName) {
+	now := time.Now()
+	for _, service := range []routing.ServiceName{allServices, to} {
+		since, was := r.reach.of(service).Connected(now)
+		if !was {
+			continue
+		}
+		// Servers that could not be reached from here have not failed.
+		r.Pool.ForgetFailures(service, since)
+		r.Log.Info("servers reached again", zap.String("service", string(service)), zap.Time("since", since))
 	}
-	// Servers that could not be reached from here have not failed.
-	r.Pool.ForgetFailures(since)
-	r.Log.Info("servers reached again", zap.Time("since", since))
 }
 
-// WatchReach finds out whether this entry VM is cut off from all servers when connections fail, and
-// when it no longer is, until ctx ends.
+// WatchReach finds out whether this entry VM is cut off from all servers, or from those of a service, when
+// connections fail, and when it no longer is, until ctx ends.
 func (r *Relay) WatchReach(ctx context.Context) {
+	t := time.NewTicker(reachCheckInterval)
+	defer t.Stop()
 	for {
 		select {
 		case <-r.checkReach:
+		case <-t.C:
 		case <-ctx.Done():
 			return
 		}
-		r.tryServers(ctx)
-		for r.reach.CutOff() {
-			t := time.NewTimer(reachCheckInterval)
-			select {
-			case <-t.C:
-			case <-ctx.Done():
-				t.Stop()
-				return
-			}
-			r.tryServers(ctx)
+		var wg sync.WaitGroup
+		for _, service := range r.reach.due() {
+			wg.Go(func() { r.tryServers(ctx, service) })
 		}
+		wg.Wait()
 	}
 }
 
-// tryServers tries to connect to some servers at once.
-func (r *Relay) tryServers(ctx context.Context) {
+// tryServers tries to connect to some servers of a service at once.
+func (r *Relay) tryServers(ctx context.Context, service routing.ServiceName) {
 	begun := time.Now()
-	list := r.Pool.Sample(begun, checkedServers)
+	list := r.Pool.Sample(begun, service, checkedServers)
 	if len(list) == 0 {
 		return
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	results := make(chan error, len(list))
+	type outcome struct {
+		of  routing.ServiceName
+		err error
+	}
+	results := make(chan outcome, len(list))
 	for _, c := range list {
-		go func() { results <- r.tryServer(ctx, &c) }()
+		go func() { results <- outcome{c.Service, r.tryServer(ctx, &c)} }()
 	}
 	for range list {
-		if <-results == nil {
-			r.connected()
+		if o := <-results; o.err == nil {
+			r.connected(o.of)
 			return
 		}
 	}
-	if ctx.Err() == nil && r.reach.Checked(begun) {
-		r.Log.Warn("cut off from all servers", zap.Int("tried", len(list)))
+	if ctx.Err() == nil && r.reach.of(service).Checked(begun) {
+		r.Log.Warn("cut off from all servers", zap.String("service", string(service)), zap.Int("tried", len(list)))
 	}
 }
 
--- a/relay/send.go
+++ b/relay/send.go
@@ -131,7 +131,7 @@
 		ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 			GotConn: func(httptrace.GotConnInfo) {
 				r.Pool.RecordDial(to.ID, time.Since(begun))
-				r.connected()
+				r.connected(to.Service)
 			},
 		})
 	}
@@ -159,7 +159,7 @@
 	case errors.As(err, &u):
 		if m.Context().Err() == nil {
 			r.Pool.MarkFailed(to.ID, now)
-			r.connectionFailed(to.ID)
+			r.connectionFailed(&to)
 		}
 		return NotRun, err
 	case err != nil:
