relay: ids of events may rise by uneven steps

Change: a rise that is no multiple of the step shows that there is none. A rise by several steps is a missing event, as before, unless another engine has no event in between either; later streams of the route then expect no step.

With steps that are multiples of the first, the first stream of a route at an entry VM costs one more run. A skipped event is found as before where steps are equal (TestStream, TestBrokenRunGoesOn).

--- a/relay/relay.go
+++ b/relay/relay.go
@@ -101,6 +101,7 @@
 	stats            StreamStats
 	calls            CallStats
 	reach            reaches
+	unevenRoutes     unevenRoutes
 	checkReach       chan struct{} // wakes WatchReach up
 	trying           chan struct{} // full while servers are tried for cutOffSince
 	taken            atomic.Int64  // requests of other entry VMs in flight
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -85,7 +85,7 @@
 	firstAt   time.Time
 	emptyRuns int   // consecutive runs without an event
 	lastID    int64 // id of the last event sent to the caller, or received by it before it resumed
-	idStep    int64 // difference between the ids of two events; 0 if unknown
+	ids       eventIDs
 	ran       attempts
 	rounds    int
 	emptyEnds int    // runs that were to go on and have ended without more
@@ -104,7 +104,7 @@
 func (r *Relay) serveStream(w http.ResponseWriter, j *job) {
 	ctx, cancel := context.WithDeadline(j.msg.Context(), j.deadline)
 	defer cancel()
-	s := &streamRun{job: j, w: w, ctx: ctx}
+	s := &streamRun{job: j, w: w, ctx: ctx, ids: eventIDs{uneven: r.unevenRoutes.has(j.route.Name)}}
 	j.spent = func() Spent { return Spent{Attempts: s.ran.spent(), Servers: s.ran.ids()} }
 	if id, err := strconv.ParseInt(j.msg.params.LastEvent, 10, 64); err == nil {
 		s.lastID = id
@@ -527,24 +527,21 @@
 		return s.failOver("event without an id")
 	}
 	s.cur.proceeded = s.cur.proceeded || p.event.id != 0
-	if !s.isNext(p.event.id) {
+	if !s.follows(p.event.id) {
 		s.logEvent("event missing", s.cur.to.ID, zap.Int64("event", p.event.id), zap.Int64("lastEvent", s.lastID))
 		return s.failOver("event missing")
 	}
 	return s.forward(p.event)
 }
 
-// isNext reports whether an event is the next one: ids increase by the same step throughout a
-// stream, and the first two events show the step.
-func (s *streamRun) isNext(id int64) bool {
-	switch {
-	case id == 0 || s.lastID == 0:
-		return true
-	case s.idStep == 0:
-		s.idStep = id - s.lastID
-		return true
+// follows reports whether the event with an id is the next one.
+func (s *streamRun) follows(id int64) bool {
+	next, confirmed := s.ids.isNext(s.lastID, id, s.cur.to.ID)
+	if confirmed {
+		s.relay.unevenRoutes.add(s.route.Name)
+		s.logEvent("ids of events rise unevenly", s.cur.to.ID, zap.String("route", string(s.route.Name)), zap.Int64("event", id), zap.Int64("lastEvent", s.lastID))
 	}
-	return id == s.lastID+s.idStep
+	return next
 }
 
 // holdHead sets the caller's response headers but does not send them until an event comes:
