relay: large bodies of requests are held at once as far as there is memory for them

Cause: each body up to the limit was read into memory, with the garbage of growing buffers, however many came.

Change: bodies above 64 KiB count against 30% of the permitted memory. What has no room is refused as not run, before its body is read, with a time to come back; the rest of the body is read and dropped, as some callers read no answer before. Smaller ones are not counted.

TestManyBodies: all 26 bodies of 4 MiB were held before, at most 9 now, 26 small requests beside them are served.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -149,6 +149,7 @@
 	d.relay.Closing = d.stopping.Load
 	d.relay.Draining = d.draining.Load
 	d.relay.StopAt = d.stopAt
+	d.relay.BodyMemory = int64(bodyMemoryShare * megabyte * float64(s.MemoryMB))
 	d.relay.Log = d.log
 	return d, d.initTelemetry()
 }
@@ -203,7 +204,9 @@
 	// memoryLimitShare is the part of the permitted memory that the garbage collector
 	// aims to stay below.
 	memoryLimitShare = 0.7
-	megabyte         = 1_000_000
+	// bodyMemoryShare is the part of the permitted memory for large bodies of requests.
+	bodyMemoryShare = 0.3
+	megabyte        = 1_000_000
 )
 
 // Serve runs the daemon until ctx ends, and then until the in-flight requests have
--- /dev/null
+++ b/relay/bodies_test.go
@@ -0,0 +1,75 @@
+package relay_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"quetzalhold/routing"
+)
+
+// TestManyBodies guards against bodies that take up more memory than there is for them, and against large
+// ones that are in the way of small ones.
+func TestManyBodies(t *testing.T) {
+	const (
+		callers = 26
+		size    = 4 << 20
+		memory  = 40_000_000
+		room    = memory / size
+	)
+	for _, x := range []struct {
+		name string
+		body func() io.Reader
+	}{
+		{"of known length", func() io.Reader { return strings.NewReader(strings.Repeat("x", size)) }},
+		{"in chunks", func() io.Reader { return io.MultiReader(strings.NewReader(strings.Repeat("x", size))) }},
+	} {
+		withHarness(t, x.name, func(w *harness) {
+			s := w.add("a0", "app", 0, 700*time.Millisecond)
+			w.relay.BodyMemory = memory
+			c := testConfig()
+			c.Limits.BodyBytes = 8 << 20
+			w.setTable(routing.NewTable(c))
+			play := func(prefix string, callers int, body func() io.Reader) (statuses map[int]int) {
+				statuses = make(map[int]int)
+				var mu sync.Mutex
+				var wg sync.WaitGroup
+				for i := range callers {
+					wg.Go(func() {
+						id := fmt.Sprintf("%s-%d", prefix, i)
+						a := w.requestBody(context.Background(), http.MethodPost, "/status/1", body(), "X-Request-Id", id)
+						mu.Lock()
+						defer mu.Unlock()
+						statuses[a.status]++
+						if a.status == http.StatusServiceUnavailable && (len(w.book.Runs(id)) > 0 || a.header.Get("Retry-After") == "") {
+							statuses[-1]++
+						}
+					})
+				}
+				wg.Wait()
+				return statuses
+			}
+			small := make(chan map[int]int)
+			go func() {
+				time.Sleep(300 * time.Millisecond)
+				small <- play("small", callers, func() io.Reader { return strings.NewReader(strings.Repeat("x", 60<<10)) })
+			}()
+			statuses := play("large", callers, x.body)
+			So(statuses[http.StatusOK], ShouldBeBetweenOrEqual, 1, room)
+			So(statuses[http.StatusOK]+statuses[http.StatusServiceUnavailable], ShouldEqual, callers)
+			So(statuses, ShouldNotContainKey, -1)
+			So(<-small, ShouldResemble, map[int]int{http.StatusOK: callers})
+			// There is room again, and for a body of any size.
+			w.relay.BodyMemory = size / 2
+			So(play("last", 1, x.body), ShouldResemble, map[int]int{http.StatusOK: 1})
+			So(s.Running(), ShouldEqual, 0)
+		})
+	}
+}
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -274,6 +274,7 @@
 func (r *Relay) ServeAdmitted(w http.ResponseWriter, req *http.Request) {
 	j := &job{relay: r, startedAt: time.Now(), route: &routing.Route{}, msg: &message{Request: req}, from: "unknown"}
 	j.trace()
+	defer j.releaseBody()
 	defer r.taken.Add(-1)
 	n := r.taken.Add(1)
 	if err := j.readAdmitted(w); err != nil {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -94,6 +94,8 @@
 	// Tracer starts a span for each request, with the decisions about it as events; nil for
 	// none.
 	Tracer trace.Tracer
+	// BodyMemory is the memory for large bodies of requests that are held at once, in bytes; 0 for no limit.
+	BodyMemory int64
 	// Detector detects failed streams.
 	Detector Detector
 	Log      *zap.Logger
@@ -102,6 +104,7 @@
 	calls            CallStats
 	reach            reaches
 	unevenRoutes     unevenRoutes
+	bodies           bodyMemory
 	checkReach       chan struct{} // wakes WatchReach up
 	trying           chan struct{} // full while servers are tried for cutOffSince
 	taken            atomic.Int64  // requests of other entry VMs in flight
@@ -163,6 +166,8 @@
 	sound        bool                 // a server was past the beginning of the answer
 	trials       []quarantine.Suspect // those of which its last send is a trial
 	claimed      []quarantine.Suspect // trials of its first send, claimed by the entry VM from which it was taken
+	heldBody     int64                // memory that its body takes up
+	unread       io.Reader            // the rest of a body for which there is no room; nil for none
 	startedAt    time.Time
 	deadline     time.Time
 	sends        int
@@ -246,6 +251,7 @@
 func (r *Relay) ServeHTTP(w http.ResponseWriter, req *http.Request) {
 	j := &job{relay: r, startedAt: time.Now(), route: &routing.Route{}, msg: &message{Request: req}}
 	j.trace()
+	defer j.releaseBody()
 	if err := r.admit(w, j); err != nil {
 		r.refuse(w, j, err)
 		return
@@ -410,9 +416,15 @@
 	// Not every ResponseWriter supports deadlines; httptest.ResponseRecorder doesn't.
 	_ = http.NewResponseController(w).SetReadDeadline(j.deadline)
 	var err error
-	j.msg.body, err = io.ReadAll(body)
+	j.msg.body, err = j.readAll(body, limit)
 	var tooLarge *http.MaxBytesError
+	var noRoom *result.Error
 	switch {
+	case errors.As(err, &noRoom):
+		// Some callers read no answer before they have sent the body. Not every ResponseWriter can do this.
+		_ = http.NewResponseController(w).EnableFullDuplex()
+		j.unread = body
+		return noRoom
 	case errors.As(err, &tooLarge):
 		return result.New(result.BodyTooLarge, "limit %d bytes", limit).AsNotRun()
 	case err != nil:
@@ -455,6 +467,10 @@
 	j.setSpent(w.Header())
 	result.Write(w, e)
 	j.end(e.Code, "", zap.Bool("notRun", e.NotRun), zap.String("why", e.Error()), zap.NamedError("writeError", to.flush()))
+	if j.unread != nil {
+		// The answer is out; how the rest of the request ends does not matter.
+		_, _ = io.Copy(io.Discard, j.unread)
+	}
 }
 
 // ErrStopping is the cancellation cause of requests in flight when the entry VM has to stop.
--- a/relay/world_test.go
+++ b/relay/world_test.go
@@ -288,7 +288,12 @@
 
 // request sends a request as a caller does and reads the whole answer.
 func (w *harness) request(ctx context.Context, method, path, body string, headers ...string) answer {
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+entryListen+path, strings.NewReader(body))
+	return w.requestBody(ctx, method, path, strings.NewReader(body), headers...)
+}
+
+// requestBody is request with a body that is read from a reader.
+func (w *harness) requestBody(ctx context.Context, method, path string, body io.Reader, headers ...string) answer {
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+entryListen+path, body)
 	if err != nil {
 		panic(err)
 	}
