move: the burst comes at 60% of the time until the decision

Cause: TestVersionMoves failed in the first run of all tests of the gateway after: with the burst halfway, the new version had got 90 requests after half of the time, and 81 are a tenth.

Change: the burst begins at 60%.

TestVersionMoves holds in 3 of 3.

--- a/move/exposure.go
+++ b/move/exposure.go
@@ -91,7 +91,7 @@
 	burstPart = 0.33
 	// burstBegin is when it begins, as a fraction of the time until the end is decided: answers must
 	// come by then.
-	burstBegin = 0.5
+	burstBegin = 0.6
 	// minSteadyPart is the least part of a route's requests that are sent outside the burst.
 	minSteadyPart = 0.3
 )
