--- a/cmd/quetzalhold/gateway_test.go
+++ b/cmd/quetzalhold/gateway_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
 	"os"
 	"path/filepath"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -92,3 +94,53 @@
 		So(<-done, ShouldBeNil)
 	})
 }
+
+// TestGatewayAddressTaken guards against a gateway that ends at once, and with a line that is no log line, when an
+// address that it listens at is not free: the process before it may be closing.
+func TestGatewayAddressTaken(t *testing.T) {
+	play := func(freeAfter time.Duration) (code int, lines string) {
+		ready := freeAddress()
+		file := filepath.Join(t.TempDir(), "settings.json")
+		So(os.WriteFile(file, []byte(settingsText(ready)), 0o600), ShouldBeNil)
+		taken, err := net.Listen("tcp", ready)
+		So(err, ShouldBeNil)
+		defer taken.Close()
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		out, err := os.Create(filepath.Join(t.TempDir(), "log"))
+		So(err, ShouldBeNil)
+		defer out.Close()
+		stdout, stderr := os.Stdout, os.Stderr
+		os.Stdout, os.Stderr = out, out
+		defer func() { os.Stdout, os.Stderr = stdout, stderr }()
+		time.AfterFunc(freeAfter, func() {
+			_ = taken.Close()
+			awaitServing(ready)
+			cancel()
+		})
+		code = run(ctx, []string{"gateway", "--settings", file})
+		b, err := os.ReadFile(out.Name())
+		So(err, ShouldBeNil)
+		for line := range strings.Lines(string(b)) {
+			So(json.Valid([]byte(line)), ShouldBeTrue)
+			if strings.Contains(line, "address") && strings.Contains(line, "bound") {
+				So(line, ShouldContainSubstring, ready)
+				lines += line
+			}
+		}
+		return code, lines
+	}
+	Convey("It waits until the address is free", t, func() {
+		code, lines := play(time.Second)
+		So(code, ShouldEqual, exitOK)
+		So(lines, ShouldContainSubstring, `"address bound"`)
+	})
+	Convey("It gives up after some seconds with a log line and an exit code of its own", t, func() {
+		start := time.Now()
+		code, lines := play(time.Hour)
+		So(code, ShouldEqual, exitAddress)
+		So(strings.Count(lines, "\n"), ShouldEqual, 1)
+		So(lines, ShouldContainSubstring, `"address not bound"`)
+		So(time.Since(start), ShouldBeBetween, 3*time.Second, 10*time.Second)
+	})
+}
--- a/cmd/quetzalhold/main.go
+++ b/cmd/quetzalhold/main.go
@@ -11,6 +11,8 @@
 	"syscall"
 
 	"github.com/jessevdk/go-flags"
+
+	"quetzalhold/result"
 )
 
 // The exit codes.
@@ -18,6 +20,7 @@
 	exitOK      = 0
 	exitFailure = 1 // the command failed; the numbered error is on standard error
 	exitUsage   = 2 // the command line is wrong
+	exitAddress = 3 // an address could not be bound; a log line names it
 )
 
 func main() {
@@ -42,6 +45,8 @@
 	case errors.As(err, &fe):
 		fmt.Fprintln(os.Stderr, fe.Message)
 		return exitUsage
+	case result.CodeOf(err) == result.AddressNotBound:
+		return exitAddress
 	}
 	fmt.Fprintln(os.Stderr, err)
 	return exitFailure
--- a/result/code_string.go
+++ b/result/code_string.go
@@ -70,6 +70,7 @@
 	_ = x[Duplicate-5010]
 	_ = x[NoConfiguration-5011]
 	_ = x[NoPreset-5012]
+	_ = x[AddressNotBound-5013]
 	_ = x[InvariantBroken-9000]
 	_ = x[Internal-9001]
 	_ = x[Stopping-9002]
@@ -81,7 +82,7 @@
 	_Code_name_2 = "NoServerEngineRefusedEngineLostAttemptsSpentOverloadedDrainingStreamUnknownStaleAttemptStaleFenceVersionMissingCrossedAnswerEngineSilentEngineMalformedVersionWithdrawnTooLatePromptBlockedRequestBlockedCutOff"
 	_Code_name_3 = "UnknownServiceServiceNotReachedOutcomeUnknownServiceRefusedServiceFailedUnknownCallBookingUnderWayKeyReused"
 	_Code_name_4 = "PlatformDownVersionConflictObjectMissingObjectTooLargeRateExceededHistoryGone"
-	_Code_name_5 = "SettingsUnreadableUnknownFieldWrongTypeMissingFieldOutOfRangeNotIPNumberUnknownDomainNameClashUnknownNameBadReferenceDuplicateNoConfigurationNoPreset"
+	_Code_name_5 = "SettingsUnreadableUnknownFieldWrongTypeMissingFieldOutOfRangeNotIPNumberUnknownDomainNameClashUnknownNameBadReferenceDuplicateNoConfigurationNoPresetAddressNotBound"
 	_Code_name_6 = "InvariantBrokenInternalStopping"
 )
 
@@ -90,7 +91,7 @@
 	_Code_index_2 = [...]uint8{0, 8, 21, 31, 44, 54, 62, 75, 87, 97, 111, 124, 136, 151, 167, 174, 187, 201, 207}
 	_Code_index_3 = [...]uint8{0, 14, 31, 45, 59, 72, 83, 98, 107}
 	_Code_index_4 = [...]uint8{0, 12, 27, 40, 54, 66, 77}
-	_Code_index_5 = [...]uint8{0, 18, 30, 39, 51, 61, 72, 85, 94, 105, 117, 126, 141, 149}
+	_Code_index_5 = [...]uint8{0, 18, 30, 39, 51, 61, 72, 85, 94, 105, 117, 126, 141, 149, 164}
 	_Code_index_6 = [...]uint8{0, 15, 23, 31}
 )
 
@@ -110,7 +111,7 @@
 	case 4000 <= i && i <= 4005:
 		i -= 4000
 		return _Code_name_4[_Code_index_4[i]:_Code_index_4[i+1]]
-	case 5000 <= i && i <= 5012:
+	case 5000 <= i && i <= 5013:
 		i -= 5000
 		return _Code_name_5[_Code_index_5[i]:_Code_index_5[i+1]]
 	case 9000 <= i && i <= 9002:
--- a/result/info.go
+++ b/result/info.go
@@ -89,6 +89,7 @@
 	{Duplicate, http.StatusBadRequest, "Two entries have the same name.", "remove one"},
 	{NoConfiguration, http.StatusServiceUnavailable, "This entry VM has no configuration yet.", retryLater},
 	{NoPreset, http.StatusServiceUnavailable, "No preset is in force.", "run use-preset"},
+	{AddressNotBound, http.StatusInternalServerError, "The process can't listen at an address.", "end the process that listens there, or change the settings"},
 
 	{InvariantBroken, http.StatusInternalServerError, "An internal check failed; the answer was ended rather than sent wrong.", tellOperator},
 	{Internal, http.StatusInternalServerError, "An unexpected failure.", tellOperator},
--- a/result/result.go
+++ b/result/result.go
@@ -103,6 +103,7 @@
 	Duplicate                             // 5010
 	NoConfiguration                       // 5011
 	NoPreset                              // 5012
+	AddressNotBound                       // 5013
 )
 
 // Codes about the system itself.
