--- a/cmd/quetzalhold/gateway_test.go
+++ b/cmd/quetzalhold/gateway_test.go
@@ -54,7 +54,7 @@
 		So(os.WriteFile(file, []byte(settingsText(ready)), 0o600), ShouldBeNil)
 		lines, err := os.Create(filepath.Join(t.TempDir(), "log"))
 		So(err, ShouldBeNil)
-		defer lines.Close()
+		defer func() { _ = lines.Close() }()
 		stdout := os.Stdout
 		os.Stdout = lines
 		defer func() { os.Stdout = stdout }()
@@ -109,7 +109,7 @@
 		defer cancel()
 		out, err := os.Create(filepath.Join(t.TempDir(), "log"))
 		So(err, ShouldBeNil)
-		defer out.Close()
+		defer func() { _ = out.Close() }()
 		stdout, stderr := os.Stdout, os.Stderr
 		os.Stdout, os.Stderr = out, out
 		defer func() { os.Stdout, os.Stderr = stdout, stderr }()
