--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -128,16 +128,18 @@
 func (d *Daemon) watch(ctx context.Context) {
 	tried := make(chan struct{}) // closed after the first call for servers
 	held := make(heldServers)
-	go d.watchKind(ctx, platform.Servers,
-		func(p platform.Page) { d.applyServerList(ctx, p, held) }, func(c platform.Change) { d.applyServerChange(c, held) },
-		func() { close(tried) }, func() { d.guard("servers of a new version", func() { d.release(ctx, held) }) })
+	go d.watchKind(ctx, &kindWatch{
+		kind: platform.Servers,
+		list: func(p platform.Page) { d.applyServerList(ctx, p, held) }, change: func(c platform.Change) { d.applyServerChange(c, held) },
+		tried: func() { close(tried) }, applied: func() { d.guard("servers of a new version", func() { d.release(ctx, held) }) },
+	})
 	go func() {
 		limit := d.standbyBackoff()
 		if d.table.Load() == nil {
 			limit = recoveryCheckLimit
 		}
 		d.awaitFirstCall(ctx, tried, limit)
-		d.watchKind(ctx, platform.Configuration, d.applyConfigList, d.applyConfigChange, func() {}, func() {})
+		d.watchKind(ctx, &kindWatch{kind: platform.Configuration, list: d.applyConfigList, change: d.applyConfigChange, tried: func() {}, applied: func() {}})
 	}()
 	go func() {
 		d.awaitFirstCall(ctx, tried, orderWatchWait)
@@ -167,9 +169,18 @@
 	return max(minStandbyBackoff, time.Duration(len(d.members.InDomain()))*standbyInterval)
 }
 
+// kindWatch is what is done with the objects of a kind.
+type kindWatch struct {
+	kind    platform.Kind
+	list    func(platform.Page)
+	change  func(platform.Change)
+	tried   func() // called after the first call
+	applied func() // called after each call that succeeded
+}
+
 // watchKind lists the objects of a kind and then watches the kind from the list's
-// revision on. It calls tried after the first call, and applied after each that succeeded.
-func (d *Daemon) watchKind(ctx context.Context, k platform.Kind, list func(platform.Page), change func(platform.Change), tried, applied func()) {
+// revision on.
+func (d *Daemon) watchKind(ctx context.Context, w *kindWatch) {
 	backoff := minBackoff
 	var once sync.Once
 	wait := func() {
@@ -180,26 +191,26 @@
 		// The loop condition checks ctx.
 		_ = clock.Sleep(ctx, backoff/2+rand.N(backoff))
 		backoff = min(2*backoff, maxBackoff)
-		if k != platform.Servers {
+		if w.kind != platform.Servers {
 			d.awaitStore(ctx, limit)
 		}
 	}
 	for ctx.Err() == nil {
-		page, err := d.list(ctx, k, false)
-		d.recordStoreCall(ctx, k, err)
-		once.Do(tried)
+		page, err := d.list(ctx, w.kind, false)
+		d.recordStoreCall(ctx, w.kind, err)
+		once.Do(w.tried)
 		if err != nil {
 			wait()
 			continue
 		}
-		d.guard("list of "+string(k), func() { list(page) })
-		applied()
+		d.guard("list of "+string(w.kind), func() { w.list(page) })
+		w.applied()
 		rev := page.Revision
 		watch := watchWait
 		for ctx.Err() == nil {
 			start := time.Now()
-			c, err := d.store.Watch(ctx, k, rev, watch)
-			d.recordStoreCall(ctx, k, err)
+			c, err := d.store.Watch(ctx, w.kind, rev, watch)
+			d.recordStoreCall(ctx, w.kind, err)
 			if result.CodeOf(err) == result.HistoryGone {
 				break
 			}
@@ -210,11 +221,11 @@
 			}
 			backoff, watch = minBackoff, watchWait
 			for _, ch := range c.Changes {
-				d.guard("change of "+string(k), func() { change(ch) })
+				d.guard("change of "+string(w.kind), func() { w.change(ch) })
 			}
-			applied()
+			w.applied()
 			rev = backend.Latest(rev, c.Revision)
-			if k == platform.Servers {
+			if w.kind == platform.Servers {
 				d.changes.SetRevision(rev)
 			}
 			_ = clock.Until(ctx, start.Add(watchInterval)) // the loop condition checks ctx
@@ -242,14 +253,7 @@
 }
 
 // isLoaded reports whether a configuration and servers are known.
-func (d *Daemon) isLoaded() bool {
-	select {
-	case <-d.loaded:
-		return true
-	default:
-		return false
-	}
-}
+func (d *Daemon) isLoaded() bool { return isClosed(d.loaded) }
 
 // awaitStore waits until the store is reachable as far as the other watches know, but
 // not longer than limit: their calls may fail for reasons of their own.
--- a/gateway/stopping_test.go
+++ b/gateway/stopping_test.go
@@ -85,22 +85,16 @@
 		w.net.Crash(memnet.Host("10.3.64.10"))
 		So(l.send("key-1"), ShouldResemble, map[int]int{http.StatusOK: calls})
 	})
-	inWorld(t, "a key is replaced", func(w *world) {
-		v := w.vm("e1", "cn-a", 1)
-		time.Sleep(settle)
-		l := w.stopping(v, calls)
-		w.configure(2, "key-2")
-		l.from = time.Now().Add(configBound)
-		So(l.send("key-2"), ShouldResemble, map[int]int{http.StatusOK: calls})
-	})
-	inWorld(t, "a key is taken back", func(w *world) {
-		v := w.vm("e1", "cn-a", 1)
-		time.Sleep(settle)
-		l := w.stopping(v, calls)
-		w.configure(2, "key-2")
-		l.from = time.Now().Add(configBound)
-		So(l.send("key-1"), ShouldResemble, map[int]int{http.StatusUnauthorized: calls})
-	})
+	for key, status := range map[string]int{"key-1": http.StatusUnauthorized, "key-2": http.StatusOK} {
+		inWorld(t, "a key is replaced: "+key, func(w *world) {
+			v := w.vm("e1", "cn-a", 1)
+			time.Sleep(settle)
+			l := w.stopping(v, calls)
+			w.configure(2, "key-2")
+			l.from = time.Now().Add(configBound)
+			So(l.send(key), ShouldResemble, map[int]int{status: calls})
+		})
+	}
 	for _, kind := range cutKinds {
 		inWorld(t, "it loses its links to all servers: "+kind.name, func(w *world) {
 			f := newCutOffTest(w, kind, 7)
--- a/relay/handover.go
+++ b/relay/handover.go
@@ -159,9 +159,8 @@
 		if p.outcome == NotRun {
 			s.sends--
 		}
-		if s.cur.done = p.outcome != Lost; !s.cur.done {
-			s.stopRun(s.cur, s.handover.held)
-		}
+		s.cur.done = p.outcome != Lost
+		s.stopRun(s.cur, s.handover.held)
 		s.tried = append(s.tried, s.cur.to.ID)
 		s.goBack()
 		s.cur.recheckAt = time.Now().Add(recheckDelay)
