relay: attempts lent to another entry VM whose answer was lost come back

Change: a hand-over has a name (Admission.Handover). Earlier builds ignore the name and answer 404, which counts as all, as does no answer. Requests that may not be repeated ask nothing.

--- a/gateway/attempts_test.go
+++ b/gateway/attempts_test.go
@@ -8,6 +8,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"quetzalhold/memnet"
 	"quetzalhold/platform/platformtest"
 )
 
@@ -112,3 +113,30 @@
 		})
 	}
 }
+
+// TestLostHelpersKeepAttempts guards against a stream that ends early as the attempts of its route are lent to entry VMs
+// that have not used them, and whose connections were lost.
+func TestLostHelpersKeepAttempts(t *testing.T) {
+	inWorld(t, "the connection to the helping entry VM is reset three times", func(w *world) {
+		f := newCutOffTest(w, cutKinds[0], 7)
+		f.cut(0)
+		f.play(2*time.Second, 5)
+		var a answer
+		var want string
+		f.wg.Go(func() { a, want = f.longStream(0, "long") })
+		for range 3 {
+			time.Sleep(500 * time.Millisecond)
+			for i := 1; i < len(f.entries); i++ {
+				w.net.Reset(memnet.Host(f.entries[0].host), memnet.Host(f.entries[i].host))
+			}
+		}
+		f.wg.Wait()
+		So(a.err, ShouldBeNil)
+		So(a.body, ShouldEqual, want)
+		servers := make(map[string]bool)
+		for _, r := range w.book.Runs("long") {
+			servers[r.Server] = true
+		}
+		So(len(servers), ShouldBeLessThanOrEqualTo, attemptLimits["/brief/1"])
+	})
+}
--- a/gateway/helpers.go
+++ b/gateway/helpers.go
@@ -31,9 +31,13 @@
 func (d *Daemon) takeRequests(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		// A request keeps the path that its caller chose.
-		if r.Header.Get(relay.AdmissionHeader) != "" {
+		switch {
+		case r.Header.Get(relay.AdmissionHeader) != "":
 			d.relay.ServeAdmitted(w, r)
 			return
+		case r.Header.Get(relay.RecallHeader) != "":
+			d.relay.ServeRecall(w, r)
+			return
 		}
 		next.ServeHTTP(w, r)
 	})
--- a/relay/call.go
+++ b/relay/call.go
@@ -76,6 +76,9 @@
 	return r.Conclude()
 }
 
+// GiveBack records that attempts which counted as used were not.
+func (r *Retrier) GiveBack(attempts int) { r.runs -= attempts }
+
 // Conclude decides when the request can't be sent to another server.
 func (r *Retrier) Conclude() Action {
 	switch {
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -10,6 +10,7 @@
 	"strings"
 	"time"
 
+	"github.com/google/uuid"
 	"go.uber.org/zap"
 
 	"quetzalhold/backend"
@@ -53,6 +54,8 @@
 	Version      routing.Version      `json:"version"`
 	// Copy is a copy of the KV cache of a run that the request continues; nil for none.
 	Copy *AdmittedCopy `json:"copy,omitempty"`
+	// Handover names the hand-over, so that it can be recalled; empty from entry VMs of an earlier version.
+	Handover HandoverID `json:"handover,omitempty"`
 }
 
 // AdmittedCopy is a copy of the KV cache of a run.
@@ -85,9 +88,9 @@
 	Servers []engine.ServerID `json:"servers,omitempty"`
 }
 
-// check returns why it can't have been spent of attempts lent, or nil.
-func (s *Spent) check(lent int) error {
-	if s.Attempts < 1 || s.Attempts > lent {
+// check returns why it can't have been spent of attempts lent, at least so many, or nil.
+func (s *Spent) check(least, lent int) error {
+	if s.Attempts < least || s.Attempts > lent {
 		return result.New(result.OutOfRange, "%d of %d", s.Attempts, lent).WithField("attempts")
 	}
 	return nil
@@ -123,10 +126,12 @@
 
 type admissionKey struct{}
 
-// admitted returns a context for sending the request to another entry VM, to which attempts are lent.
-func (j *job) admitted(ctx context.Context, attempts int, from *AdmittedCopy) context.Context {
+// admitted returns a context for sending the request to another entry VM, to which attempts are lent, and the name
+// of the hand-over.
+func (j *job) admitted(ctx context.Context, attempts int, from *AdmittedCopy) (context.Context, HandoverID) {
 	a := Admission{
-		From: j.relay.ID, Route: *j.route, Attempts: attempts, Tried: j.tried, Trials: j.trials, Service: j.service, Model: j.model,
+		Handover: HandoverID(uuid.NewString()),
+		From:     j.relay.ID, Route: *j.route, Attempts: attempts, Tried: j.tried, Trials: j.trials, Service: j.service, Model: j.model,
 		Organisation: j.organisation, Priority: j.priority, Version: j.version, Copy: from,
 	}
 	a.Route.MaxAttempts = attempts
@@ -134,7 +139,7 @@
 	if err != nil {
 		panic(err) // an Admission consists of types that can always be encoded
 	}
-	return context.WithValue(ctx, admissionKey{}, string(b))
+	return context.WithValue(ctx, admissionKey{}, string(b)), a.Handover
 }
 
 // classifyPeer is classify for an answer of another entry VM. What it says about the server that
@@ -237,16 +242,16 @@
 	return resp.Header.Get(spentHeader)
 }
 
-// readSpent decodes what another entry VM states of the attempts lent to it. All are spent unless it
-// states otherwise.
-func (r *Relay) readSpent(text string, lent int) Spent {
+// readSpent decodes what another entry VM states of the attempts lent to it, at least so many. All are spent
+// unless it states otherwise.
+func (r *Relay) readSpent(text string, least, lent int) Spent {
 	if text == "" {
 		return Spent{Attempts: lent}
 	}
 	var s Spent
 	err := json.Unmarshal([]byte(text), &s)
 	if err == nil {
-		err = s.check(lent)
+		err = s.check(least, lent)
 	}
 	if err != nil {
 		r.logMalformed.Do(func() {
@@ -281,6 +286,7 @@
 		r.refuse(w, j, err)
 		return
 	}
+	defer j.take()()
 	retryAt := time.Now().Add(retryDelay)
 	switch {
 	case r.cutOffFrom(j.service):
@@ -319,7 +325,7 @@
 	j.msg.params, j.route, j.service, j.model = params, &a.Route, a.Service, a.Model
 	j.organisation, j.priority, j.version, j.copy = a.Organisation, a.Priority, a.Version, a.Copy
 	j.route.MaxAttempts, j.tried, j.statesSpent = max(1, a.Attempts), a.Tried, a.Attempts > 0
-	j.claimed = a.Trials
+	j.claimed, j.takenAs = a.Trials, a.Handover
 	j.tokens = params.PromptTokens + params.AnswerTokens
 	j.setDeadline()
 	if err := j.readBody(w, routing.Limits{}); err != nil {
--- a/relay/forward_test.go
+++ b/relay/forward_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net/http"
 	"os"
+	"regexp"
 	"slices"
 	"sync"
 	"testing"
@@ -31,6 +32,22 @@
 
 	mu         sync.Mutex
 	admissions []string
+	recalled   string // what helpers state of a request that is recalled; empty if they are of an earlier version
+}
+
+func (h *helpers) recall(w http.ResponseWriter, r *http.Request) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	known := slices.ContainsFunc(h.admissions, func(text string) bool {
+		var a relay.Admission
+		return json.Unmarshal([]byte(text), &a) == nil && string(a.Handover) == r.Header.Get(relay.RecallHeader)
+	})
+	if !known || h.recalled == "" {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	w.Header().Set("Quetzalhold-Attempts", h.recalled)
+	w.WriteHeader(http.StatusNoContent)
 }
 
 // newHelpers cuts the harness off from its servers and lets others help it.
@@ -41,6 +58,10 @@
 	}
 	for n := range 4 {
 		s := &http.Server{Handler: http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+			if r.Header.Get(relay.RecallHeader) != "" {
+				h.recall(rw, r)
+				return
+			}
 			h.mu.Lock()
 			h.admissions = append(h.admissions, r.Header.Get(relay.AdmissionHeader))
 			h.mu.Unlock()
@@ -119,7 +140,8 @@
 		defer h.stop()
 		h.request(context.Background(), http.MethodPost, "/status/1", "body")
 		var now bytes.Buffer
-		So(json.Indent(&now, []byte(h.admissions[0]), "", "\t"), ShouldBeNil)
+		named := regexp.MustCompile(`"handover":"[0-9a-f-]{36}"`).ReplaceAllString(h.admissions[0], `"handover":"h"`)
+		So(json.Indent(&now, []byte(named), "", "\t"), ShouldBeNil)
 		So(golden.Diff("testdata/admission.golden", now.Bytes()), ShouldBeEmpty)
 		earlier, err := os.ReadFile("testdata/admission-earlier.golden")
 		So(err, ShouldBeNil)
@@ -127,7 +149,7 @@
 		So(json.Unmarshal(earlier, &old), ShouldBeNil)
 		So(json.Unmarshal(now.Bytes(), &read), ShouldBeNil)
 		// Half of the attempts are lent, and one server was tried.
-		old.Route.MaxAttempts, old.Attempts, old.Tried = read.Route.MaxAttempts, read.Attempts, read.Tried
+		old.Route.MaxAttempts, old.Attempts, old.Tried, old.Handover = read.Route.MaxAttempts, read.Attempts, read.Tried, read.Handover
 		So(read, ShouldResemble, old)
 	})
 }
--- a/relay/plain.go
+++ b/relay/plain.go
@@ -32,6 +32,7 @@
 	replies chan reply
 	sentTo  []sentTo          // sends without an outcome so far
 	ran     []engine.ServerID // servers that have run it, or may have
+	lost    []lentTo          // hand-overs whose answers were lost
 	best    *reply            // an error status, delivered if no better answer comes
 	// retryAt is when the first server accepts requests again; zero unless all refuse them.
 	retryAt time.Time
@@ -44,6 +45,7 @@
 	server   engine.ServerID
 	at       time.Time
 	attempts int
+	handover HandoverID // to another entry VM
 }
 
 // defaultSilence is the time after which a server that has not answered the request, nor anything
@@ -88,6 +90,10 @@
 			r.refuse(w, j, result.New(result.NoServer, "no server of %s took the call", j.service).AsNotRun().WithRetryAt(p.retryAt))
 			return
 		case Fail:
+			if p.recallLost(ctx) {
+				action = TryNext
+				continue
+			}
 			r.refuse(w, j, result.New(result.OutcomeUnknown, "the server or its answer was lost"))
 			return
 		}
@@ -139,18 +145,18 @@
 		return p.retrier.Conclude()
 	}
 	p.sends++
-	attempts := 1
+	attempts, handover := 1, HandoverID("")
 	send := &platform.ServerRequest{Server: to.ID, Organisation: p.organisation, TimeLeft: time.Until(p.deadline), Urgency: -1}
 	if to.Peer {
 		attempts = lend(p.retrier.Left())
 		p.logEvent("handed to another entry VM", to.ID, zap.Int("attempts", attempts))
 		send.Server = ""
-		ctx = p.admitted(ctx, attempts, nil)
+		ctx, handover = p.admitted(ctx, attempts, nil)
 	} else {
 		p.tried = append(p.tried, to.ID)
 	}
 	p.retrier.Sent(attempts)
-	p.sentTo = append(p.sentTo, sentTo{server: to.ID, at: now, attempts: attempts})
+	p.sentTo = append(p.sentTo, sentTo{server: to.ID, at: now, attempts: attempts, handover: handover})
 	go func() {
 		rep := reply{server: to}
 		rep.err = telemetry.Guard(r.Log, "exchange", func() error {
@@ -175,7 +181,7 @@
 // endSend records that a send has an outcome. It returns how many of its attempts were not used.
 func (p *plainRequest) endSend(rep *reply) (unused int) {
 	i := slices.IndexFunc(p.sentTo, func(s sentTo) bool { return s.server == rep.server.ID })
-	attempts := p.sentTo[i].attempts
+	attempts, handover := p.sentTo[i].attempts, p.sentTo[i].handover
 	p.sentTo = slices.Delete(p.sentTo, i, i+1)
 	if rep.outcome == NotRun {
 		p.keepTrials(rep.server)
@@ -185,11 +191,29 @@
 		p.ran = append(p.ran, rep.server.ID)
 		return 0
 	}
-	spent := p.relay.readSpent(rep.spent, attempts)
+	if rep.outcome == Lost && rep.spent == "" {
+		p.lost = append(p.lost, lentTo{to: rep.server, id: handover, attempts: attempts})
+	}
+	spent := p.relay.readSpent(rep.spent, 1, attempts)
 	p.ran, p.tried = append(p.ran, spent.Servers...), append(p.tried, spent.Servers...)
 	return attempts - spent.Attempts
 }
 
+// recallLost takes the request back from other entry VMs whose answers were lost. It reports whether that leaves
+// attempts for another send.
+func (p *plainRequest) recallLost(ctx context.Context) bool {
+	lost := p.lost
+	p.lost = nil
+	if len(lost) == 0 || !p.retrier.Repeatable {
+		return false
+	}
+	for i, spent := range p.recall(ctx, lost) {
+		p.retrier.GiveBack(lost[i].attempts - spent.Attempts)
+		p.ran, p.tried = append(p.ran, spent.Servers...), append(p.tried, spent.Servers...)
+	}
+	return p.retrier.Left() > 0
+}
+
 // handleReply handles the outcome of one send.
 func (p *plainRequest) handleReply(rep reply) Action {
 	unused := p.endSend(&rep)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -105,6 +105,7 @@
 	reach            reaches
 	unevenRoutes     unevenRoutes
 	bodies           bodyMemory
+	takings          takings
 	checkReach       chan struct{} // wakes WatchReach up
 	trying           chan struct{} // full while servers are tried for cutOffSince
 	taken            atomic.Int64  // requests of other entry VMs in flight
@@ -175,6 +176,7 @@
 	copyOnly     []engine.ServerID // servers preferred for copies of its KV cache; nil for all
 	span         trace.Span        // nil if requests are not traced
 	from         string            // the entry VM from which the request was taken; empty if it came from a caller
+	takenAs      HandoverID        // empty if it can't be recalled
 	copy         *AdmittedCopy     // of the run that a request taken from another entry VM continues
 	helpers      []engine.ServerID // entry VMs to which it was handed
 	tried        []engine.ServerID // servers not to be tried again, as far as there are others
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -26,6 +26,8 @@
 type run struct {
 	to      backend.Choice
 	lent    int             // attempts that another entry VM may have used; 0 if it was sent to an engine
+	handed  HandoverID      // by which it was handed to the other entry VM
+	unknown bool            // the other entry VM's answer was lost, so that it is not known what it has spent
 	replica *backend.Choice // holds the replica of the KV cache; nil for none
 	work    backend.Load
 	cancel  context.CancelFunc
@@ -346,7 +348,7 @@
 		s.cur.lent = lend(s.attemptsLeft())
 		s.logEvent("handed to another entry VM", to.ID, zap.Int("attempts", s.cur.lent))
 		send.Server = ""
-		ctx = s.admitted(ctx, s.cur.lent, s.handedCopy)
+		ctx, s.cur.handed = s.admitted(ctx, s.cur.lent, s.handedCopy)
 	}
 	s.addAttempt(s.cur)
 	s.relay.Pool.Begin(to.ID, s.cur.work)
@@ -661,7 +663,8 @@
 		zap.Bool("answered", r.answered), zap.Int("events", r.events), zap.Bool("withinEvent", p.partial), zap.Any("parts", s.parts), zap.String("fingerprint", string(s.fingerprint)))
 	r.ending.failed, r.partial = true, p.partial
 	if r.to.Peer && p.outcome != NotRun {
-		spent := s.relay.readSpent(p.spent, r.lent)
+		spent := s.relay.readSpent(p.spent, 1, r.lent)
+		r.unknown = p.outcome == Lost && p.spent == ""
 		r.lent, s.tried = spent.Attempts, append(s.tried, spent.Servers...)
 	}
 	switch p.outcome {
@@ -691,7 +694,7 @@
 	switch {
 	case !s.route.Resumable:
 		return s.giveUp("route does not resume")
-	case s.atLimit(0) && len(s.permitted(time.Now())) == 0:
+	case s.atLimit(0) && len(s.permitted(time.Now())) == 0 && !s.recallLost():
 		return s.giveUp("every permitted run was lost")
 	}
 	s.tried = append(s.tried, from.to.ID)
@@ -753,6 +756,26 @@
 	}
 }
 
+// recallLost takes the stream back from other entry VMs whose answers were lost, and with it the attempts that
+// they have not used. It reports whether some are left then.
+func (s *streamRun) recallLost() bool {
+	var runs []*run
+	var lost []lentTo
+	for _, r := range s.ran {
+		if r.unknown {
+			r.unknown = false
+			runs, lost = append(runs, r), append(lost, lentTo{to: r.to, id: r.handed, attempts: r.lent})
+		}
+	}
+	if len(lost) == 0 {
+		return false
+	}
+	for i, spent := range s.recall(s.ctx, lost) {
+		runs[i].lent, s.tried = spent.Attempts, append(s.tried, spent.Servers...)
+	}
+	return !s.atLimit(0)
+}
+
 // giveUp ends a request that no engine can finish. It returns false.
 func (s *streamRun) giveUp(why string) bool {
 	switch {
