--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -23,6 +23,7 @@
 		Plain    int           `long:"plain" default:"3" description:"plain servers"`
 		Callers  int           `long:"callers" default:"12" description:"callers"`
 		Binary   string        `long:"binary" default:"bin/quetzalhold" description:"program of the gateways"`
+		Stops    bool          `long:"stops" description:"stop gateways in series as well, while servers are replaced"`
 		Dir      string        `long:"dir" description:"folder for settings and logs; a new one if empty"`
 	}
 	if _, err := flags.Parse(&o); err != nil {
@@ -37,7 +38,7 @@
 			os.Exit(1)
 		}
 		rep, err := soak.Run(context.Background(), soak.Options{
-			Seed: seed, FaultTime: o.For, Gateways: min(o.Gateways, 100), Engines: o.Engines, PlainServers: o.Plain, Callers: o.Callers, Binary: o.Binary, Dir: dir,
+			Seed: seed, FaultTime: o.For, Gateways: min(o.Gateways, 100), Engines: o.Engines, PlainServers: o.Plain, Callers: o.Callers, Stops: o.Stops, Binary: o.Binary, Dir: dir,
 		})
 		if err != nil {
 			fmt.Fprintln(os.Stderr, err)
--- a/soak/inject.go
+++ b/soak/inject.go
@@ -90,6 +90,28 @@
 	}
 }
 
+// stopInSeries stops and restarts the gateways one after the other until Options.FaultTime has passed, and replaces
+// a server during each stop.
+func (w *harness) stopInSeries(ctx context.Context) {
+	until := time.Now().Add(w.opts.FaultTime)
+	for i := 0; time.Now().Before(until) && ctx.Err() == nil; i++ {
+		k := i % len(w.servers)
+		replace := time.AfterFunc(time.Second, func() { w.replace(w.servers[k], w.proxies[k]) })
+		w.restart(w.gateways[i%len(w.gateways)], syscall.SIGTERM, 100*time.Millisecond)
+		replace.Stop()
+	}
+}
+
+// replace lets a server leave, and start anew with nothing kept.
+func (w *harness) replace(s *platformtest.Server, via *Proxy) {
+	w.store.Remove("servers", s.ID)
+	s.Stop("")
+	w.recorder.DropCopies(s.Address)
+	via.Reset()
+	s.Restart(time.Now().UnixMilli())
+	w.store.Put("servers", s.ID, s.Entry("ready"))
+}
+
 // clearFaults removes all faults from the store, the proxies and the servers, and
 // resumes paused gateways.
 func (w *harness) clearFaults() {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -32,6 +32,7 @@
 	Engines      int // model engines
 	PlainServers int // servers of the plain service
 	Callers      int
+	Stops        bool   // gateways are also stopped in series, while servers are replaced
 	Binary       string // path of the quetzalhold program
 	Dir          string // folder for the gateways' settings and logs
 }
@@ -102,7 +103,12 @@
 	for i := range o.Callers {
 		wg.Go(func() { w.runCaller(work, i) })
 	}
+	var stops sync.WaitGroup
+	if o.Stops {
+		stops.Go(func() { w.stopInSeries(ctx) })
+	}
 	injected := w.injectAll(ctx)
+	stops.Wait()
 	w.clearFaults()
 	recovered := w.awaitReady(ctx, recovery)
 	served := w.checker.servedCount()
