--- a/move/exposure.go
+++ b/move/exposure.go
@@ -110,61 +110,95 @@
 // all, a route with little traffic would show nothing. Some are kept for the burst.
 func (p *Plan) FirstShares(now time.Time, b *Baseline, slack float64, used map[Route]int) FirstShares {
 	f := FirstShares{Until: now.Add(sharesInterval)}
-	all, over := b.sum(), now.Sub(b.since())
-	total, needed := 0, 0.0
-	for _, c := range all {
-		total += c.n
-		needed += answersNeeded(c)
-	}
-	if !p.limited() || total < minBaseline || over <= 0 {
+	a := p.firstStep(now, b, slack)
+	if !p.limited() || a.total < minBaseline || a.rate <= 0 {
 		return f
 	}
-	rate := float64(total) / over.Seconds()
-	part := limitedFirstPart * p.MaxExposure * rate
-	budget := part * p.decideAt().Sub(p.Start).Seconds()
-	if lacks := answersMargin*needed - budget; lacks > 0 {
-		budget += min(lacks, slack+part*p.endMargin().Seconds())
-	}
-	f.ByRoute = make(map[Route]float64, len(all))
+	f.ByRoute = make(map[Route]float64, len(a.routes))
 	begin := p.Start.Add(time.Duration(burstBegin * float64(p.decideAt().Sub(p.Start))))
-	end := begin.Add(time.Duration(burstPart * budget / (burstShare * rate) * float64(time.Second)))
-	switch {
-	case now.Before(begin):
+	end := begin.Add(time.Duration(burstPart * a.budget / (burstShare * a.rate) * float64(time.Second)))
+	if now.Before(begin) {
 		f.Until = earliest(f.Until, begin)
-	case now.Before(end):
+	} else if now.Before(end) {
 		f.Until = earliest(now.Add(burstInterval), end)
-		share := burstShare
-		for _, n := range used {
-			if budget -= float64(n); budget <= 0 {
-				share = 0
-			}
-		}
-		for r := range all {
+		share := a.inBurst(used)
+		for r := range a.routes {
 			f.ByRoute[r] = share
 		}
 		return f
 	}
 	left := max(minSharePeriod, p.decideAt().Sub(now)).Seconds()
-	burst := func(c baselineCount) float64 { return burstPart * budget * float64(c.n) / float64(total) }
-	lack := func(c baselineCount) float64 {
-		all := budget * answersNeeded(c) / needed
-		return max(minSteadyPart*all, all-burst(c))
-	}
-	lacks := 0.0
-	for _, c := range all {
-		lacks += lack(c)
-	}
-	for r, c := range all {
-		n := (1-burstPart)*budget*lack(c)/lacks - float64(used[r])
+	for r, n := range a.steady() {
+		c := a.routes[r]
 		if !now.Before(end) {
-			n += burst(c)
+			n += a.burst(c)
 		}
-		traffic := rate * left * float64(c.n) / float64(total)
-		f.ByRoute[r] = max(0, min(maxRouteShare, n/traffic))
+		traffic := a.rate * left * float64(c.n) / float64(a.total)
+		f.ByRoute[r] = max(0, min(maxRouteShare, (n-float64(used[r]))/traffic))
 	}
 	return f
 }
 
+// firstStep is the traffic of a service that passes an entry VM, and what a new version gets of it in the
+// first step of a limited move.
+type firstStep struct {
+	routes map[Route]baselineCount
+	total  int     // requests of the baseline
+	rate   float64 // requests a second; 0 if it is not known
+	needed float64 // answers of all routes that tell a bad version
+	budget float64 // requests of the new version
+}
+
+func (p *Plan) firstStep(now time.Time, b *Baseline, slack float64) firstStep {
+	a := firstStep{routes: b.sum()}
+	for _, c := range a.routes {
+		a.total += c.n
+		a.needed += answersNeeded(c)
+	}
+	if over := now.Sub(b.since()); over > 0 {
+		a.rate = float64(a.total) / over.Seconds()
+	}
+	part := limitedFirstPart * p.MaxExposure * a.rate
+	a.budget = part * p.decideAt().Sub(p.Start).Seconds()
+	if lacks := answersMargin*a.needed - a.budget; lacks > 0 {
+		a.budget += min(lacks, slack+part*p.endMargin().Seconds())
+	}
+	return a
+}
+
+// inBurst returns the share of the new version in the burst, unless the budget is used up.
+func (a *firstStep) inBurst(used map[Route]int) float64 {
+	n := 0
+	for _, u := range used {
+		n += u
+	}
+	if float64(n) >= a.budget {
+		return 0
+	}
+	return burstShare
+}
+
+// burst returns how many requests of a route are for the burst, in which routes keep their parts of the
+// traffic.
+func (a *firstStep) burst(c baselineCount) float64 {
+	return burstPart * a.budget * float64(c.n) / float64(a.total)
+}
+
+// steady returns how many requests of each route are for the time outside the burst, by what the burst
+// leaves to be needed.
+func (a *firstStep) steady() map[Route]float64 {
+	list, sum := make(map[Route]float64, len(a.routes)), 0.0
+	for r, c := range a.routes {
+		all := a.budget * answersNeeded(c) / a.needed
+		list[r] = max(minSteadyPart*all, all-a.burst(c))
+		sum += list[r]
+	}
+	for r, n := range list {
+		list[r] = (1 - burstPart) * a.budget * n / sum
+	}
+	return list
+}
+
 // Parameters of answersNeeded.
 const (
 	// minAnswers is enough to see whether a version is slow.
--- a/relay/bodies.go
+++ b/relay/bodies.go
@@ -73,6 +73,6 @@
 		if err != nil || int64(b.Len()) <= size {
 			return b.Bytes(), err
 		}
-		size *= 2
+		size = min(2*size, limit)
 	}
 }
