--- a/relay/forward.go
+++ b/relay/forward.go
@@ -96,6 +96,15 @@
 	return nil
 }
 
+// set states s in the head of an answer.
+func (s *Spent) set(h http.Header) {
+	b, err := json.Marshal(s)
+	if err != nil {
+		panic(err) // a Spent consists of types that can always be encoded
+	}
+	h.Set(spentHeader, string(b))
+}
+
 // lend returns how many of the attempts that are left are lent to another entry VM: half, so that a second
 // one can be asked if it is lost.
 func lend(left int) int { return (left + 1) / 2 }
@@ -225,11 +234,8 @@
 	if !j.statesSpent || j.spent == nil {
 		return
 	}
-	b, err := json.Marshal(j.spent())
-	if err != nil {
-		panic(err) // a Spent consists of types that can always be encoded
-	}
-	h.Set(spentHeader, string(b))
+	s := j.spent()
+	s.set(h)
 }
 
 // takeSpent removes what another entry VM states of the attempts lent to it from its answer, and returns
--- a/relay/recall.go
+++ b/relay/recall.go
@@ -2,8 +2,8 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
+	"maps"
 	"net/http"
 	"sync"
 	"time"
@@ -38,8 +38,9 @@
 
 // takings are the requests that were taken and may be recalled. The zero value has none.
 type takings struct {
-	mu  sync.Mutex
-	all map[HandoverID]*taking
+	mu       sync.Mutex
+	all      map[HandoverID]*taking
+	forgotAt time.Time // when those that ended long ago were last looked for
 }
 
 // begin records that a request was taken, and forgets those that ended long ago.
@@ -49,10 +50,9 @@
 	if t.all == nil {
 		t.all = make(map[HandoverID]*taking)
 	}
-	for old, x := range t.all {
-		if !x.endedAt.IsZero() && now.Sub(x.endedAt) > recallTime {
-			delete(t.all, old)
-		}
+	if now.Sub(t.forgotAt) >= time.Second {
+		t.forgotAt = now
+		maps.DeleteFunc(t.all, func(_ HandoverID, x *taking) bool { return !x.endedAt.IsZero() && now.Sub(x.endedAt) > recallTime })
 	}
 	x := &taking{cancel: cancel, ended: make(chan struct{})}
 	t.all[id] = x
@@ -106,12 +106,8 @@
 	case <-req.Context().Done():
 		return
 	}
-	b, err := json.Marshal(x.spent)
-	if err != nil {
-		panic(err) // a Spent consists of types that can always be encoded
-	}
 	r.Log.Info("request recalled", zap.String("handover", string(id)), zap.Int("attempts", x.spent.Attempts))
-	w.Header().Set(spentHeader, string(b))
+	x.spent.set(w.Header())
 	w.WriteHeader(http.StatusNoContent)
 }
 
