relay: a refused body gives back its room at once

Cause: a body of unknown length takes room as it grows. What gets no more is refused, but kept its room until the caller had sent the rest. Bodies that grow at the same pace then refuse each other.

Change: the room is given back before the answer. A request that is refused makes room for one that grows, so that the last one always has some.

TestRefusedBodies (callers that send all before they read; no luck of scheduling is involved): 0 of 26 served before in 4 of 4 runs, 9 now in 4 of 4.

--- a/relay/bodies_test.go
+++ b/relay/bodies_test.go
@@ -1,6 +1,7 @@
 package relay_test
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
@@ -73,3 +74,56 @@
 		})
 	}
 }
+
+// TestRefusedBodies guards against refused bodies that keep their room until their callers have sent the rest: none
+// of many that arrive at the same pace was served.
+func TestRefusedBodies(t *testing.T) {
+	const (
+		callers = 26
+		parts   = 4
+		memory  = 40_000_000
+		room    = memory / (parts << 20)
+	)
+	part := strings.Repeat("x", 1<<20)
+	withHarness(t, "callers that read no answer before the body is sent", func(w *harness) {
+		w.add("a0", "app", 0, 300*time.Millisecond)
+		w.relay.BodyMemory = memory
+		c := testConfig()
+		c.Limits.BodyBytes = 8 << 20
+		w.setTable(routing.NewTable(c))
+		send := func(id string) (status int) {
+			conn, err := w.net.Dialer(callerHost)(context.Background(), "tcp", entryListen)
+			if err != nil {
+				panic(err)
+			}
+			defer conn.Close()
+			fmt.Fprintf(conn, "POST /status/1 HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: %s\r\nX-Api-Key: key-1\r\n"+
+				"Transfer-Encoding: chunked\r\n\r\n", id)
+			for range parts {
+				fmt.Fprintf(conn, "%x\r\n%s\r\n", len(part), part)
+				time.Sleep(20 * time.Millisecond)
+			}
+			fmt.Fprint(conn, "0\r\n\r\n")
+			resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			if err != nil {
+				return -1
+			}
+			defer resp.Body.Close()
+			return resp.StatusCode
+		}
+		statuses := make(map[int]int)
+		var mu sync.Mutex
+		var wg sync.WaitGroup
+		for i := range callers {
+			wg.Go(func() {
+				status := send(fmt.Sprintf("r%d", i))
+				mu.Lock()
+				defer mu.Unlock()
+				statuses[status]++
+			})
+		}
+		wg.Wait()
+		So(statuses[http.StatusOK], ShouldBeBetweenOrEqual, room/2, room)
+		So(statuses[http.StatusOK]+statuses[http.StatusServiceUnavailable], ShouldEqual, callers)
+	})
+}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -419,6 +419,9 @@
 	_ = http.NewResponseController(w).SetReadDeadline(j.deadline)
 	var err error
 	j.msg.body, err = j.readAll(body, limit)
+	if err != nil {
+		j.releaseBody() // the rest may take long to arrive
+	}
 	var tooLarge *http.MaxBytesError
 	var noRoom *result.Error
 	switch {
