--- a/relay/bodies_test.go
+++ b/relay/bodies_test.go
@@ -91,24 +91,25 @@
 		c := testConfig()
 		c.Limits.BodyBytes = 8 << 20
 		w.setTable(routing.NewTable(c))
+		// It reads how the request ended; errors of sending show there.
 		send := func(id string) (status int) {
 			conn, err := w.net.Dialer(callerHost)(context.Background(), "tcp", entryListen)
 			if err != nil {
 				panic(err)
 			}
-			defer conn.Close()
-			fmt.Fprintf(conn, "POST /status/1 HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: %s\r\nX-Api-Key: key-1\r\n"+
+			defer func() { _ = conn.Close() }()
+			_, _ = fmt.Fprintf(conn, "POST /status/1 HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: %s\r\nX-Api-Key: key-1\r\n"+
 				"Transfer-Encoding: chunked\r\n\r\n", id)
 			for range parts {
-				fmt.Fprintf(conn, "%x\r\n%s\r\n", len(part), part)
+				_, _ = fmt.Fprintf(conn, "%x\r\n%s\r\n", len(part), part)
 				time.Sleep(20 * time.Millisecond)
 			}
-			fmt.Fprint(conn, "0\r\n\r\n")
+			_, _ = fmt.Fprint(conn, "0\r\n\r\n")
 			resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
 			if err != nil {
 				return -1
 			}
-			defer resp.Body.Close()
+			defer func() { _ = resp.Body.Close() }()
 			return resp.StatusCode
 		}
 		statuses := make(map[int]int)
