backend, relay: a 421 in the name of another server leaves a server out for five seconds, not for good

What callers saw (found by fuzzing the protocol): servers answer the requests of one organisation with 421 in another's name for three seconds. From then on all servers of all services are out of use at all entry VMs: in calm times, nine seconds later, 0 of 34 and 0 of 38 calls are served.

Cause: the 421 was recorded as the end of the server's start, which only an entry of a later start takes back.

Change: a 421 is evidence about an address, for a time. Load reports of a later start are proof and stay as they were ("A replaced start becomes usable again only as a later start" holds as it is).

Tests of relay, backend, gateway and entry: only known red ones fail.

--- a/backend/backend.go
+++ b/backend/backend.go
@@ -113,6 +113,8 @@
 	replaced bool
 	// superseded is set while the entry of a later start claims its address.
 	superseded bool
+	// misdirectedUntil is until when it is left out because a request for it was refused in the name of another.
+	misdirectedUntil time.Time
 	// held is an entry that was read after a restore of the store but is older than what is
 	// known; nil if there is none. It is applied at heldUntil if the server has not written
 	// another one by then.
@@ -217,7 +219,7 @@
 		// The server restarted under the same id and has lost all its state. In-flight
 		// requests stay counted until they end.
 		st.Server, st.removeAt, st.replaced, st.failedAt, st.failures, st.retryAt = s, time.Time{}, false, time.Time{}, 0, time.Time{}
-		st.limit, st.superseded = rateLimit{}, false
+		st.limit, st.superseded, st.misdirectedUntil = rateLimit{}, false, time.Time{}
 	case st.Server == s:
 		return learned
 	default:
@@ -374,7 +376,7 @@
 }
 
 func (st *state) active(now time.Time) bool {
-	return !st.replaced && !st.superseded && (st.removeAt.IsZero() || now.Before(st.removeAt))
+	return !st.replaced && !st.superseded && !now.Before(st.misdirectedUntil) && (st.removeAt.IsZero() || now.Before(st.removeAt))
 }
 
 // withState calls f with a server's state, holding the group's lock. It does nothing if the
@@ -519,6 +521,15 @@
 	p.withState(id, func(st *state) { st.replaced = true })
 }
 
+// misdirectedPause is how long a server is left out after a request for it was refused in the name of another one.
+// The entry of a server that has ended is gone by then; while the store is down, one more request is refused.
+const misdirectedPause = 5 * time.Second
+
+// MarkMisdirected records that another server seems to answer at a server's address.
+func (p *Pool) MarkMisdirected(id engine.ServerID, now time.Time) {
+	p.withState(id, func(st *state) { st.misdirectedUntil = now.Add(misdirectedPause) })
+}
+
 // Backoff after failures. During the backoff a server gets requests only if no other server is
 // left. Each consecutive failure doubles the backoff.
 const (
--- a/backend/backend_test.go
+++ b/backend/backend_test.go
@@ -98,6 +98,14 @@
 			p.Apply(server("a", "cn-a", "10.0.0.1:1", 6, 31))
 			So(choose(start), ShouldBeTrue)
 		})
+		Convey("A server that seems to be another one is left out for some seconds", func() {
+			p.MarkMisdirected("a", start)
+			So(choose(start.Add(4*time.Second)), ShouldBeFalse)
+			So(choose(start.Add(5*time.Second)), ShouldBeTrue)
+			p.MarkMisdirected("a", start.Add(6*time.Second))
+			p.Apply(server("a", "cn-a", "10.0.0.1:1", 6, 31))
+			So(choose(start.Add(6*time.Second)), ShouldBeTrue)
+		})
 		Convey("A failed server is chosen only if there is no other, during its backoff", func() {
 			p.Apply(server("b", "wv-a", "10.0.0.2:1", 5, 20))
 			p.MarkFailed("a", start)
--- a/gateway/restarted.go
+++ b/gateway/restarted.go
@@ -10,14 +10,13 @@
 	"quetzalhold/routing"
 )
 
-// handleRestart is called when c's address is answered by another start of a server
-// than the one in the pool, which has thereby ended. While the store is reachable, the
-// entry of the new start comes from there; while it is unreachable, handleRestart
-// queries the server's identity. Only engines are added this way, and only if exactly
-// one service has engines: the address of a plain server may by now belong to another
-// service, and only the entry would show that.
+// handleRestart is called when c's address seems to be answered by another start of a
+// server than the one in the pool. While the store is reachable, the entry of the new
+// start comes from there; while it is unreachable, handleRestart queries the server's
+// identity. Only engines are added this way, and only if exactly one service has
+// engines: the address of a plain server may by now belong to another service, and only
+// the entry would show that.
 func (d *Daemon) handleRestart(c backend.Choice) {
-	d.pool.MarkReplaced(c.ID)
 	if !d.health.isDown() {
 		return
 	}
--- a/relay/send.go
+++ b/relay/send.go
@@ -168,7 +168,8 @@
 	r.Pool.MarkResponsive(to.ID, now)
 	foreign := platform.NamesOther(resp.Header, m.params.ID)
 	if by := platform.AnsweredBy(resp.Header); resp.StatusCode == http.StatusMisdirectedRequest && by != to.ID && !foreign {
-		r.markReplaced(to)
+		r.Pool.MarkMisdirected(to.ID, now)
+		r.reportRestart(to)
 		return NotRun, fmt.Errorf("refused with status %d", resp.StatusCode)
 	}
 	r.recordNotices(to, resp, now)
@@ -255,10 +256,14 @@
 	}
 }
 
-// markReplaced removes a server from the pool and reports it to Restarted, after another start
-// of it, or another server, answered at its address.
+// markReplaced removes a server's start from the pool after a later one answered at its address.
 func (r *Relay) markReplaced(to backend.Choice) {
 	r.Pool.MarkReplaced(to.ID)
+	r.reportRestart(to)
+}
+
+// reportRestart reports to Restarted that another start, or another server, answers at a server's address.
+func (r *Relay) reportRestart(to backend.Choice) {
 	if r.Restarted != nil {
 		r.Restarted(to)
 	}
