relay: a request whose time ends before its body is read is refused as not run

What callers saw (found by fuzzing the protocol): after a restart of an entry VM while the store is silent, requests are answered 499, CallerGone, "read body: i/o timeout", although their callers wait.

Cause: the body is read with the deadline of the request, which has passed if the wait for a configuration took as long, and each error of that read counted as the caller's end.

Change: what is due to the deadline is TooLate, 503, not run, with Retry-After.

TestBodyTooLate: 499 in both cases before, 503 now.

--- a/relay/bodies_test.go
+++ b/relay/bodies_test.go
@@ -128,3 +128,41 @@
 		So(statuses[http.StatusOK]+statuses[http.StatusServiceUnavailable], ShouldEqual, callers)
 	})
 }
+
+// TestBodyTooLate guards against callers that are told that they have left, as the time of their requests was over
+// before the body was read.
+func TestBodyTooLate(t *testing.T) {
+	for _, x := range []struct {
+		name  string
+		ready time.Duration // when the entry VM is ready
+		body  func() io.Reader
+	}{
+		{"the entry VM is not ready for a second", 1100 * time.Millisecond, func() io.Reader { return io.MultiReader(strings.NewReader("late")) }},
+		{"the caller sends for longer", 0, func() io.Reader { return &slowBody{} }},
+	} {
+		withHarness(t, x.name, func(w *harness) {
+			w.add("a0", "app", 0, 10*time.Millisecond)
+			ready := make(chan struct{})
+			w.relay.Ready = ready
+			time.AfterFunc(max(time.Nanosecond, x.ready), func() { close(ready) })
+			time.Sleep(time.Nanosecond)
+			a := w.requestBody(context.Background(), http.MethodPost, "/book/1", x.body())
+			So(a.status, ShouldEqual, http.StatusServiceUnavailable)
+			So(a.header.Get("Retry-After"), ShouldNotBeEmpty)
+			So(w.book.Runs("r1"), ShouldBeEmpty)
+		})
+	}
+}
+
+// A slowBody is a body of which a byte is sent each 100 ms for two seconds.
+type slowBody struct{ sent int }
+
+func (b *slowBody) Read(p []byte) (int, error) {
+	const size = 20
+	if b.sent == size {
+		return 0, io.EOF
+	}
+	b.sent++
+	time.Sleep(100 * time.Millisecond)
+	return copy(p, "x"), nil
+}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -10,6 +10,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -432,6 +433,8 @@
 		return noRoom
 	case errors.As(err, &tooLarge):
 		return result.New(result.BodyTooLarge, "limit %d bytes", limit).AsNotRun()
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return result.Wrap(result.TooLate, err, "read body").AsNotRun().WithRetryAt(time.Now().Add(retryDelay))
 	case err != nil:
 		return result.Wrap(result.CallerGone, err, "read body").AsNotRun()
 	}
