fuzz: parts of prompts that crash engines are a rule of their own; a world that breaks it is known red

"crashes": once a part has crashed five engines as they began to write, three more requests with it reach one at most. Checked where the engine has sent a part of its first event.

--- a/fuzz/fuzz_test.go
+++ b/fuzz/fuzz_test.go
@@ -188,6 +188,10 @@
 				{Cell: Cell{Phase: platformtest.Head, Form: platformtest.Misdirect}, Cause: platformtest.ByOrganisation, Value: 18, N: 7, From: 7000, Until: 10000},
 			},
 		}},
+		{"a part that crashes engines", World{
+			Seed:    3,
+			Effects: []*Effect{{Cell: Cell{Phase: platformtest.Event, Form: platformtest.Crash}, Cause: platformtest.ByPart, Value: 1, N: 1, From: firstEffect, Until: lastEffect}},
+		}},
 		{"restarts beside a silent store, after which callers were told that they had left", World{
 			Seed: 11,
 			Works: []Work{
@@ -203,3 +207,13 @@
 		})
 	}
 }
+
+// TestPartCrashesBeforeHead guards against parts of prompts that crash engines before a byte of the answer is sent, and are
+// found out too late.
+func TestPartCrashesBeforeHead(t *testing.T) {
+	e := &Effect{Cell: Cell{Phase: platformtest.Begun, Form: platformtest.Crash}, Cause: platformtest.ByPart, Value: 1, From: firstEffect, Until: lastEffect}
+	w := &World{Seed: 3, Effects: []*Effect{e}}
+	for _, line := range newRecord(w.run(t, nil)).crashesOf(e) {
+		t.Error(line)
+	}
+}
--- a/fuzz/rules_test.go
+++ b/fuzz/rules_test.go
@@ -27,6 +27,7 @@
 	{"attempts", (*record).attempts},
 	{"overlap", (*record).overlap},
 	{"budget", (*record).budget},
+	{"crashes", (*record).crashes},
 	{"gone", (*record).gone},
 	{"drained", (*record).drainedServers},
 	{"allowed", (*record).allowed},
@@ -46,12 +47,17 @@
 	all      []platformtest.Attempt
 }
 
-// check returns what breaks the rules, a line each.
-func (p *play) check() []string {
+func newRecord(p *play) *record {
 	r := &record{play: p, requests: p.requests, all: p.book.Attempts(), byID: make(map[string][]platformtest.Attempt)}
 	for _, a := range r.all {
 		r.byID[a.ID] = append(r.byID[a.ID], a)
 	}
+	return r
+}
+
+// check returns what breaks the rules, a line each.
+func (p *play) check() []string {
+	r := newRecord(p)
 	var broken []string
 	for _, x := range rules {
 		for _, text := range x.check(r) {
@@ -259,6 +265,48 @@
 	return broken
 }
 
+// crashes: once a part of prompts has crashed five engines as they began to write, three more requests with it reach one at most.
+func (r *record) crashes() (broken []string) {
+	if r.has(Restart, CutOff, StoreDown, StoreBack) || r.disturbed(func(e *Effect) bool { return e.IsStore() }) {
+		return nil
+	}
+	for _, e := range r.Effects {
+		if e.Form == platformtest.Crash && e.Cause == platformtest.ByPart && e.Phase == platformtest.Event && e.N == 1 {
+			broken = append(broken, r.crashesOf(e)...)
+		}
+	}
+	return broken
+}
+
+// crashesOf checks how many requests reach an engine after an effect by which a part crashes engines is known.
+func (r *record) crashesOf(e *Effect) []string {
+	const (
+		contact = 2 * time.Second
+		enough  = 5
+		most    = 3
+	)
+	var fifth time.Time
+	ended, late := 0, 0
+	for _, a := range r.all {
+		at := int(r.since(a.Arrived))
+		if a.Service != "models" || at < e.From || at >= e.Until || !e.Meets(a.Header, "", a.Path, a.Body) {
+			continue
+		}
+		switch {
+		case ended >= enough && a.Arrived.Sub(fifth) > contact:
+			late++
+		case !a.Begun.IsZero() && !a.Whole && !a.Gone:
+			if ended++; ended == enough {
+				fifth = a.Ended
+			}
+		}
+	}
+	if late <= most {
+		return nil
+	}
+	return []string{fmt.Sprintf("%d requests with a part that had crashed %d engines by %d reached one later", late, enough, r.since(fifth))}
+}
+
 // gone: after a caller has left, its request reaches no server, and servers end their work, but for a few.
 func (r *record) gone() (broken []string) {
 	const bound = 500 * time.Millisecond
