--- a/fuzz/world_test.go
+++ b/fuzz/world_test.go
@@ -170,8 +170,8 @@
 	keys     []string // of the second organisation
 	drained  map[string]time.Time
 	withdrew time.Time
-	unready  int // readiness checks that failed, and all of them
-	checks   int
+	checks   int // readiness checks, and those that failed
+	unready  int
 }
 
 func (p *play) ms() int { return int(time.Since(p.begun) / time.Millisecond) }
