--- a/fuzz/rules_test.go
+++ b/fuzz/rules_test.go
@@ -70,8 +70,8 @@
 // since returns a time as ms since the beginning of the world.
 func (r *record) since(t time.Time) int64 { return t.Sub(r.begun).Milliseconds() }
 
-// few returns the list if it is longer than some number.
-func few(list []string, most int) []string {
+// beyond returns one line for a list that is longer than allowed, and none for others.
+func beyond(list []string, most int) []string {
 	if len(list) <= most {
 		return nil
 	}
@@ -88,7 +88,7 @@
 	return list[i], true
 }
 
-// whole: an answer is that of a run, complete, or ends so that it can be seen. Streams have each event once.
+// whole checks that an answer is that of a run, complete, or ends so that it can be seen. Streams have each event once.
 func (r *record) whole() (broken []string) {
 	for _, q := range r.requests {
 		if q.status < 200 || q.status > 299 {
@@ -116,7 +116,7 @@
 	return broken
 }
 
-// failures: a failure with the stamp of a run is that run's.
+// failures checks that a failure with the stamp of a run is that run's.
 func (r *record) failures() (broken []string) {
 	for _, q := range r.requests {
 		stamp := q.header.Get("X-Server-Stamp")
@@ -140,7 +140,7 @@
 	return list
 }
 
-// once: a request that may not be repeated runs at most once.
+// once checks that a request that may not be repeated runs at most once.
 func (r *record) once() (broken []string) {
 	for _, q := range r.requests {
 		if n := len(r.runs(q.id)); !q.route.repeatable && n > 1 {
@@ -150,7 +150,7 @@
 	return broken
 }
 
-// refused: what is refused as not run has not run, nor does so later.
+// refused checks that what is refused as not run has not run, nor does so later.
 func (r *record) refused() (broken []string) {
 	promise := []int{http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable}
 	for _, q := range r.requests {
@@ -161,7 +161,7 @@
 	return broken
 }
 
-// unchanged: servers get what the caller sent, and nothing that only the system may set.
+// unchanged checks that servers get what the caller sent, and nothing that only the system may set.
 func (r *record) unchanged() (broken []string) {
 	sent := make(map[string]*request)
 	for _, q := range r.requests {
@@ -189,7 +189,7 @@
 	return broken
 }
 
-// attempts: no request runs on more servers than its route allows, but for a few.
+// attempts checks that no request runs on more servers than its route allows, but for a few.
 func (r *record) attempts() []string {
 	var broken []string
 	for _, q := range r.requests {
@@ -203,10 +203,10 @@
 			broken = append(broken, fmt.Sprintf("%s ran on %d servers", q.id, n))
 		}
 	}
-	return few(broken, 3)
+	return beyond(broken, 3)
 }
 
-// overlap: a stream that goes on at another server is not worked on by the one before 400 ms later.
+// overlap checks that a stream that goes on at another server is not worked on by the one before 400 ms later.
 func (r *record) overlap() (broken []string) {
 	const bound = 400 * time.Millisecond
 	if r.has(Restart, CutOff) {
@@ -225,7 +225,7 @@
 	return broken
 }
 
-// budget: in no window are there more arrivals beyond the first than a share of the requests.
+// budget checks that in no window are there more arrivals beyond the first than a share of the requests.
 func (r *record) budget() (broken []string) {
 	const window = 10 * time.Second
 	for _, service := range []string{"app", "models"} {
@@ -265,7 +265,7 @@
 	return broken
 }
 
-// crashes: once a part of prompts has crashed five engines as they began to write, three more requests with it reach one at most.
+// crashes checks that once a part of prompts has crashed five engines as they began to write, three more requests with it reach one at most.
 func (r *record) crashes() (broken []string) {
 	if r.has(Restart, CutOff, StoreDown, StoreBack) || r.disturbed(func(e *Effect) bool { return e.IsStore() }) {
 		return nil
@@ -307,7 +307,7 @@
 	return []string{fmt.Sprintf("%d requests with a part that had crashed %d engines by %d reached one later", late, enough, r.since(fifth))}
 }
 
-// gone: after a caller has left, its request reaches no server, and servers end their work, but for a few.
+// gone checks that after a caller has left, its request reaches no server, and servers end their work, but for a few.
 func (r *record) gone() (broken []string) {
 	const bound = 500 * time.Millisecond
 	var reached, worked []string
@@ -332,10 +332,10 @@
 			}
 		}
 	}
-	return append(few(reached, 3), few(worked, max(3, long/4))...)
+	return append(beyond(reached, 3), beyond(worked, max(3, long/4))...)
 }
 
-// drainedServers: a server that leaves gets nothing once the bound is over.
+// drainedServers checks that a server that leaves gets nothing once the bound is over.
 func (r *record) drainedServers() (broken []string) {
 	if r.has(StoreDown, StoreBack, Restart) || r.disturbed(func(e *Effect) bool { return e.IsStore() }) {
 		return nil // the store or an entry VM has been disturbed
@@ -351,7 +351,7 @@
 
 func (r *record) disturbed(by func(*Effect) bool) bool { return slices.ContainsFunc(r.Effects, by) }
 
-// allowed: what the configuration allows is not refused for good.
+// allowed checks that what the configuration allows is not refused for good.
 func (r *record) allowed() (broken []string) {
 	for _, q := range r.requests {
 		withdrawn := q.key == "key-1" && r.has(WithdrawKey) || q.key == "key-2"
@@ -363,7 +363,7 @@
 	return broken
 }
 
-// configurations: a key that was withdrawn is refused once the bound is over, and the new one is not.
+// configurations checks that a key that was withdrawn is refused once the bound is over, and the new one is not.
 func (r *record) configurations() (broken []string) {
 	if r.withdrew.IsZero() || r.has(StoreDown, StoreBack, Restart) || r.disturbed(func(e *Effect) bool { return e.IsStore() }) {
 		return nil
@@ -377,7 +377,7 @@
 	return broken
 }
 
-// inTime: requests are answered when their time is over.
+// inTime checks that requests are answered when their time is over.
 func (r *record) inTime() (broken []string) {
 	const slack = 500 * time.Millisecond
 	over := 0
@@ -391,10 +391,10 @@
 			broken = append(broken, fmt.Sprintf("%s has no answer after %d ms", q.id, took.Milliseconds()))
 		}
 	}
-	return few(broken, max(7, over/4))
+	return beyond(broken, max(7, over/4))
 }
 
-// delivered: an answer that a server has sent in time reaches the caller.
+// delivered checks that an answer that a server has sent in time reaches the caller.
 func (r *record) delivered() []string {
 	if r.has(Restart, CutOff) {
 		return nil
@@ -411,7 +411,7 @@
 			}
 		}
 	}
-	return few(broken, 3)
+	return beyond(broken, 3)
 }
 
 // served returns the share of the requests in a time that were served whole, among those that meet a condition.
@@ -433,7 +433,7 @@
 // expect more, but parts of prompts that have crashed all engines for seconds are blocked for longer.
 var calmShare = flag.Float64("calm", 0.25, "share of the requests that are served in calm times, at least")
 
-// recovered: when all trouble is over, requests are served.
+// recovered checks that when all trouble is over, requests are served.
 func (r *record) recovered() (broken []string) {
 	for _, x := range routes {
 		n, all := r.served(calm, lastRequest, func(q *request) bool { return q.route.path == x.path })
@@ -444,7 +444,7 @@
 	return broken
 }
 
-// neighbours: what harms by a trait of requests leaves half of those without it served as at other times.
+// neighbours checks that what harms by a trait of requests leaves half of those without it served as at other times.
 func (r *record) neighbours() (broken []string) {
 	if len(r.Works) > 0 || r.disturbed(func(e *Effect) bool { return e.Cause < platformtest.ByPath || e.Cause > platformtest.BySize }) {
 		return nil
@@ -460,7 +460,7 @@
 	return broken
 }
 
-// ready: entry VMs are ready but for an eighth of the time.
+// ready checks that entry VMs are ready but for an eighth of the time.
 func (r *record) ready() []string {
 	if n := r.unready; n*8 > r.checks {
 		return []string{fmt.Sprintf("%d of %d checks failed", n, r.checks)}
