--- a/fuzz/mutants_test.go
+++ b/fuzz/mutants_test.go
@@ -262,7 +262,10 @@
 		{keepsKeys, World{Works: []Work{{WithdrawKey, 0, 6000, 0}}}, []string{"configuration"}},
 		{hangs, World{Effects: []*Effect{long(closes, platformtest.ByPath)}}, []string{"in time"}},
 		{loses, World{}, []string{"delivered"}},
-		{forgets, World{Effects: []*Effect{long(closes, platformtest.ByChance)}}, []string{"recovered"}},
+		{forgets, World{
+			Effects: []*Effect{long(closes, platformtest.ByConfiguration)},
+			Works:   []Work{{Kind: AddRoute, From: firstEffect}},
+		}, []string{"recovered"}},
 		{blames, World{Effects: []*Effect{long(closes, platformtest.ByPath)}}, []string{"neighbours"}},
 		{neverReady, World{}, []string{"ready"}},
 	}
