backend, relay: a plain server that loses a request counts as failed

Cause: a request that is lost says nothing about its server; only a dial that fails, or the time for an answer, did.

Change: the loss counts as a request that was not answered, unless something else has arrived from the server since it was sent. Requests that must not be repeated go there again only when its health check has passed (GET of the health path of the service, one at a time, after the backoff), or if no other server is left.

TestRetryBudget sent the same request ten times, which is blocked now that its retries spread over three servers; its requests differ now, the 13 arrivals are as before.

--- a/backend/backend.go
+++ b/backend/backend.go
@@ -130,6 +130,9 @@
 	respondedAt time.Time // when something last arrived from the server
 	failedAt    time.Time // time of the last failure; zero if the server has responded since
 	failures    int       // consecutive failures
+	// unanswered is set while nothing has arrived from the server since a request that it did not answer.
+	unanswered bool
+	checking   bool // its health is being checked
 	// dial is the usual time to open a connection; zero if none has been opened yet.
 	dial time.Duration
 }
@@ -218,7 +221,8 @@
 	case st.Start < s.Start:
 		// The server restarted under the same id and has lost all its state. In-flight
 		// requests stay counted until they end.
-		st.Server, st.removeAt, st.replaced, st.failedAt, st.failures, st.retryAt = s, time.Time{}, false, time.Time{}, 0, time.Time{}
+		st.Server, st.removeAt, st.replaced, st.retryAt = s, time.Time{}, false, time.Time{}
+		st.clearFailures()
 		st.limit, st.superseded, st.misdirectedUntil = rateLimit{}, false, time.Time{}
 	case st.Server == s:
 		return learned
@@ -418,20 +422,50 @@
 
 // MarkResponsive records that a response or data arrived from a server, and resets its failures.
 func (p *Pool) MarkResponsive(id engine.ServerID, now time.Time) {
-	p.withState(id, func(st *state) { st.failedAt, st.failures, st.respondedAt = time.Time{}, 0, now })
+	p.withState(id, func(st *state) {
+		st.clearFailures()
+		st.respondedAt = now
+	})
+}
+
+// MarkUnanswered records that a server has not answered a request sent at an instant, in the time in which it
+// should have or at all. It counts as failed if nothing else arrived from it since: a busy server answers other
+// requests meanwhile. MarkUnanswered reports whether it counts as failed.
+func (p *Pool) MarkUnanswered(id engine.ServerID, sentAt, now time.Time) bool {
+	failed := false
+	p.withState(id, func(st *state) {
+		if failed = !st.respondedAt.After(sentAt); failed {
+			st.unanswered = true
+			st.fail(now)
+		}
+	})
+	return failed
+}
+
+// NextCheck returns a server of a service that is to be checked before it gets requests which must not be
+// repeated: the last one is unanswered, and its backoff is over. The check is to be concluded with EndCheck.
+func (p *Pool) NextCheck(service routing.ServiceName, now time.Time) (Choice, bool) {
+	g := p.group(service)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, st := range g.servers {
+		if st.unanswered && !st.checking && st.active(now) && !st.Draining && !st.suspect(now) {
+			st.checking = true
+			return Choice{Server: st.Server, DialTime: st.dial}, true
+		}
+	}
+	return Choice{}, false
 }
 
-// MarkSilent records that a server has not answered a request sent at an instant in the time in
-// which it should have. It counts as failed if nothing else arrived from it since: a busy server
-// answers other requests meanwhile. MarkSilent reports whether it counts as failed.
-func (p *Pool) MarkSilent(id engine.ServerID, sentAt, now time.Time) bool {
-	silent := false
+// EndCheck records whether a server has passed its check. Its failures count until it answers a request.
+func (p *Pool) EndCheck(id engine.ServerID, passed bool, now time.Time) {
 	p.withState(id, func(st *state) {
-		if silent = !st.respondedAt.After(sentAt); silent {
+		if st.checking = false; passed {
+			st.unanswered = false
+		} else {
 			st.fail(now)
 		}
 	})
-	return silent
 }
 
 // RecordDial records how long it took to open a connection to a server.
@@ -454,6 +488,10 @@
 	p.withState(id, func(st *state) { st.fail(now) })
 }
 
+func (st *state) clearFailures() {
+	st.failedAt, st.failures, st.unanswered = time.Time{}, 0, false
+}
+
 func (st *state) fail(now time.Time) {
 	if st.failedAt.IsZero() || now.Sub(st.failedAt) > firstBackoff {
 		st.failures++
@@ -476,7 +514,7 @@
 		g.mu.Lock()
 		for _, st := range g.servers {
 			if !st.failedAt.Before(since) {
-				st.failedAt, st.failures = time.Time{}, 0
+				st.clearFailures()
 			}
 		}
 		g.mu.Unlock()
--- a/backend/choice.go
+++ b/backend/choice.go
@@ -29,6 +29,9 @@
 	Avoid names.ID
 	// NearOnly excludes servers in other regions and in the failure domain to avoid.
 	NearOnly bool
+	// Once says that the request must not be repeated. Servers that have left one unanswered and have not been
+	// checked since are chosen only if there are no others.
+	Once bool
 	// Allowed reports whether a server of a version may take the request; nil allows all.
 	Allowed func(engine.Version) bool
 	// AffinityKey identifies the request's prompt: requests with the same key prefer the same
@@ -105,7 +108,7 @@
 			continue
 		}
 		c := candidate{
-			Choice:   Choice{Server: st.Server, DialTime: st.dial, Load: st.load, Suspect: st.suspect(n.Now), Limited: g.limitedTo(n.Now, st) != Unlimited},
+			Choice:   Choice{Server: st.Server, DialTime: st.dial, Load: st.load, Suspect: st.suspect(n.Now) || n.Once && st.unanswered, Limited: g.limitedTo(n.Now, st) != Unlimited},
 			avoided:  n.Avoid != "" && st.Domain == n.Avoid,
 			distance: distance(n, st.Domain),
 		}
--- a/relay/plain.go
+++ b/relay/plain.go
@@ -42,7 +42,7 @@
 // sentTo is a send: a server, or another entry VM, when the request was sent to it, and how many
 // attempts that may take.
 type sentTo struct {
-	server   engine.ServerID
+	server   backend.Choice
 	at       time.Time
 	attempts int
 	handover HandoverID // to another entry VM
@@ -122,6 +122,9 @@
 		p.block = &b
 		return p.retrier.Conclude()
 	}
+	if !p.retrier.Repeatable {
+		r.checkServer(p.job)
+	}
 	now := time.Now()
 	to, ok := p.helper(p.retrier.Left())
 	if !ok {
@@ -156,7 +159,7 @@
 		p.tried = append(p.tried, to.ID)
 	}
 	p.retrier.Sent(attempts)
-	p.sentTo = append(p.sentTo, sentTo{server: to.ID, at: now, attempts: attempts, handover: handover})
+	p.sentTo = append(p.sentTo, sentTo{server: to, at: now, attempts: attempts, handover: handover})
 	go func() {
 		rep := reply{server: to}
 		rep.err = telemetry.Guard(r.Log, "exchange", func() error {
@@ -172,20 +175,49 @@
 // that other requests go elsewhere. This one has to wait if it may not be repeated.
 func (p *plainRequest) markSilent(now time.Time) {
 	for _, s := range p.sentTo {
-		if p.relay.Pool.MarkSilent(s.server, s.at, now) {
-			p.logEvent("server silent", s.server)
-		}
+		p.markUnanswered(s, "server silent", now)
+	}
+}
+
+func (p *plainRequest) markUnanswered(s sentTo, why string, now time.Time) {
+	if p.relay.Pool.MarkUnanswered(s.server.ID, s.at, now) {
+		p.logEvent(why, s.server.ID)
+	}
+}
+
+// checkServer checks the health of a server that has left a request unanswered, if one is due.
+func (r *Relay) checkServer(j *job) {
+	to, ok := r.Pool.NextCheck(j.service, time.Now())
+	if !ok {
+		return
+	}
+	if j.healthPath == "" || r.Pool.Limited(to.ID) {
+		r.Pool.EndCheck(to.ID, true, time.Now()) // the next request shows it
+		return
 	}
+	go func() {
+		var id engine.ServerID
+		err := telemetry.Guard(r.Log, "health check", func() (err error) {
+			id, err = r.Identify(context.Background(), to, j.healthPath)
+			return err
+		})
+		r.Pool.EndCheck(to.ID, err == nil && (id == "" || id == to.ID), time.Now())
+		r.Log.Info("health of a server checked", zap.String("server", string(to.ID)), zap.String("answeredBy", string(id)), zap.Error(err))
+	}()
 }
 
 // endSend records that a send has an outcome. It returns how many of its attempts were not used.
 func (p *plainRequest) endSend(rep *reply) (unused int) {
-	i := slices.IndexFunc(p.sentTo, func(s sentTo) bool { return s.server == rep.server.ID })
-	attempts, handover := p.sentTo[i].attempts, p.sentTo[i].handover
+	i := slices.IndexFunc(p.sentTo, func(s sentTo) bool { return s.server.ID == rep.server.ID })
+	sent := p.sentTo[i]
+	attempts, handover := sent.attempts, sent.handover
 	p.sentTo = slices.Delete(p.sentTo, i, i+1)
-	if rep.outcome == NotRun {
+	switch {
+	case rep.outcome == NotRun:
 		p.keepTrials(rep.server)
 		return attempts
+	case rep.outcome == Lost && p.msg.Context().Err() == nil:
+		p.markUnanswered(sent, "request not answered", time.Now())
 	}
 	if !rep.server.Peer {
 		p.ran = append(p.ran, rep.server.ID)
@@ -313,7 +345,7 @@
 func (r *Relay) need(j *job, now time.Time, exclude []engine.ServerID, avoid engine.ServerID) backend.Criteria {
 	n := backend.Criteria{
 		Now: now, Service: j.service, Domain: r.Domain, Region: r.Region, Exclude: exclude, Only: j.only,
-		AffinityKey: j.msg.params.AffinityKey(), Tokens: j.tokens, Model: j.model,
+		AffinityKey: j.msg.params.AffinityKey(), Tokens: j.tokens, Model: j.model, Once: !j.route.Repeatable(),
 	}
 	if r.Allowed != nil {
 		n.Allowed = r.Allowed(j.service, j.route.Name, j.msg.params.ID)
--- a/relay/plain_test.go
+++ b/relay/plain_test.go
@@ -167,7 +167,7 @@
 		arrivals := 0
 		for i := range 10 {
 			id := fmt.Sprintf("r%d", i)
-			w.request(context.Background(), http.MethodGet, "/status/1", "", "X-Request-Id", id)
+			w.request(context.Background(), http.MethodGet, "/status/"+id, "", "X-Request-Id", id)
 			arrivals += len(w.book.Runs(id))
 		}
 		So(arrivals, ShouldEqual, 13)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -159,6 +159,7 @@
 	route        *routing.Route
 	service      routing.ServiceName
 	model        *routing.Model
+	healthPath   string // of the health check of the service; empty for none
 	organisation routing.Organisation
 	priority     routing.Priority
 	version      routing.Version // of the configuration in use when it was admitted
@@ -319,7 +320,7 @@
 	}
 	j.service = route.Service(params.ID)
 	if s, ok := t.Service(j.service); ok {
-		j.model = s.Model
+		j.model, j.healthPath = s.Model, s.HealthPath
 	}
 	j.tokens = params.PromptTokens + params.AnswerTokens
 	j.setDeadline()
