gateway, quarantine: crashes cleared while they are written don't come back

Cause: writeCrashesOnce writes a list that it has taken before. A crash that is cleared meanwhile is created in the store, and MarkShared adds it to the list again, as if it were new.

Change: a crash is looked up before it is written, and one that is gone by then is recorded as cleared, to be deleted.

--- a/gateway/closing_test.go
+++ b/gateway/closing_test.go
@@ -54,3 +54,27 @@
 		})
 	}
 }
+
+// TestClosingServersBlockRequests guards against a request that stays blocked after servers have closed its connections:
+// losses that were found to be no crashes came back, as they were being written to a slow store.
+func TestClosingServersBlockRequests(t *testing.T) {
+	for name, path := range map[string]string{"calls that may not be repeated": "/book/1", "calls that may be repeated": "/status/1"} {
+		inWorld(t, name, func(w *world) {
+			l := newLimitTest(w, 4, 8, "app")
+			for _, s := range l.servers {
+				s.SetFault(platformtest.Fault{Close: true})
+			}
+			w.store.SetFault(platformtest.StoreFault{Delay: 50 * time.Millisecond})
+			l.play(3*time.Second, 400, path, nil)
+			for _, s := range l.servers {
+				s.SetFault(platformtest.Fault{})
+			}
+			time.Sleep(contactBound)
+			l.wg.Wait()
+			l.calls, l.answered = 0, 0
+			l.play(5*time.Second, 40, path, nil)
+			l.wg.Wait()
+			So(l.answered, ShouldEqual, l.calls)
+		})
+	}
+}
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -211,12 +211,15 @@
 // writeCrashesOnce reports whether the store has all crashes of this failure domain.
 func (d *Daemon) writeCrashesOnce(ctx context.Context) bool {
 	for _, c := range d.quarantine.Unwritten(time.Now()) {
+		if !d.quarantine.Holds(c.Name()) {
+			continue // cleared while others were written
+		}
 		err := d.store.Create(ctx, platform.Crashes, string(c.Name()), c)
 		if err != nil && result.CodeOf(err) != result.VersionConflict { // exists already
 			d.log.Info("crash not written", zap.String("name", string(c.Name())), zap.Error(err))
 			return false
 		}
-		d.quarantine.MarkShared(time.Now(), c)
+		d.quarantine.MarkWritten(time.Now(), c)
 	}
 	for _, n := range d.quarantine.Cleared() {
 		if err := d.deleteCrash(ctx, n); err != nil {
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -319,6 +319,24 @@
 	return l.add(now, c, true)
 }
 
+// Holds reports whether a crash is held against suspects.
+func (l *List) Holds(n Name) bool {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	r := l.records[n]
+	return r != nil && len(r.suspects) > 0
+}
+
+// MarkWritten records that the store holds a crash. One that was cleared and forgotten meanwhile is then among
+// those of Cleared.
+func (l *List) MarkWritten(now time.Time, c Crash) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.add(now, c, true) {
+		l.records[c.Name()].suspects = nil
+	}
+}
+
 // Remove removes a crash that the store no longer holds. It reports whether it was known.
 func (l *List) Remove(n Name) bool {
 	l.mu.Lock()
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -175,6 +175,17 @@
 		l.Replace(start, nil, false)
 		So(l.Cleared(), ShouldBeEmpty)
 	})
+	Convey("A crash that is cleared while it is written is to be deleted", t, func() {
+		var l quarantine.List
+		c, _ := l.Observe(start, crash(1, "a"))
+		So(l.Holds(c.Name()), ShouldBeTrue)
+		So(l.Clear(start, c.Name()), ShouldBeTrue)
+		So(l.Holds(c.Name()), ShouldBeFalse)
+		l.MarkWritten(start, c)
+		So(l.Holds(c.Name()), ShouldBeFalse)
+		So(l.Listed(settled), ShouldBeEmpty)
+		So(l.Cleared(), ShouldResemble, []quarantine.Name{c.Name()})
+	})
 }
 
 func TestReplace(t *testing.T) {
