quarantine, relay: losses are passed on once confirmed, clearings in turns

Cause: a loss was reported, listed and written at once, and cleared 0.1 s later if its server was alive. Its clearing is reported to the entry VM that writes 16 at a time, ordered by name, so that of hundreds the same 16 are reported again and again, until the rest is forgotten after 10 s.

Change: a loss counts at once for the entry VM that saw it, and is passed on when the server is known to be lost, some 0.1 to 0.3 s later. Reports begin with what was not in one for the longest time. Nothing changes in what is sent.

TestReport with the order by name: 16 of 100 names in seven reports, 100 now.

--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -3,6 +3,7 @@
 package quarantine
 
 import (
+	"cmp"
 	"fmt"
 	"maps"
 	"slices"
@@ -159,9 +160,12 @@
 	// suspects is kept until the other entry VMs have dropped the crash too.
 	suspects []Suspect
 	addedAt  time.Time
+	// unconfirmed is set until the server is known to be lost.
+	unconfirmed bool
 	// reported is set once the crash was reported to another entry VM, and shared once it was in
 	// the list of the store or of another entry VM.
 	reported, shared bool
+	lastReport       int64 // number of the last report that had it or its clearing; 0 for none
 }
 
 // request returns the request that was lost with the server: its suspect, or the caller's name
@@ -229,6 +233,7 @@
 	sound, soundBefore map[key]time.Time
 	soundTurn          time.Time
 	changed            chan struct{} // closed when a suspect becomes blocked
+	reports            int64         // made so far
 }
 
 // Observe returns the crash of a server that was lost while it began to answer a request with
@@ -237,6 +242,22 @@
 func (l *List) Observe(now time.Time, c Crash) (Crash, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	return l.observe(now, c)
+}
+
+// ObserveUnconfirmed is like Observe for a server that may not be lost. The crash counts, but is neither listed for others
+// nor reported to them until it is confirmed.
+func (l *List) ObserveUnconfirmed(now time.Time, c Crash) (Crash, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	c, ok := l.observe(now, c)
+	if ok {
+		l.records[c.Name()].unconfirmed = true
+	}
+	return c, ok
+}
+
+func (l *List) observe(now time.Time, c Crash) (Crash, bool) {
 	list, since := &c.Suspects, now.Add(-soundFor)
 	if c.waiting() {
 		list, since = &c.Waiting, now.Add(-soundWaitingFor)
@@ -257,6 +278,15 @@
 	return c, true
 }
 
+// Confirm records that the server of a crash is lost.
+func (l *List) Confirm(n Name) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if r := l.records[n]; r != nil {
+		r.unconfirmed = false
+	}
+}
+
 // soundSince reports whether a server got past the beginning of an answer to a suspect since an instant.
 func (l *List) soundSince(then time.Time, k key) bool {
 	at, ok := l.sound[k]
@@ -453,7 +483,7 @@
 }
 
 func (l *List) listed(now time.Time, r *record) bool {
-	if len(r.suspects) == 0 {
+	if len(r.suspects) == 0 || r.unconfirmed {
 		return false
 	}
 	return r.shared || now.Sub(r.addedAt) >= settleFor ||
@@ -461,20 +491,26 @@
 }
 
 // Report returns crashes that are in no other list as far as is known, and the names of crashes
-// that were found sound, to be reported to another entry VM; of each, most at most.
+// that were found sound, to be reported to another entry VM; of each, most at most, those first that
+// were not in a report for the longest time.
 func (l *List) Report(most int) (observed []Crash, cleared []Name) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for _, n := range slices.Sorted(maps.Keys(l.records)) {
+	l.reports++
+	names := slices.SortedFunc(maps.Keys(l.records), func(a, b Name) int {
+		return cmp.Or(cmp.Compare(l.records[a].lastReport, l.records[b].lastReport), cmp.Compare(a, b))
+	})
+	for _, n := range names {
 		switch r := l.records[n]; {
-		case len(r.suspects) == 0:
+		case len(r.suspects) == 0 && len(cleared) < most:
+			r.lastReport = l.reports
 			cleared = append(cleared, n)
-		case !r.shared:
-			r.reported = true
+		case len(r.suspects) > 0 && !r.shared && !r.unconfirmed && len(observed) < most:
+			r.reported, r.lastReport = true, l.reports
 			observed = append(observed, r.Crash)
 		}
 	}
-	return observed[:min(len(observed), most)], cleared[:min(len(cleared), most)]
+	return observed, cleared
 }
 
 // Cleared returns the names of the crashes without suspects that are in another list.
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -188,6 +188,55 @@
 	})
 }
 
+// TestReport guards against clearings of which others never learn, and against losses reported before it is known that
+// they are crashes.
+func TestReport(t *testing.T) {
+	Convey("Reports take turns", t, func() {
+		const most, crashes = 16, 100
+		var l quarantine.List
+		for i := range crashes {
+			observe(&l, crash(i, "a"))
+		}
+		turns := (crashes + most - 1) / most
+		for _, clearing := range []bool{false, true} {
+			seen := make(map[quarantine.Name]bool)
+			for range turns {
+				observed, cleared := l.Report(most)
+				So(len(observed)+len(cleared), ShouldBeLessThanOrEqualTo, most)
+				for i := range observed {
+					seen[observed[i].Name()] = true
+				}
+				for _, n := range cleared {
+					seen[n] = clearing
+				}
+			}
+			So(seen, ShouldHaveLength, crashes)
+			l.MarkSound(start, "models", parts("a"))
+		}
+	})
+	Convey("A loss counts at once, and is passed on when it is confirmed", t, func() {
+		var l quarantine.List
+		var names []quarantine.Name
+		for i := range 3 {
+			c, ok := l.ObserveUnconfirmed(start, crashUnder(i, fmt.Sprintf("r%d", i), "a"))
+			So(ok, ShouldBeTrue)
+			names = append(names, c.Name())
+		}
+		_, blocked := l.Blocked(start, "models", parts("a"))
+		So(blocked, ShouldBeTrue)
+		observed, _ := l.Report(16)
+		So(observed, ShouldBeEmpty)
+		So(l.Listed(settled), ShouldBeEmpty)
+		So(l.Unwritten(settled), ShouldBeEmpty)
+		l.Confirm(names[0])
+		So(l.Clear(start, names[1]), ShouldBeTrue)
+		observed, cleared := l.Report(16)
+		So(observed, ShouldHaveLength, 1)
+		So(cleared, ShouldBeEmpty)
+		So(l.Listed(settled), ShouldHaveLength, 1)
+	})
+}
+
 func TestReplace(t *testing.T) {
 	Convey("A list that lacks an observation does not remove it, one that lacks a shared crash does", t, func() {
 		var l quarantine.List
--- a/relay/quarantine.go
+++ b/relay/quarantine.go
@@ -55,7 +55,7 @@
 	}
 	var names []quarantine.Name
 	for _, c := range crashes {
-		if c, ok := j.relay.Quarantine.Observe(time.Now(), c); ok {
+		if c, ok := j.relay.Quarantine.ObserveUnconfirmed(time.Now(), c); ok {
 			names = append(names, c.Name())
 			j.logEvent("server lost at the beginning of an answer", to.ID, zap.Any("suspects", c.Suspects), zap.Any("waiting", c.Waiting))
 		}
@@ -63,33 +63,32 @@
 	if len(names) == 0 {
 		return
 	}
-	if j.relay.QuarantineChanged != nil {
-		j.relay.QuarantineChanged()
-	}
 	go j.relay.confirmCrash(to, names, j.model != nil)
 }
 
 // confirmDelay leaves a server that crashes the time to stop listening.
 const confirmDelay = 100 * time.Millisecond
 
-// confirmCrash clears crashes of a server if it is alive: then it has only broken off an answer. An
-// engine shows it by a load report. They are also cleared if this entry VM reaches no server at all.
+// confirmCrash confirms crashes of a server, or clears them if it is alive: then it has only broken off an
+// answer. An engine shows it by a load report. They are also cleared if this entry VM reaches no server at all.
 func (r *Relay) confirmCrash(to backend.Choice, names []quarantine.Name, isEngine bool) {
 	time.Sleep(confirmDelay)
 	begun := time.Now()
 	usual, results := r.dialTime(&to), make(chan probeResult, 2)
 	go r.probe(context.Background(), to, "", begun.Add(usual+probeMargin), usual+probeRetryDelay, isEngine && !r.Pool.Limited(to.ID), results)
-	if p := <-results; p.err != nil && !r.cutOffSince(begun) {
-		return
-	}
+	p := <-results
+	lost := p.err != nil && !r.cutOffSince(begun)
 	cleared := false
 	for _, n := range names {
-		cleared = r.Quarantine.Clear(time.Now(), n) || cleared
+		if lost {
+			r.Quarantine.Confirm(n)
+		} else {
+			cleared = r.Quarantine.Clear(time.Now(), n) || cleared
+		}
 	}
-	if !cleared {
-		return
+	if cleared {
+		r.Log.Info("server is not lost", zap.String("server", string(to.ID)), zap.Any("crashes", names))
 	}
-	r.Log.Info("server is not lost", zap.String("server", string(to.ID)), zap.Any("crashes", names))
 	if r.QuarantineChanged != nil {
 		r.QuarantineChanged()
 	}
