relay: a trial goes on without its caller

Cause: the trial ended with its request; its claim counts, and the next is due 20 s later.

Change: a stream that is a trial goes on without its caller until it has begun an answer, ended, or its time is over. Streams taken from another entry VM end as before, as that one may let them go on elsewhere; it keeps its connection as long as the trial takes.

--- a/relay/quarantine.go
+++ b/relay/quarantine.go
@@ -114,6 +114,31 @@
 	}
 }
 
+// finishTrial goes on with a run that is a trial after its request has ended, until the outcome is known: the
+// next trial may be due much later.
+func (s *streamRun) finishTrial(r *run) {
+	defer s.close(r)
+	for {
+		select {
+		case p := <-r.parts:
+			switch {
+			case p.ended && (p.err != nil || r.events == 0):
+				s.logEvent("trial failed after its request", r.to.ID, zap.Stringer("outcome", p.outcome), zap.Error(p.err))
+				return
+			case p.connected || p.head != nil:
+				continue
+			}
+			if r.events++; p.ended || r.events >= beginEvents {
+				s.logEvent("trial passed after its request", r.to.ID)
+				s.observeSound()
+				return
+			}
+		case <-r.ctx.Done():
+			return
+		}
+	}
+}
+
 // rejected reports whether the request is blocked and no trial is due.
 func (j *job) rejected() (quarantine.Block, bool) {
 	b, ok := j.blocked()
--- a/relay/quarantine_test.go
+++ b/relay/quarantine_test.go
@@ -40,6 +40,39 @@
 	})
 }
 
+// TestCallerOfTrialLeaves guards against a part of prompts that stays blocked since the caller of its only trial has left.
+func TestCallerOfTrialLeaves(t *testing.T) {
+	withHarness(t, "before the first event", func(w *harness) {
+		w.addEngines()
+		claims := 0
+		w.relay.ClaimTrial = func(_ context.Context, c quarantine.Crash) bool {
+			claims++
+			return w.relay.Quarantine.MarkShared(time.Now(), c)
+		}
+		for i := range 3 {
+			_, ok := w.relay.Quarantine.Observe(time.Now(), quarantine.Crash{
+				Service: "models", Request: engine.RequestID(fmt.Sprintf("other-%d", i)), Server: engine.ServerID(fmt.Sprintf("x%d", i)), Start: 1,
+				Suspects: []quarantine.Suspect{quarantine.Fingerprint(fmt.Sprintf("other-%d", i)).Suspect(), "aa"},
+			})
+			So(ok, ShouldBeTrue)
+		}
+		So(w.resumableStream(context.Background()).status, ShouldEqual, http.StatusServiceUnavailable)
+		time.Sleep(6 * time.Second)
+		ctx, leave := context.WithTimeout(context.Background(), 28*time.Millisecond)
+		defer leave()
+		w.resumableStream(ctx, "X-Request-Id", "leaves")
+		So(claims, ShouldEqual, 1)
+		time.Sleep(2 * time.Second)
+		a := w.resumableStream(context.Background(), "X-Request-Id", "next")
+		So(a.body, ShouldEqual, events(1, numEvent))
+		So(claims, ShouldEqual, 1)
+		time.Sleep(10 * time.Second)
+		for _, s := range w.servers {
+			So(s.Running(), ShouldEqual, 0)
+		}
+	})
+}
+
 // TestLiveServersTakenForLost guards against requests that are blocked since servers which are alive
 // did not answer them.
 func TestLiveServersTakenForLost(t *testing.T) {
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -330,6 +330,9 @@
 func (s *streamRun) open(why string, p backend.Placement, memory *platform.KVCopy) {
 	now := time.Now()
 	ctx, cancel := context.WithCancel(s.ctx)
+	if len(s.trials) > 0 {
+		ctx, cancel = context.WithDeadline(context.WithoutCancel(s.ctx), s.deadline)
+	}
 	to := p.Run.Choice
 	s.cur = &run{to: to, ctx: ctx, cancel: cancel, sentAt: now, parts: make(chan part, maxBufferedParts), checkpoints: make(chan checkpoint, 1), work: backend.Load{Requests: 1, Pending: 1, Tokens: s.tokens}}
 	s.cur.state = StreamState{SentAt: now, Peer: to.Peer, FromCopy: memory != nil, FirstEventBy: now.Add(s.firstEventTimeout(p.Run.Report))}
@@ -828,8 +831,13 @@
 
 // closeRuns closes all runs. The entry VM that the request was taken from may let the stream go on elsewhere.
 func (s *streamRun) closeRuns() {
-	if s.from != "" && s.cur != nil {
+	switch {
+	case s.cur == nil:
+	case s.from != "":
 		s.stopRun(s.cur, nil)
+	case len(s.trials) > 0 && !s.sound && !s.cur.done:
+		go s.finishTrial(s.cur)
+		s.cur = nil
 	}
 	s.closeHeld()
 	s.closeRun()
