cmd, gateway: what libraries log are lines of the log

What operators saw: plain lines on stderr beside the log, unbounded: net/http reports there each answer that a server sends on an idle connection, and settings that could not be read went there too.

Change: the standard logger of the process writes to the daemon's log, which is structured and never blocks.

TestStoppingReload and it share runLogged.

--- a/cmd/quetzalhold/gateway.go
+++ b/cmd/quetzalhold/gateway.go
@@ -2,12 +2,13 @@
 
 import (
 	"context"
-	"fmt"
 	"os"
 	"os/signal"
 	"syscall"
 	"time"
 
+	"go.uber.org/zap"
+
 	"quetzalhold/gateway"
 	"quetzalhold/settings"
 )
@@ -33,6 +34,8 @@
 	if err != nil {
 		return err
 	}
+	// net/http reports what servers send without being asked there.
+	defer zap.RedirectStdLog(d.Log())()
 	ctx, stop := context.WithCancel(context.WithoutCancel(c.ctx))
 	defer stop()
 	go c.reload(ctx, d, hup)
@@ -63,7 +66,7 @@
 		s, err := settings.LoadGateway(c.Settings)
 		if err != nil {
 			// Keep the current settings: the file may be partly written.
-			fmt.Fprintln(os.Stderr, err)
+			d.Log().Warn("settings not reloaded", zap.Error(err))
 			continue
 		}
 		d.Reload(s)
--- a/cmd/quetzalhold/gateway_test.go
+++ b/cmd/quetzalhold/gateway_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	stdlog "log"
 	"net"
 	"net/http"
 	"os"
@@ -46,30 +47,58 @@
 		freeAddress(), ready, freeAddress(), freeAddress(), freeAddress())
 }
 
+// runLogged runs a gateway that is ready at an address, while f runs, and returns its log. f may stop it with the function
+// that it gets.
+func runLogged(ready, file string, f func(stop func())) string {
+	lines, err := os.Create(filepath.Join(filepath.Dir(file), "log"))
+	So(err, ShouldBeNil)
+	defer func() { _ = lines.Close() }()
+	stdout := os.Stdout
+	os.Stdout = lines
+	defer func() { os.Stdout = stdout }()
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	c := &gatewayCommand{ctx: ctx, Settings: file}
+	go func() { done <- c.Execute(nil) }()
+	awaitServing(ready)
+	f(cancel)
+	cancel()
+	So(<-done, ShouldBeNil)
+	log, err := os.ReadFile(lines.Name())
+	So(err, ShouldBeNil)
+	return string(log)
+}
+
 // TestStoppingReload guards against settings that a stopping gateway, which still serves, does not take over.
 func TestStoppingReload(t *testing.T) {
 	Convey("A gateway that was told to stop takes over changed settings", t, func() {
 		ready := freeAddress()
 		file := filepath.Join(t.TempDir(), "settings.json")
 		So(os.WriteFile(file, []byte(settingsText(ready)), 0o600), ShouldBeNil)
-		lines, err := os.Create(filepath.Join(t.TempDir(), "log"))
-		So(err, ShouldBeNil)
-		defer func() { _ = lines.Close() }()
-		stdout := os.Stdout
-		os.Stdout = lines
-		defer func() { os.Stdout = stdout }()
-		ctx, cancel := context.WithCancel(context.Background())
-		done := make(chan error, 1)
-		c := &gatewayCommand{ctx: ctx, Settings: file}
-		go func() { done <- c.Execute(nil) }()
-		awaitServing(ready)
-		cancel()
-		time.Sleep(100 * time.Millisecond)
-		So(syscall.Kill(os.Getpid(), syscall.SIGHUP), ShouldBeNil)
-		So(<-done, ShouldBeNil)
-		log, err := os.ReadFile(lines.Name())
-		So(err, ShouldBeNil)
-		So(string(log), ShouldContainSubstring, "settings reloaded")
+		lines := runLogged(ready, file, func(stop func()) {
+			stop()
+			time.Sleep(100 * time.Millisecond)
+			So(syscall.Kill(os.Getpid(), syscall.SIGHUP), ShouldBeNil)
+		})
+		So(lines, ShouldContainSubstring, "settings reloaded")
+	})
+}
+
+// TestStandardLog guards against plain lines beside the log: those of libraries, and those about settings that can't be read.
+func TestStandardLog(t *testing.T) {
+	Convey("What libraries log, and faulty settings, are lines of the log", t, func() {
+		ready := freeAddress()
+		file := filepath.Join(t.TempDir(), "settings.json")
+		So(os.WriteFile(file, []byte(settingsText(ready)), 0o600), ShouldBeNil)
+		lines := runLogged(ready, file, func(func()) {
+			stdlog.Print("unsolicited response")
+			So(os.WriteFile(file, []byte("half a file"), 0o600), ShouldBeNil)
+			So(syscall.Kill(os.Getpid(), syscall.SIGHUP), ShouldBeNil)
+			time.Sleep(100 * time.Millisecond)
+		})
+		for _, event := range []string{"unsolicited response", "settings not reloaded"} {
+			So(lines, ShouldContainSubstring, `"event":"`+event+`"`)
+		}
 	})
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -295,6 +295,9 @@
 	}
 }
 
+// Log returns the daemon's log.
+func (d *Daemon) Log() *zap.Logger { return d.log }
+
 // Reload puts changed settings in force. Changes of addresses, names and the memory
 // limit take effect at the next start; in-flight requests are not affected.
 func (d *Daemon) Reload(s *settings.Gateway) {
