--- a/relay/plain.go
+++ b/relay/plain.go
@@ -123,7 +123,7 @@
 		return p.retrier.Conclude()
 	}
 	if !p.retrier.Repeatable {
-		r.checkServer(p.job)
+		r.checkHealth(p.job)
 	}
 	now := time.Now()
 	to, ok := p.helper(p.retrier.Left())
@@ -185,8 +185,8 @@
 	}
 }
 
-// checkServer checks the health of a server that has left a request unanswered, if one is due.
-func (r *Relay) checkServer(j *job) {
+// checkHealth checks the health of a server that has left a request unanswered, if a check is due.
+func (r *Relay) checkHealth(j *job) {
 	to, ok := r.Pool.NextCheck(j.service, time.Now())
 	if !ok {
 		return
@@ -216,7 +216,7 @@
 	case rep.outcome == NotRun:
 		p.keepTrials(rep.server)
 		return attempts
-	case rep.outcome == Lost && p.msg.Context().Err() == nil:
+	case rep.outcome == Lost && !p.isOver():
 		p.markUnanswered(sent, "request not answered", time.Now())
 	}
 	if !rep.server.Peer {
--- a/relay/quarantine.go
+++ b/relay/quarantine.go
@@ -38,7 +38,7 @@
 // request or a part of its prompt may have caused; begun is whether something of the answer has come,
 // and err how it ended. A server that has answered something else, or not in time, is not lost.
 func (j *job) observeCrash(to backend.Choice, begun bool, err error) {
-	if j.sound || to.Peer || errors.Is(err, errForeign) || j.msg.Context().Err() != nil || !time.Now().Before(j.deadline) {
+	if j.sound || to.Peer || errors.Is(err, errForeign) || j.isOver() {
 		return
 	}
 	c := quarantine.Crash{Service: j.service, Request: j.msg.params.ID, Server: to.ID, Start: to.Start}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -332,6 +332,10 @@
 	return nil
 }
 
+// isOver reports whether the caller has left or the request's time is over: an answer that is missing then says nothing
+// of its server.
+func (j *job) isOver() bool { return j.msg.Context().Err() != nil || !time.Now().Before(j.deadline) }
+
 // setDeadline sets the request's deadline from the time that the caller has left and its route.
 func (j *job) setDeadline() {
 	j.deadline = j.startedAt.Add(defaultTimeout)
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -326,13 +326,22 @@
 	return p
 }
 
+// trialMargin is how long after the request's deadline that of a trial is, so that a request whose time is over is
+// not taken for one that was lost.
+const trialMargin = 100 * time.Millisecond
+
+// runContext returns the context of a new run. That of a trial outlasts its request.
+func (s *streamRun) runContext() (context.Context, context.CancelFunc) {
+	if len(s.trials) > 0 {
+		return context.WithDeadline(context.WithoutCancel(s.ctx), s.deadline.Add(trialMargin))
+	}
+	return context.WithCancel(s.ctx)
+}
+
 // open starts a run.
 func (s *streamRun) open(why string, p backend.Placement, memory *platform.KVCopy) {
 	now := time.Now()
-	ctx, cancel := context.WithCancel(s.ctx)
-	if len(s.trials) > 0 {
-		ctx, cancel = context.WithDeadline(context.WithoutCancel(s.ctx), s.deadline)
-	}
+	ctx, cancel := s.runContext()
 	to := p.Run.Choice
 	s.cur = &run{to: to, ctx: ctx, cancel: cancel, sentAt: now, parts: make(chan part, maxBufferedParts), checkpoints: make(chan checkpoint, 1), work: backend.Load{Requests: 1, Pending: 1, Tokens: s.tokens}}
 	s.cur.state = StreamState{SentAt: now, Peer: to.Peer, FromCopy: memory != nil, FirstEventBy: now.Add(s.firstEventTimeout(p.Run.Report))}
