--- a/relay/stats.go
+++ b/relay/stats.go
@@ -17,16 +17,34 @@
 	Events int64
 }
 
+// recent holds the latest samples of each route, at most maxSamples. Its zero value has none.
+type recent[T any] struct {
+	samples map[routing.RouteName][]T
+	next    map[routing.RouteName]int
+}
+
+func (l *recent[T]) add(r routing.RouteName, s T) {
+	if l.samples == nil {
+		l.samples = make(map[routing.RouteName][]T)
+		l.next = make(map[routing.RouteName]int)
+	}
+	if len(l.samples[r]) < maxSamples {
+		l.samples[r] = append(l.samples[r], s)
+		return
+	}
+	l.samples[r][l.next[r]%maxSamples] = s
+	l.next[r]++
+}
+
 // StreamStats keeps the timing of recent streams of each route, from which it estimates how
 // long a stream takes. Its zero value is ready to use and has no samples.
 type StreamStats struct {
-	mu      sync.Mutex
-	samples map[routing.RouteName][]Sample // the latest ones, at most maxSamples
-	next    map[routing.RouteName]int
+	mu     sync.Mutex
+	recent recent[Sample]
 }
 
 const (
-	// maxSamples is the number of streams kept for each route.
+	// maxSamples is the number of samples kept for each route.
 	maxSamples = 64
 	// minSamples is the number of samples needed for an estimate.
 	minSamples = 6
@@ -39,16 +57,7 @@
 func (p *StreamStats) Add(r routing.RouteName, s Sample) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.samples == nil {
-		p.samples = make(map[routing.RouteName][]Sample)
-		p.next = make(map[routing.RouteName]int)
-	}
-	if len(p.samples[r]) < maxSamples {
-		p.samples[r] = append(p.samples[r], s)
-		return
-	}
-	p.samples[r][p.next[r]%maxSamples] = s
-	p.next[r]++
+	p.recent.add(r, s)
 }
 
 // FirstEventTime returns the median time to the first event of a route's streams for a prompt of
@@ -57,7 +66,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	all := make([]float64, 0, maxSamples)
-	for _, s := range p.samples[r] {
+	for _, s := range p.recent.samples[r] {
 		all = append(all, float64(s.First)/float64(max(1, s.Prompt)))
 	}
 	if len(all) < minSamples {
@@ -71,7 +80,7 @@
 // including the time to read its prompt again; false if there are too few samples.
 func (p *StreamStats) MinTime(r routing.RouteName, last int64) (time.Duration, bool) {
 	p.mu.Lock()
-	samples := slices.Clone(p.samples[r])
+	samples := slices.Clone(p.recent.samples[r])
 	p.mu.Unlock()
 	if len(samples) < minSamples {
 		return 0, false
@@ -93,32 +102,23 @@
 // CallStats keeps how long the servers of each route took for recent calls. Its zero value is ready to
 // use and has no samples.
 type CallStats struct {
-	mu    sync.Mutex
-	times map[routing.RouteName][]time.Duration // the latest ones, at most maxSamples
-	next  map[routing.RouteName]int
+	mu     sync.Mutex
+	recent recent[time.Duration]
 }
 
 // Add adds a sample to a route.
 func (c *CallStats) Add(r routing.RouteName, took time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.times == nil {
-		c.times, c.next = make(map[routing.RouteName][]time.Duration), make(map[routing.RouteName]int)
-	}
-	if len(c.times[r]) < maxSamples {
-		c.times[r] = append(c.times[r], took)
-		return
-	}
-	c.times[r][c.next[r]%maxSamples] = took
-	c.next[r]++
+	c.recent.add(r, took)
 }
 
 // Longest returns the longest time of a route's recent calls; false if there are too few.
 func (c *CallStats) Longest(r routing.RouteName) (time.Duration, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(c.times[r]) < minSamples {
+	if len(c.recent.samples[r]) < minSamples {
 		return 0, false
 	}
-	return slices.Max(c.times[r]), true
+	return slices.Max(c.recent.samples[r]), true
 }
