--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -558,7 +558,7 @@
 	var longest Block
 	for _, s := range suspects {
 		n := l.crashes(now, service, s)
-		if n < blockAfter || !s.IsRequest() && (l.requests(now, service, s) < blockAfter || l.explained(now, service, s, suspects)) {
+		if n < blockAfter || !s.IsRequest() && (l.requests(now, service, s) < blockAfter || l.explained(now, service, s, n, suspects)) {
 			continue
 		}
 		b := Block{Suspect: s, Crashes: n}
@@ -669,10 +669,10 @@
 	return n
 }
 
-// explained reports whether all crashes of a part are explained by other parts that the request
-// lacks, and that requests on the servers had.
-func (l *List) explained(now time.Time, service routing.ServiceName, part Suspect, suspects []Suspect) bool {
-	left, n, at := l.starts(now, service, part), l.crashes(now, service, part), UnixMilli(now.UnixMilli())
+// explained reports whether all crashes of a part, n as counted, are explained by other parts that the
+// request lacks, and that requests on the servers had.
+func (l *List) explained(now time.Time, service routing.ServiceName, part Suspect, n int, suspects []Suspect) bool {
+	left, at := l.starts(now, service, part), UnixMilli(now.UnixMilli())
 	others := make(map[Suspect]bool) // whether they explain crashes of the part
 	for _, r := range l.records {
 		if r.Trial || r.Service != service || at >= r.Until || !left[r.incarnation()] {
