--- a/relay/plain.go
+++ b/relay/plain.go
@@ -210,12 +210,11 @@
 func (p *plainRequest) endSend(rep *reply) (unused int) {
 	i := slices.IndexFunc(p.sentTo, func(s sentTo) bool { return s.server.ID == rep.server.ID })
 	sent := p.sentTo[i]
-	attempts, handover := sent.attempts, sent.handover
 	p.sentTo = slices.Delete(p.sentTo, i, i+1)
 	switch {
 	case rep.outcome == NotRun:
 		p.keepTrials(rep.server)
-		return attempts
+		return sent.attempts
 	case rep.outcome == Lost && !p.isOver():
 		p.markUnanswered(sent, "request not answered", time.Now())
 	}
@@ -224,11 +223,11 @@
 		return 0
 	}
 	if rep.outcome == Lost && rep.spent == "" {
-		p.lost = append(p.lost, lentTo{to: rep.server, id: handover, attempts: attempts})
+		p.lost = append(p.lost, lentTo{to: rep.server, id: sent.handover, attempts: sent.attempts})
 	}
-	spent := p.relay.readSpent(rep.spent, 1, attempts)
+	spent := p.relay.readSpent(rep.spent, 1, sent.attempts)
 	p.ran, p.tried = append(p.ran, spent.Servers...), append(p.tried, spent.Servers...)
-	return attempts - spent.Attempts
+	return sent.attempts - spent.Attempts
 }
 
 // recallLost takes the request back from other entry VMs whose answers were lost. It reports whether that leaves
