move, gateway, relay: requests to the new version are counted when sent, within each entry VM's own bound

Cause: an entry VM counted the ids for which it chose the new version, once each. A call that failed there was sent again, to another server of the same version, and so was a hedged one: neither was counted. Nothing bounded the sum either: what an entry VM sent followed an estimate of the traffic to come.

Change: move.Allowance counts each send. It permits a part of what has reached servers so far, and a part of the slack, so that all entry VMs together keep to the bound at any time, whatever the traffic does and however often calls are repeated. The last check is in roundTrip, beside that of a server's limit. A repeated call goes to the old version. Entry VMs that start after the order get no slack: their predecessors may have used it. The first step ends 1.2 s before the decision, as later answers would not be known. Each change of a move logs what was sent and what has reached servers.

--- a/feed/members.go
+++ b/feed/members.go
@@ -333,3 +333,16 @@
 	defer m.mu.Unlock()
 	return len(m.known) + 1
 }
+
+// Rank returns the position of Self among the known entry VMs in the order of their ids, from 0.
+func (m *Members) Rank() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	n := 0
+	for id := range m.known {
+		if id < m.Self.ID {
+			n++
+		}
+	}
+	return n
+}
--- a/gateway/moves.go
+++ b/gateway/moves.go
@@ -12,6 +12,7 @@
 
 	"go.uber.org/zap"
 
+	"quetzalhold/backend"
 	"quetzalhold/clock"
 	"quetzalhold/engine"
 	"quetzalhold/feed"
@@ -107,8 +108,8 @@
 	badReason   string
 	speed       move.SlowDetector
 	firstShares move.FirstShares
-	// chosen are the requests for which the new version was chosen here in the first step.
-	chosen map[engine.RequestID]move.Route
+	// allowance bounds what this entry VM sends to the new version.
+	allowance move.Allowance
 	// unreported is what this entry VM counted and has not reported yet; ownDomain is
 	// what its failure domain counted, and otherDomains what each other failure domain
 	// had reported when its counts were last added to the evidence.
@@ -164,6 +165,38 @@
 	baselines map[routing.ServiceName]*move.Baseline
 	// withdrawn are versions that get no requests, though no move to them is known any more.
 	withdrawn map[routing.ServiceName]map[engine.Version]bool
+	// listedAt is when this entry VM first knew all orders; zero if it does not.
+	listedAt time.Time
+}
+
+// setListed records that all orders are known.
+func (m *moves) setListed(now time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.listedAt.IsZero() {
+		m.listedAt = now
+	}
+}
+
+// settleTime is how long an entry VM must have known all orders before a new one, to use the slack of its move. One
+// that starts later may take the place of another that has used its part, and knows few others.
+const settleTime = 2 * time.Second
+
+// isSettled reports whether this entry VM had known all orders for a while at an instant. The caller holds m.mu.
+func (m *moves) isSettled(at time.Time) bool {
+	return !m.listedAt.IsZero() && !at.Before(m.listedAt.Add(settleTime))
+}
+
+// spent returns how many requests this entry VM has sent to the new version of a service's move, and how many have
+// reached servers of either version.
+func (m *moves) spent(service routing.ServiceName) (sent, reached int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	sm := m.all[service]
+	if sm == nil {
+		return 0, 0
+	}
+	return sm.allowance.Sent(), sm.allowance.Reached()
 }
 
 // baseline returns the requests of a service in the last seconds. The caller holds m.mu.
@@ -197,7 +230,7 @@
 		plan: move.Plan{
 			Deployment: string(service), To: to, Start: start, FinishBy: start.Add(length), MaxExposure: exposure, State: move.Started,
 		},
-		chosen: make(map[engine.RequestID]move.Route), unreported: make(tally), ownDomain: make(tally), otherDomains: make(map[names.ID]reportedTally),
+		unreported: make(tally), ownDomain: make(tally), otherDomains: make(map[names.ID]reportedTally),
 	}
 	sm.unreported.addAll(m.baseline(service).Counts())
 	m.all[service] = sm
@@ -265,29 +298,28 @@
 	return list
 }
 
-// choosesNew reports whether a move chooses the new version for a request. The caller holds d.moves.mu.
-func (d *Daemon) choosesNew(sm *serviceMove, service routing.ServiceName, route move.Route, id engine.RequestID, now time.Time) bool {
-	if !now.Before(sm.firstShares.Until) {
-		used := make(map[move.Route]int)
-		for _, r := range sm.chosen {
-			used[r]++
-		}
-		slack := d.settings.Load().Bounds.BadSlack / float64(max(1, d.members.Count()))
-		sm.firstShares = sm.plan.FirstShares(now, d.moves.baseline(service), slack, used)
+// choosesNew reports whether a move chooses the new version for a request, which it gets once: a call that failed
+// there is better served by the old one. The caller holds d.moves.mu.
+func (d *Daemon) choosesNew(sm *serviceMove, service routing.ServiceName, route move.Route, id engine.RequestID, again bool, now time.Time) bool {
+	if sm.plan.State != move.Started {
+		return sm.plan.Version(id, now, sm.badReason != "") == sm.plan.To
 	}
-	if sm.plan.RouteVersion(id, route, sm.firstShares, now, sm.badReason != "") != sm.plan.To {
+	if again || sm.allowance.Left(sm.plan.MaxExposure) <= 0 {
 		return false
 	}
-	if sm.plan.State == move.Started && sm.plan.Step == 0 {
-		sm.chosen[id] = route
+	if !now.Before(sm.firstShares.Until) {
+		sm.firstShares = sm.plan.FirstShares(now, d.moves.baseline(service), &sm.allowance)
 	}
-	return true
+	return sm.plan.RouteVersion(id, route, sm.firstShares, now, sm.badReason != "") == sm.plan.To
 }
 
+// isBad reports whether the new version must get no requests.
+func (sm *serviceMove) isBad() bool { return sm.badReason != "" || sm.plan.State == move.RolledBack }
+
 // allowedVersions returns which versions may take a request; nil for all. If the
 // version chosen for the request has no servers, or none yet, the others take it,
 // unless the new version is known to be bad.
-func (d *Daemon) allowedVersions(service routing.ServiceName, route routing.RouteName, id engine.RequestID) func(engine.Version) bool {
+func (d *Daemon) allowedVersions(service routing.ServiceName, route routing.RouteName, id engine.RequestID, again bool) func(engine.Version) bool {
 	d.moves.mu.Lock()
 	defer d.moves.mu.Unlock()
 	sm, now := d.moves.all[service], time.Now()
@@ -295,15 +327,45 @@
 		return d.unlessWithdrawn(service, now)
 	}
 	to, withdrawn := sm.plan.To, maps.Clone(d.moves.withdrawn[service])
-	isNew := d.choosesNew(sm, service, move.Route(route), id, now)
-	bad := sm.badReason != "" || sm.plan.State == move.RolledBack
+	isNew := d.choosesNew(sm, service, move.Route(route), id, again, now)
 	allowed := func(v engine.Version) bool { return (v == to) == isNew && !withdrawn[v] }
-	if !bad && !d.pool.HasUsable(service, now, allowed) {
+	if !sm.isBad() && !d.pool.HasUsable(service, now, allowed) {
 		return d.unlessWithdrawn(service, now)
 	}
 	return allowed
 }
 
+// mayStillSend reports whether a request may be sent to a server although others were since its version was chosen,
+// and counts it. Where only the new version has servers, its requests are not bounded.
+func (d *Daemon) mayStillSend(to backend.Choice, route routing.RouteName) bool {
+	d.moves.mu.Lock()
+	defer d.moves.mu.Unlock()
+	sm := d.moves.all[to.Service]
+	if sm == nil || to.Version != sm.plan.To || sm.plan.State == move.Finished {
+		return true
+	}
+	isOld := func(v engine.Version) bool { return v != to.Version }
+	if sm.isBad() || sm.allowance.Left(sm.plan.MaxExposure) <= 0 && d.pool.HasUsable(to.Service, time.Now(), isOld) {
+		return false
+	}
+	sm.allowance.Take(move.Route(route))
+	return true
+}
+
+// recordSent counts a request to a server that has reached it, or that was not sent after all.
+func (d *Daemon) recordSent(to backend.Choice, route routing.RouteName, reached, unsent bool) {
+	d.moves.mu.Lock()
+	defer d.moves.mu.Unlock()
+	sm := d.moves.all[to.Service]
+	switch {
+	case sm == nil || sm.plan.State != move.Started:
+	case reached:
+		sm.allowance.Reach()
+	case unsent && to.Version == sm.plan.To:
+		sm.allowance.Return(move.Route(route))
+	}
+}
+
 // recordAnswer counts a server's answer, also for the service's move if it has one in progress.
 func (d *Daemon) recordAnswer(r relay.ServerAnswer) {
 	d.moves.mu.Lock()
@@ -394,6 +456,9 @@
 		exposure = defaultExposure
 	}
 	sm, changed := d.moves.ensure(o.Service, o.To, start, o.Duration, exposure)
+	if changed && d.moves.isSettled(start) {
+		sm.allowance.Slack = move.SlackPart(d.settings.Load().Bounds.BadSlack, d.members.Rank(), d.members.Count())
+	}
 	for _, v := range o.Withdrawn {
 		if v != o.To {
 			d.moves.withdrawVersion(o.Service, v)
@@ -424,8 +489,10 @@
 
 // publishMove logs the state of a move and publishes it to other entry VMs.
 func (d *Daemon) publishMove(p *move.Plan, bad, from string) {
+	sent, reached := d.moves.spent(routing.ServiceName(p.Deployment))
 	d.log.Info("version move changed", zap.String("service", p.Deployment), zap.String("to", string(p.To)), zap.String("state", string(p.State)),
-		zap.Int("step", p.Step), zap.Float64("share", p.Share(time.Now(), bad != "")), zap.Time("finishBy", p.FinishBy), zap.String("why", p.Reason), zap.String("bad", bad), zap.String("from", from))
+		zap.Int("step", p.Step), zap.Float64("share", p.Share(time.Now(), bad != "")), zap.Time("finishBy", p.FinishBy), zap.String("why", p.Reason), zap.String("bad", bad), zap.String("from", from),
+		zap.Int("sent", sent), zap.Int("reached", reached))
 	d.changes.SetMoves(d.moves.list)
 }
 
--- a/gateway/orders.go
+++ b/gateway/orders.go
@@ -80,6 +80,7 @@
 			}
 			era = rev.Era
 			d.applyMoveList(page, relistAt.IsZero())
+			d.moves.setListed(time.Now())
 		}
 		for _, done := range waiting {
 			done <- err
--- a/gateway/upstream.go
+++ b/gateway/upstream.go
@@ -152,6 +152,7 @@
 	d.members.MarkFresh(now, a.Self)
 	d.members.Add(now, a.Members...)
 	d.guard("update from "+string(m.ID), func() { d.applyUpdate(now, &a) })
+	d.moves.setListed(now)
 	d.changes.SetFreshAt(now.Add(-a.Age()))
 	*q = q.Next(&a)
 	return true
--- a/move/exposure.go
+++ b/move/exposure.go
@@ -104,13 +104,12 @@
 	Until   time.Time // when they are to be worked out again
 }
 
-// FirstShares returns the first shares of a limited move, by route, where a bad version may get a part of all
-// requests and slack more, of those that pass this entry VM; used is how many it has got. Each route
-// gets a part of them by how many answers tell a bad version from the old one: with the same share of
-// all, a route with little traffic would show nothing. Some are kept for the burst.
-func (p *Plan) FirstShares(now time.Time, b *Baseline, slack float64, used map[Route]int) FirstShares {
+// FirstShares returns the first shares of a limited move, by route, for the requests that pass an entry VM with an
+// allowance. Each route gets a part of it by how many answers tell a bad version from the old one: with the same
+// share of all, a route with little traffic would show nothing. Some are kept for the burst.
+func (p *Plan) FirstShares(now time.Time, b *Baseline, allowed *Allowance) FirstShares {
 	f := FirstShares{Until: now.Add(sharesInterval)}
-	a := p.firstStep(now, b, slack)
+	a := p.firstStep(now, b, allowed.Slack)
 	if !p.limited() || a.total < minBaseline || a.rate <= 0 {
 		return f
 	}
@@ -121,20 +120,20 @@
 		f.Until = earliest(f.Until, begin)
 	} else if now.Before(end) {
 		f.Until = earliest(now.Add(burstInterval), end)
-		share := a.inBurst(used)
+		share := a.inBurst(allowed.Sent())
 		for r := range a.routes {
 			f.ByRoute[r] = share
 		}
 		return f
 	}
-	left := max(minSharePeriod, p.decideAt().Sub(now)).Seconds()
+	left := max(minSharePeriod, p.firstStepEnd().Sub(now)).Seconds()
 	for r, n := range a.steady() {
 		c := a.routes[r]
 		if !now.Before(end) {
 			n += a.burst(c)
 		}
 		traffic := a.rate * left * float64(c.n) / float64(a.total)
-		f.ByRoute[r] = max(0, min(maxRouteShare, (n-float64(used[r]))/traffic))
+		f.ByRoute[r] = max(0, min(maxRouteShare, (n-float64(allowed.sent[r]))/traffic))
 	}
 	return f
 }
@@ -159,20 +158,24 @@
 		a.rate = float64(a.total) / over.Seconds()
 	}
 	part := limitedFirstPart * p.MaxExposure * a.rate
-	a.budget = part * p.decideAt().Sub(p.Start).Seconds()
+	length := p.firstStepEnd().Sub(p.Start).Seconds()
+	a.budget = part * length
 	if lacks := answersMargin*a.needed - a.budget; lacks > 0 {
-		a.budget += min(lacks, slack+part*p.endMargin().Seconds())
+		a.budget += min(lacks, slack+(1/limitedFirstPart-1)*part*length)
 	}
 	return a
 }
 
+// answerTime is how long it takes until an answer is known where the end is decided.
+const answerTime = 1200 * time.Millisecond
+
+// firstStepEnd returns when the first step of a limited move sends its last requests: the answers to later ones
+// would not be known when the end is decided.
+func (p *Plan) firstStepEnd() time.Time { return p.decideAt().Add(-answerTime) }
+
 // inBurst returns the share of the new version in the burst, unless the budget is used up.
-func (a *firstStep) inBurst(used map[Route]int) float64 {
-	n := 0
-	for _, u := range used {
-		n += u
-	}
-	if float64(n) >= a.budget {
+func (a *firstStep) inBurst(sent int) float64 {
+	if float64(sent) >= a.budget {
 		return 0
 	}
 	return burstShare
--- a/move/move_test.go
+++ b/move/move_test.go
@@ -316,7 +316,7 @@
 	var pending []Count
 	p := Plan{Deployment: "s", To: "v2", Start: begin, FinishBy: begin.Add(length), MaxExposure: exposure, State: Started}
 	var shares FirstShares
-	used := make(map[Route]int)
+	allowance := Allowance{Slack: SlackPart(slack, 0, 1)}
 	lately := make(map[engine.ServerID][]time.Time) // requests of servers of the new version
 	total := 0
 	for now, n := begin.Add(-12*time.Second), 0; now.Before(p.FinishBy); now, n = now.Add(tick), n+1 {
@@ -331,13 +331,13 @@
 			pending = nil
 		}
 		if !now.Before(begin) && !now.Before(shares.Until) {
-			shares = p.FirstShares(now, &baseline, slack, used)
+			shares = p.FirstShares(now, &baseline, &allowance)
 		}
 		for _, x := range routes {
 			if r.Float64() >= x.rate*tick.Seconds() {
 				continue
 			}
-			isNew := p.RouteVersion(engine.RequestID(fmt.Sprint(r.Uint64())), x.name, shares, now, false) == p.To
+			isNew := allowance.Left(exposure) > 0 && p.RouteVersion(engine.RequestID(fmt.Sprint(r.Uint64())), x.name, shares, now, false) == p.To
 			fails := x.old
 			if isNew {
 				fails = x.new
@@ -355,9 +355,10 @@
 			baseline.Add(now, x.name, isNew, c.Failed > 0)
 			if !now.Before(begin) {
 				total++
+				allowance.Reach()
 				if isNew {
 					exposed++
-					used[x.name]++
+					allowance.Take(x.name)
 				}
 				pending = append(pending, c)
 			}
--- a/move/plan.go
+++ b/move/plan.go
@@ -173,14 +173,14 @@
 }
 
 // RouteVersion is Version for a request on a route where the first shares differ by route, as
-// [Plan.FirstShares] returns them. They are used up when the end is decided.
+// [Plan.FirstShares] returns them. They are used up some time before the end is decided.
 func (p *Plan) RouteVersion(r engine.RequestID, route Route, first FirstShares, now time.Time, bad bool) engine.Version {
 	share := p.Share(now, bad)
 	switch of, ok := first.ByRoute[route]; {
 	case !ok || p.State != Started || share == 0:
 	case p.Step > 0:
 		share = max(share, of)
-	case now.Before(p.decideAt()):
+	case now.Before(p.firstStepEnd()):
 		share = of
 	default:
 		share = 0
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -329,6 +329,7 @@
 		j.from = a.From
 	}
 	j.msg.params, j.route, j.service, j.model = params, &a.Route, a.Service, a.Model
+	j.msg.route = a.Route.Name
 	j.organisation, j.priority, j.version, j.copy = a.Organisation, a.Priority, a.Version, a.Copy
 	j.route.MaxAttempts, j.tried, j.statesSpent = max(1, a.Attempts), a.Tried, a.Attempts > 0
 	j.claimed, j.takenAs = a.Trials, a.Handover
--- a/relay/plain.go
+++ b/relay/plain.go
@@ -17,6 +17,7 @@
 	"quetzalhold/platform"
 	"quetzalhold/quarantine"
 	"quetzalhold/result"
+	"quetzalhold/routing"
 	"quetzalhold/telemetry"
 )
 
@@ -347,7 +348,8 @@
 		AffinityKey: j.msg.params.AffinityKey(), Tokens: j.tokens, Model: j.model, Once: !j.route.Repeatable(),
 	}
 	if r.Allowed != nil {
-		n.Allowed = r.Allowed(j.service, j.route.Name, j.msg.params.ID)
+		again := (j.sends > 0 || len(j.tried) > 0) && j.route.Kind != routing.Stream
+		n.Allowed = r.Allowed(j.service, j.route.Name, j.msg.params.ID, again)
 	}
 	if avoid != "" {
 		if v, ok := r.Pool.View(avoid, now); ok {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -50,8 +50,13 @@
 	// Budget returns the retry budget of a service.
 	Budget func(routing.ServiceName) *backend.RetryBudget
 	// Allowed returns a function that reports which versions may serve a request; nil allows
-	// all.
-	Allowed func(routing.ServiceName, routing.RouteName, engine.RequestID) func(engine.Version) bool
+	// all. again is set for a call that was sent to a server before.
+	Allowed func(service routing.ServiceName, route routing.RouteName, id engine.RequestID, again bool) func(engine.Version) bool
+	// Sending reports whether a request may still be sent to a server, just before it is; nil allows all.
+	Sending func(to backend.Choice, route routing.RouteName) bool
+	// Sent is called after a request for which Sending was called: reached if the server has responded, and
+	// unsent if nothing was sent. May be nil.
+	Sent func(to backend.Choice, route routing.RouteName, reached, unsent bool)
 	// Restarted is called when a restarted server answers at the address of a known one; may
 	// be nil.
 	Restarted func(backend.Choice)
@@ -314,7 +319,7 @@
 	if !ok {
 		return result.New(result.UnknownPath, "no route").AsNotRun()
 	}
-	j.route = route
+	j.route, j.msg.route = route, route.Name
 	if err := j.identify(t); err != nil {
 		return err
 	}
--- a/relay/send.go
+++ b/relay/send.go
@@ -16,6 +16,7 @@
 	"quetzalhold/backend"
 	"quetzalhold/engine"
 	"quetzalhold/platform"
+	"quetzalhold/routing"
 )
 
 //go:generate go tool -modfile=../tools/go.mod stringer -type=Outcome,Action -linecomment -output=relay_string.go
@@ -37,8 +38,9 @@
 
 func (u dialError) Unwrap() error { return u.cause }
 
-// errNoRoom is the failure to send to a server whose limit leaves no room: nothing was sent.
-var errNoRoom = errors.New("the server's limit leaves no room")
+// errNoRoom is the failure to send to a server whose limit, or that of its version, leaves no room: nothing was
+// sent.
+var errNoRoom = errors.New("the limit of the server or its version leaves no room")
 
 // notSent reports whether an attempt failed before anything was sent to the server.
 func notSent(err error) bool {
@@ -93,6 +95,7 @@
 type message struct {
 	*http.Request
 	params platform.Request
+	route  routing.RouteName
 	body   []byte
 }
 
@@ -125,7 +128,11 @@
 func (r *Relay) roundTrip(ctx context.Context, m *message, to backend.Choice, send *platform.ServerRequest) (*http.Response, error) {
 	begun := time.Now()
 	if !to.Peer {
+		if r.Sending != nil && !r.Sending(to, m.route) {
+			return nil, errNoRoom
+		}
 		if !r.Pool.Take(to.ID, begun) {
+			r.sent(to, m.route, errNoRoom)
 			return nil, errNoRoom
 		}
 		ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
@@ -136,12 +143,20 @@
 		})
 	}
 	resp, err := r.transport.RoundTrip(m.outgoing(ctx, to, send))
+	r.sent(to, m.route, err)
 	if err != nil {
 		return nil, fmt.Errorf("send to %s: %w", to.ID, err)
 	}
 	return resp, nil
 }
 
+// sent calls Sent with the error of a request to a server.
+func (r *Relay) sent(to backend.Choice, route routing.RouteName, err error) {
+	if r.Sent != nil && !to.Peer {
+		r.Sent(to, route, err == nil, notSent(err))
+	}
+}
+
 // errForeign reports that a response does not answer the request that was sent.
 var errForeign = errors.New("no answer to this request")
 
--- a/relay/world_test.go
+++ b/relay/world_test.go
@@ -407,8 +407,8 @@
 }
 
 // allowOnly allows one version.
-func allowOnly(only engine.Version) func(routing.ServiceName, routing.RouteName, engine.RequestID) func(engine.Version) bool {
-	return func(routing.ServiceName, routing.RouteName, engine.RequestID) func(engine.Version) bool {
+func allowOnly(only engine.Version) func(routing.ServiceName, routing.RouteName, engine.RequestID, bool) func(engine.Version) bool {
+	return func(routing.ServiceName, routing.RouteName, engine.RequestID, bool) func(engine.Version) bool {
 		return func(v engine.Version) bool { return v == only }
 	}
 }
