--- a/move/simulation_test.go
+++ b/move/simulation_test.go
@@ -79,6 +79,10 @@
 	domains []*simDomain
 	pending []simAnswered
 	lately  map[engine.ServerID][]time.Time // requests of servers of the new version
+	// traffic returns by what the rates of the routes are multiplied; nil for 1.
+	traffic func(time.Time) float64
+	// each is called in each tick during the move; may be nil.
+	each func(time.Time)
 	// all are the requests that reached servers during the move, and exposed those of them that reached the new version
 	// before the end of the move was known everywhere.
 	all, exposed int
@@ -119,8 +123,15 @@
 			s.report(now)
 			s.decide(now)
 		}
+		if s.each != nil && !now.Before(begin) {
+			s.each(now)
+		}
+		factor := 1.0
+		if s.traffic != nil {
+			factor = s.traffic(now)
+		}
 		for _, x := range routes {
-			if s.random.Float64() < x.rate*simTick.Seconds() {
+			if s.random.Float64() < factor*x.rate*simTick.Seconds() {
 				s.request(now, x, s.entries[s.random.IntN(len(s.entries))], false)
 			}
 		}
@@ -283,6 +294,45 @@
 	}
 }
 
+// TestExposureWhateverComes guards against a bad version that gets more requests than permitted at some instant,
+// as traffic rises, falls or stops, and entry VMs are lost and others start.
+func TestExposureWhateverComes(t *testing.T) {
+	routes := []siteRoute{
+		{name: "book", rate: 51, old: 0.004, new: 0.004},
+		{name: "status", rate: 20.4, old: 0.14, new: 0.25, repeats: true},
+	}
+	for _, entries := range []int{1, 2, 3, 7, 20, 60} {
+		Convey(fmt.Sprintf("%d entry VMs", entries), t, func() {
+			for seed := range uint64(40) {
+				s := newSimulation(seed, 12*time.Second, entries)
+				factor, changeAt, replaceAt := 1.0, begin, begin.Add(s.within(3*time.Second))
+				s.traffic = func(now time.Time) float64 {
+					if now.After(changeAt) {
+						factor, changeAt = []float64{0, 0.5, 1, 2}[s.random.IntN(4)], now.Add(s.within(4*time.Second))
+					}
+					return factor
+				}
+				worst := 0
+				s.each = func(now time.Time) {
+					if s.plan.State == Finished {
+						return
+					}
+					worst = max(worst, s.exposed-s.allowed())
+					if now.Before(replaceAt) {
+						return
+					}
+					// It starts after the order, so that it has no slack.
+					i := s.random.IntN(entries)
+					s.entries[i] = &simEntry{domain: s.entries[i].domain, reportAt: now, allowance: Allowance{Entries: entries}}
+					replaceAt = now.Add(s.within(3 * time.Second))
+				}
+				s.run(routes...)
+				So(worst, ShouldBeLessThanOrEqualTo, 0)
+			}
+		})
+	}
+}
+
 // simResult sums up simulated moves.
 type simResult struct {
 	wrong int // moves that end otherwise than they should
