relay: a bound on the memory that long answers take up together

An operator's report: a server that sends a body without end fills the memory of the machine that called it.

Answers up to 16 KiB are not counted. Longer ones are buffered, as before up to 256 KiB, while there is room (AnswerMemory, a tenth of the permitted memory); without room the rest is passed on as it comes, and a failure of an engine that is longer counts as lost. The room is free when the request ends.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -153,6 +153,7 @@
 	d.relay.Draining = d.draining.Load
 	d.relay.StopAt = d.stopAt
 	d.relay.BodyMemory = int64(bodyMemoryShare * megabyte * float64(s.MemoryMB))
+	d.relay.AnswerMemory = int64(answerMemoryShare * megabyte * float64(s.MemoryMB))
 	d.relay.Log = d.log
 	return d, d.initTelemetry()
 }
@@ -209,7 +210,9 @@
 	memoryLimitShare = 0.7
 	// bodyMemoryShare is the part of the permitted memory for large bodies of requests.
 	bodyMemoryShare = 0.3
-	megabyte        = 1_000_000
+	// answerMemoryShare is the same for long answers to calls.
+	answerMemoryShare = 0.1
+	megabyte          = 1_000_000
 )
 
 // Serve runs the daemon until ctx ends, and then until the in-flight requests have
--- a/relay/bodies.go
+++ b/relay/bodies.go
@@ -9,7 +9,7 @@
 	"quetzalhold/result"
 )
 
-// bodyMemory counts the memory that large bodies of requests take up. The zero value holds none.
+// bodyMemory counts the memory that large bodies of requests, or of answers, take up. The zero value holds none.
 type bodyMemory struct {
 	mu   sync.Mutex
 	held int64 // in bytes
--- a/relay/notices_test.go
+++ b/relay/notices_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -203,6 +204,10 @@
 // read, and what the network holds.
 const maxFiller = 600 << 10
 
+// maxUnread bounds what a connection may receive of such a body beside what is counted: the beginning, and what the
+// network holds on both sides.
+const maxUnread = 160 << 10
+
 // TestEndless checks that a response without end costs a bounded amount of memory and no other
 // request, and never looks complete.
 func TestEndless(t *testing.T) {
@@ -250,6 +255,28 @@
 		So(w.servers["a0"].Filler(), ShouldBeLessThan, maxFiller)
 		So(c.Close(), ShouldBeNil)
 	})
+	withHarness(t, "many callers that do not read hold up a bounded part of long bodies", func(w *harness) {
+		const callers = 60
+		w.relay.AnswerMemory = 2 << 20
+		w.add("a0", "app", 0, work).SetFault(platformtest.Fault{EndlessBody: true})
+		var conns []net.Conn
+		for i := range callers {
+			c, err := w.net.Dialer(callerHost)(context.Background(), "tcp", entryListen)
+			So(err, ShouldBeNil)
+			_, err = fmt.Fprintf(c, "GET /status/1 HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: r%d\r\nX-Api-Key: key-1\r\n\r\n", i)
+			So(err, ShouldBeNil)
+			conns = append(conns, c)
+		}
+		time.Sleep(900 * time.Millisecond)
+		So(w.servers["a0"].Filler(), ShouldBeLessThan, int(w.relay.AnswerMemory)+callers*maxUnread)
+		for _, c := range conns {
+			So(c.Close(), ShouldBeNil)
+		}
+		// Their room is free again.
+		time.Sleep(3 * time.Second)
+		w.servers["a0"].SetFault(platformtest.Fault{})
+		So(w.request(context.Background(), http.MethodGet, "/status/1", "", "X-Request-Id", "last").status, ShouldEqual, http.StatusOK)
+	})
 	withHarness(t, "trailers and chunk extensions", func(w *harness) {
 		for i, tail := range []string{"0\r\nX-Filler: ", "5;extension="} {
 			head := "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nX-Server-Stamp: s\r\n\r\n5\r\nhello\r\n" + tail
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -102,6 +102,8 @@
 	Tracer trace.Tracer
 	// BodyMemory is the memory for large bodies of requests that are held at once, in bytes; 0 for no limit.
 	BodyMemory int64
+	// AnswerMemory is the memory for the beginnings of long answers that are held at once, in bytes; 0 for no limit.
+	AnswerMemory int64
 	// Detector detects failed streams.
 	Detector Detector
 	Log      *zap.Logger
@@ -111,6 +113,7 @@
 	reach            reaches
 	unevenRoutes     unevenRoutes
 	bodies           bodyMemory
+	answers          bodyMemory
 	takings          takings
 	checkReach       chan struct{} // wakes WatchReach up
 	trying           chan struct{} // full while servers are tried for cutOffSince
--- a/relay/send.go
+++ b/relay/send.go
@@ -284,9 +284,12 @@
 	}
 }
 
-// maxBuffered bounds how much of an answer is buffered before it is sent to the caller, in
-// bytes.
-const maxBuffered = 256 << 10
+// Bounds on how much of an answer is buffered before it is sent to the caller, in bytes.
+const (
+	maxBuffered = 256 << 10
+	// smallAnswer is the size up to which answers are not counted.
+	smallAnswer = 16 << 10
+)
 
 // reply is the result of a plain request at one server.
 type reply struct {
@@ -297,7 +300,7 @@
 	status  int
 	header  http.Header
 	body    []byte
-	rest    io.Reader // the part of the body after the first maxBuffered bytes; nil if it is complete
+	rest    io.Reader // the part of the body that is not buffered; nil if it is complete
 	spent   string    // what another entry VM states of the attempts lent to it
 }
 
@@ -320,11 +323,12 @@
 		return rep
 	}
 	rep.status, rep.header = resp.StatusCode, resp.Header
-	rep.body, err = io.ReadAll(io.LimitReader(resp.Body, maxBuffered))
+	var complete bool
+	rep.body, complete, err = r.readAnswer(ctx, resp.Body)
 	switch {
 	case err != nil:
 		rep.outcome, rep.err = Lost, fmt.Errorf("read answer of %s: %w", to.ID, err)
-	case len(rep.body) == maxBuffered:
+	case !complete:
 		rep.rest = resp.Body
 	}
 	rep.took = time.Since(begun)
@@ -333,3 +337,27 @@
 	}
 	return rep
 }
+
+// readAnswer reads the beginning of an answer, and reports whether that is all: no more than maxBuffered bytes, and of
+// a long one only while there is room. Its memory is given back when ctx ends.
+func (r *Relay) readAnswer(ctx context.Context, body io.Reader) (b []byte, complete bool, err error) {
+	var buf bytes.Buffer
+	held := int64(0)
+	defer func() {
+		if held > 0 {
+			context.AfterFunc(ctx, func() { r.answers.give(held) })
+		}
+	}()
+	for size := int64(smallAnswer); ; size *= 2 {
+		if _, err := buf.ReadFrom(io.LimitReader(body, size-int64(buf.Len()))); err != nil {
+			return nil, false, err
+		}
+		if int64(buf.Len()) < size {
+			return buf.Bytes(), true, nil
+		}
+		if size >= maxBuffered || !r.answers.take(held, 2*size, r.AnswerMemory) {
+			return buf.Bytes(), false, nil
+		}
+		held = 2 * size
+	}
+}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -441,7 +441,10 @@
 		return
 	}
 	if resp.StatusCode != http.StatusOK {
-		body, err := readBounded(resp.Body, maxBuffered)
+		body, complete, err := r.readAnswer(ctx, resp.Body)
+		if err == nil && !complete {
+			err = errTooLong
+		}
 		if err != nil {
 			emit(part{ended: true, outcome: Lost, err: fmt.Errorf("read failure of %s: %w", cur.to.ID, err)})
 			return
