--- a/gateway/exposure_test.go
+++ b/gateway/exposure_test.go
@@ -85,22 +85,45 @@
 func TestRetriesExceedExposure(t *testing.T) {
 	for seed := range uint64(4) {
 		inWorld(t, fmt.Sprintf("A version that fails three in ten of one route's calls keeps to its bound, seed %d", seed), func(w *world) {
+			newExposureTest(w, seed, 7).move(t, 0.3, func(time.Time) {})
+		})
+	}
+}
+
+// TestRestartsExceedExposure guards against entry VMs that start during a move and use the slack once more.
+func TestRestartsExceedExposure(t *testing.T) {
+	for seed := range uint64(2) {
+		inWorld(t, fmt.Sprintf("A bad version keeps to its bound as entry VMs restart, seed %d", seed), func(w *world) {
 			x := newExposureTest(w, seed, 7)
-			var wg sync.WaitGroup
-			wg.Go(func() { x.play(&wg, beforeOrder+shortMove, "/book/1", bookRate) })
-			wg.Go(func() { x.play(&wg, beforeOrder+shortMove, statusPath, statusRate) })
-			time.Sleep(beforeOrder)
-			at := x.order(0.3)
-			end := x.awaitEnd(at.Add(shortMove))
-			wg.Wait()
-			all, bad := x.arrivals(at, end)
-			state, _ := x.state()
-			t.Logf("seed %d: %d of %d requests, %s", seed, bad, all, state)
-			So(bad, ShouldBeLessThanOrEqualTo, int(badShare*float64(all))+badSlack)
+			x.move(t, 0.25, func(order time.Time) {
+				for n := 0; time.Since(order) < shortMove-3*time.Second; n++ {
+					time.Sleep(400 * time.Millisecond)
+					v := x.vms[n%len(x.vms)]
+					v.stop()
+					<-v.done
+					x.run(v)
+				}
+			})
 		})
 	}
 }
 
+// move plays a move to a version that fails a part of its status calls, and checks how many requests it gets.
+func (x *exposureTest) move(t *testing.T, failing float64, during func(order time.Time)) {
+	var wg sync.WaitGroup
+	wg.Go(func() { x.play(&wg, beforeOrder+shortMove, "/book/1", bookRate) })
+	wg.Go(func() { x.play(&wg, beforeOrder+shortMove, statusPath, statusRate) })
+	time.Sleep(beforeOrder)
+	at := x.order(failing)
+	wg.Go(func() { during(at) })
+	end := x.awaitEnd(at.Add(shortMove))
+	wg.Wait()
+	all, bad := x.arrivals(at, end)
+	state, _ := x.state()
+	t.Logf("%d of %d requests, %s", bad, all, state)
+	So(bad, ShouldBeLessThanOrEqualTo, int(badShare*float64(all))+badSlack)
+}
+
 // awaitEnd returns when the move ended; it is not later than by.
 func (x *exposureTest) awaitEnd(by time.Time) time.Time {
 	for time.Now().Before(by) {
