gateway: requests that were sent before an order do not count for its move

The instant at which a request began is compared with the one at which this entry VM has heard of the order. TestRequestsBeforeOrder panicked before ("assignment to entry in nil map").

--- a/gateway/moves.go
+++ b/gateway/moves.go
@@ -108,6 +108,7 @@
 	firstShares move.FirstShares
 	// allowance bounds what this entry VM sends to the new version.
 	allowance move.Allowance
+	heardAt   time.Time // when this entry VM has heard of the order
 	// unreported is what this entry VM counted and has not reported yet; ownDomain is
 	// what its failure domain counted, and otherDomains what each other failure domain
 	// had reported when its counts were last added to the evidence.
@@ -374,13 +375,14 @@
 	return true
 }
 
-// recordSent counts a request to a server that has reached it, or that was not sent after all.
-func (d *Daemon) recordSent(to backend.Choice, route routing.RouteName, reached, unsent bool) {
+// recordSent counts a request to a server that has reached it, or that was not sent after all. Those that were sent
+// before this entry VM has heard of the order are not counted.
+func (d *Daemon) recordSent(to backend.Choice, route routing.RouteName, at time.Time, reached, unsent bool) {
 	d.moves.mu.Lock()
 	defer d.moves.mu.Unlock()
 	sm := d.moves.all[to.Service]
 	switch {
-	case sm == nil || sm.plan.State != move.Started:
+	case sm == nil || sm.plan.State != move.Started || at.Before(sm.heardAt):
 	case reached:
 		sm.allowance.Reach()
 	case unsent && to.Version == sm.plan.To:
@@ -479,7 +481,7 @@
 	}
 	sm, changed := d.moves.ensure(o.Service, o.To, start, o.Duration, exposure)
 	if changed {
-		sm.allowance.Entries = d.members.Count()
+		sm.heardAt, sm.allowance.Entries = time.Now(), d.members.Count()
 		if d.moves.isSettled(start) {
 			sm.allowance.SetSlack(d.settings.Load().Bounds.BadSlack, d.members.Rank())
 		}
--- a/move/allowance.go
+++ b/move/allowance.go
@@ -55,7 +55,11 @@
 }
 
 // Return takes back a request that could not be sent.
-func (a *Allowance) Return(r Route) { a.sent[r]-- }
+func (a *Allowance) Return(r Route) {
+	if a.sent[r] > 0 {
+		a.sent[r]--
+	}
+}
 
 // Reach counts a request that has reached a server of either version.
 func (a *Allowance) Reach() { a.reached++ }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -54,9 +54,9 @@
 	Allowed func(service routing.ServiceName, route routing.RouteName, id engine.RequestID, again bool) func(engine.Version) bool
 	// Sending reports whether a request may still be sent to a server, just before it is; nil allows all.
 	Sending func(to backend.Choice, route routing.RouteName) bool
-	// Sent is called after a request for which Sending was called: reached if the server has responded, and
-	// unsent if nothing was sent. May be nil.
-	Sent func(to backend.Choice, route routing.RouteName, reached, unsent bool)
+	// Sent is called after a request for which Sending was called at some instant: reached if the server has
+	// responded, and unsent if nothing was sent. May be nil.
+	Sent func(to backend.Choice, route routing.RouteName, at time.Time, reached, unsent bool)
 	// Restarted is called when a restarted server answers at the address of a known one; may
 	// be nil.
 	Restarted func(backend.Choice)
--- a/relay/send.go
+++ b/relay/send.go
@@ -132,7 +132,7 @@
 			return nil, errNoRoom
 		}
 		if !r.Pool.Take(to.ID, begun) {
-			r.sent(to, m.route, errNoRoom)
+			r.sent(to, m.route, begun, errNoRoom)
 			return nil, errNoRoom
 		}
 		ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
@@ -143,17 +143,17 @@
 		})
 	}
 	resp, err := r.transport.RoundTrip(m.outgoing(ctx, to, send))
-	r.sent(to, m.route, err)
+	r.sent(to, m.route, begun, err)
 	if err != nil {
 		return nil, fmt.Errorf("send to %s: %w", to.ID, err)
 	}
 	return resp, nil
 }
 
-// sent calls Sent with the error of a request to a server.
-func (r *Relay) sent(to backend.Choice, route routing.RouteName, err error) {
+// sent calls Sent with the error of a request to a server that began at an instant.
+func (r *Relay) sent(to backend.Choice, route routing.RouteName, at time.Time, err error) {
 	if r.Sent != nil && !to.Peer {
-		r.Sent(to, route, err == nil, notSent(err))
+		r.Sent(to, route, at, err == nil, notSent(err))
 	}
 }
 
