move: failures on one of many routes are weighed against the chance of as many on any

With ten routes of 7.1 requests a second, 14 in 100 failing, took back 31 of 300 good versions in 12 s and 19 in 30 s (7 entry VMs; trial of a test that is now part of TestBadRouteFinished): priors alone do not hold the sum of ten tests. The rule before it: 2 and 4.

A doubt now also wants that as many failures are improbable, 2% divided by the number of routes. 0 and 3 of 300 then, and bad versions (40 in 100 of one of the ten) that are finished 239 and 132, 240 and 125 with the rule before.

--- a/move/evidence.go
+++ b/move/evidence.go
@@ -371,6 +371,8 @@
 	endOdds, earlyOdds = 0.02, 20
 	// openOdds is the factor by which the odds must differ from endOdds for a decision before the last one.
 	openOdds = 10
+	// chanceLimit is the probability below which so many failures, on one of all routes, are not attributed to chance.
+	chanceLimit = 0.02
 	// minDoubtFailed is the number of failures, and minDoubtExcess the excess of their part over the old
 	// version's, below which there is no doubt.
 	minDoubtFailed, minDoubtExcess = 3, 0.1
@@ -385,7 +387,7 @@
 func (r *routeEvidence) failsMore(routes int, limit float64) bool {
 	old := r.oldAnswers()
 	return r.newFailed >= minDoubtFailed && float64(r.newFailed) >= (old.failRate()+minDoubtExcess)*float64(r.newRequests) &&
-		r.badOdds(routes) >= math.Log(limit)
+		r.badOdds(routes) >= math.Log(limit) && failuresByChance(tally{r.newRequests, r.newFailed}, old) < chanceLimit/float64(routes)
 }
 
 // slowByChance returns the probability of as many slow requests as the new version had
--- a/move/odds.go
+++ b/move/odds.go
@@ -79,3 +79,16 @@
 	}
 	return a + math.Log1p(math.Exp(b-a))
 }
+
+// failuresByChance returns the probability of as many failures as in t of a version that fails as often as
+// the old one, of which only its answers are known: the tail of a beta-binomial distribution.
+func failuresByChance(t tally, old rates) float64 {
+	a, b, n := old.failed+0.5, old.n-old.failed+0.5, float64(t.n)
+	tail := 0.0
+	for k := t.hits; k <= t.n; k++ {
+		x := float64(k)
+		choose := -math.Log(n+1) - logBeta(x+1, n-x+1)
+		tail += math.Exp(choose + logBeta(x+a, n-x+b) - logBeta(a, b))
+	}
+	return min(1, tail)
+}
--- a/move/simulation_test.go
+++ b/move/simulation_test.go
@@ -277,6 +277,7 @@
 		{"fails half under load, in 30 s", 30 * time.Second, []siteRoute{underLoad(book), underLoad(status)}, true, seeds / 100},
 		{"is good", 12 * time.Second, []siteRoute{book, status}, false, seeds / 200},
 		{"is good but for a server that fails half", 12 * time.Second, []siteRoute{oneBad(book), oneBad(status)}, false, seeds / 5},
+		{"is good, on ten routes", 12 * time.Second, slices.Repeat([]siteRoute{{rate: 7.1, old: 0.14, new: 0.14, repeats: true}}, 10), false, seeds / 50},
 		{"is good, in 30 s", 30 * time.Second, []siteRoute{book, status}, false, seeds / 200},
 	} {
 		for _, f := range fleets {
@@ -284,6 +285,9 @@
 				routes := slices.Clone(x.routes)
 				for i := range routes {
 					routes[i].rate *= f.traffic
+					if routes[i].name == "" {
+						routes[i].name = Route(fmt.Sprint(i))
+					}
 				}
 				r := simulateMoves(f.seeds, f.entries, x.length, x.bad, routes...)
 				t.Logf("%d entry VMs, %s: %d of %d moves end wrong; at most %d requests of %d permitted reach it", f.entries, x.name, r.wrong, f.seeds, r.exposed, r.allowed)
