--- a/gateway/moves.go
+++ b/gateway/moves.go
@@ -358,8 +358,8 @@
 	return allowed
 }
 
-// mayStillSend reports whether a request may be sent to a server although others were since its version was chosen,
-// and counts it. Where only the new version has servers, its requests are not bounded.
+// mayStillSend reports whether a request may be sent to a server, and counts it: since its version was chosen, others
+// may have used up the allowance. Where only the new version has servers, its requests are not bounded.
 func (d *Daemon) mayStillSend(to backend.Choice, route routing.RouteName) bool {
 	d.moves.mu.Lock()
 	defer d.moves.mu.Unlock()
--- a/move/evidence.go
+++ b/move/evidence.go
@@ -383,7 +383,8 @@
 	return rates{n: r.before.n + r.old.n, failed: r.before.failed + r.old.failed}
 }
 
-// failsMore reports whether the new version fails more often than the old one, with odds of limit or more.
+// failsMore reports whether the new version fails more often than the old one, with odds of limit or more, and more
+// often than by chance on one of so many routes.
 func (r *routeEvidence) failsMore(routes int, limit float64) bool {
 	old := r.oldAnswers()
 	return r.newFailed >= minDoubtFailed && float64(r.newFailed) >= (old.failRate()+minDoubtExcess)*float64(r.newRequests) &&
--- a/move/exposure.go
+++ b/move/exposure.go
@@ -176,6 +176,7 @@
 // are not known when the end is decided. If that waits, those that are permitted meanwhile are sent until lastSendAt.
 func (p *Plan) firstStepEnd() time.Time { return p.decideAt().Add(-answerTime) }
 
+// lastSendAt returns when the first step sends its last requests.
 func (p *Plan) lastSendAt() time.Time { return p.lastDecideAt().Add(-answerTime) }
 
 // inBurst returns the share of the new version in the burst, unless the budget is used up.
--- a/move/odds.go
+++ b/move/odds.go
@@ -1,8 +1,6 @@
 package move
 
-import (
-	"math"
-)
+import "math"
 
 // A version's failures on a route have several explanations. Each is a model of how often the old version failed
 // before the move, and both did during it, and has a prior probability relative to that of a version as good as the
@@ -26,15 +24,14 @@
 func (r *routeEvidence) badOdds(routes int) float64 {
 	all := tally{r.newRequests, r.newFailed}
 	old, known := r.old, r.oldAnswers()
-	good := sequence(all, known)
-	explained := good
+	explained := sequence(all, known) // as good as the old one
 	if n := len(r.failTallies); n >= minServers {
 		for _, t := range r.failTallies {
 			others := sequence(tally{all.n - t.n, all.hits - t.hits}, known)
 			explained = logSum(explained, math.Log(serverPrior/float64(n))+others+sequence(t, rates{}))
 		}
 	}
-	// Of the old version's answers during the move, both the changed and the usual rate must tell.
+	// Both versions have changed: the old one's answers from before tell nothing of those during the move.
 	during := tally{int(math.Round(old.n)), int(math.Round(old.failed))}
 	changed := sequence(during, rates{}) + sequence(all, old) - sequence(during, r.before)
 	explained = logSum(explained, math.Log(changePrior)+changed)
