move, gateway: one rule for the instants before a move ends, one for bad versions

Read once more: NextReport and NextDecision each had a loop over the same instants (next now), withdraw wrote isBad out again, the budget of the first step added a fifth of itself by way of 1/0.8.

--- a/gateway/orders.go
+++ b/gateway/orders.go
@@ -221,8 +221,7 @@
 // withdraw keeps requests from the version of a move that another order replaces, or whose order is gone,
 // if the version is known to be bad: its servers may be there for a while. The caller holds m.mu.
 func (m *moves) withdraw(service routing.ServiceName, sm *serviceMove, replaced bool) {
-	bad := sm.badReason != "" || sm.plan.State == move.RolledBack
-	if bad || replaced && sm.plan.State == move.Started {
+	if sm.isBad() || replaced && sm.plan.State == move.Started {
 		m.withdrawVersion(service, sm.plan.To)
 	}
 }
--- a/move/exposure.go
+++ b/move/exposure.go
@@ -160,11 +160,10 @@
 	if over := now.Sub(b.since()); over > 0 {
 		a.rate = float64(a.total) / over.Seconds()
 	}
-	part := limitedFirstPart * p.MaxExposure * a.rate
-	length := latest(now, p.firstStepEnd()).Sub(p.Start).Seconds()
-	a.budget = part * length
+	permitted := p.MaxExposure * a.rate * latest(now, p.firstStepEnd()).Sub(p.Start).Seconds()
+	a.budget = limitedFirstPart * permitted
 	if lacks := answersMargin*sum - a.budget; lacks > 0 {
-		a.budget += min(lacks, allowed.slack+(1/limitedFirstPart-1)*part*length)
+		a.budget += min(lacks, allowed.slack+permitted-a.budget)
 	}
 	return a
 }
@@ -192,8 +191,8 @@
 func (a *firstStep) steadyParts() map[Route]float64 {
 	parts, sum := make(map[Route]float64, len(a.routes)), 0.0
 	for r, c := range a.routes {
-		inBurst := burstPart * a.budget * float64(c.n) / float64(a.total)
-		parts[r] = max(minSteadyPart*a.needed[r], a.needed[r]-inBurst)
+		burst := burstPart * a.budget * float64(c.n) / float64(a.total)
+		parts[r] = max(minSteadyPart*a.needed[r], a.needed[r]-burst)
 		sum += parts[r]
 	}
 	for r := range parts {
--- a/move/plan.go
+++ b/move/plan.go
@@ -228,24 +228,25 @@
 
 // NextReport returns when an entry VM that reports its counts periodically does so after now.
 func (p *Plan) NextReport(now time.Time, interval time.Duration) time.Time {
-	next := now.Add(interval)
-	for _, end := range []time.Time{p.decideAt(), p.lastDecideAt()} {
-		if at := end.Add(-lastExchange - lastReport); p.limited() && now.Before(at) {
-			next = earliest(next, at)
-		}
-	}
-	return next
+	return p.next(now, interval, lastExchange+lastReport)
 }
 
 // NextDecision returns when the evidence of a started move is to be exchanged and evaluated after now.
 func (p *Plan) NextDecision(now time.Time) time.Time {
-	next := now.Add(DecideInterval)
-	if p.limited() {
-		for _, end := range []time.Time{p.decideAt(), p.lastDecideAt()} {
-			for _, at := range []time.Time{end.Add(-lastExchange), end} {
-				if now.Before(at) {
-					next = earliest(next, at)
-				}
+	return p.next(now, DecideInterval, lastExchange, 0)
+}
+
+// next returns when something periodic is due after now. In a limited move it is also due some times before each
+// instant at which the end may be decided.
+func (p *Plan) next(now time.Time, interval time.Duration, before ...time.Duration) time.Time {
+	next := now.Add(interval)
+	if !p.limited() {
+		return next
+	}
+	for _, end := range []time.Time{p.decideAt(), p.lastDecideAt()} {
+		for _, d := range before {
+			if at := end.Add(-d); now.Before(at) {
+				next = earliest(next, at)
 			}
 		}
 	}
