--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"os"
+	"slices"
 	"time"
 
 	"quetzalhold/names"
@@ -43,6 +44,11 @@
 	// LinkMbps is the bandwidth of the VM's network link, in 10^6 bits per second;
 	// 0 if unknown.
 	LinkMbps float64 `json:"linkMbps"`
+	// MaxFDs is the limit on open file descriptors of this process; 0 if unknown.
+	MaxFDs int `json:"maxFds,omitempty"`
+	// Agreements are the names of the agreements with clients and servers that hold on the
+	// deployment, as package platform names them. Unknown ones have no effect.
+	Agreements []string `json:"agreements,omitempty"`
 	// LogLevel is debug, info, warn or error; info if empty.
 	LogLevel string `json:"logLevel"`
 	// OTLP is the IP number and port to which traces are exported over HTTP;
@@ -128,6 +134,9 @@
 	if g.TraceShare < 0 || g.TraceShare > 1 {
 		c.add(result.OutOfRange, "traceShare", "%v; want 0 to 1", g.TraceShare)
 	}
+	if g.MaxFDs < 0 {
+		c.add(result.OutOfRange, "maxFds", "%d is below 0", g.MaxFDs)
+	}
 	if _, ok := g.Regions[g.Domain]; !ok {
 		c.add(result.UnknownDomain, "domain", "%q has no region", g.Domain)
 	}
@@ -148,6 +157,9 @@
 	return c.faults
 }
 
+// Agreed reports whether an agreement holds on the deployment.
+func (g *Gateway) Agreed(name string) bool { return slices.Contains(g.Agreements, name) }
+
 // Region returns the region of a failure domain. A domain that is not listed in
 // Regions counts as a region of its own.
 func (g *Gateway) Region(d names.ID) names.ID {
