relay, upstream: connections to servers kept where the agreement pressure holds

Load reports, probes of silent streams and calls that may be repeated use kept connections now; placements at the same time share load reports.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -31,6 +31,7 @@
 	"quetzalhold/routing"
 	"quetzalhold/settings"
 	"quetzalhold/telemetry"
+	"quetzalhold/upstream"
 )
 
 // Daemon is the process of an entry VM. Use [New].
@@ -155,6 +156,9 @@
 	d.relay.BodyMemory = int64(bodyMemoryShare * megabyte * float64(s.MemoryMB))
 	d.relay.AnswerMemory = int64(answerMemoryShare * megabyte * float64(s.MemoryMB))
 	d.relay.Log = d.log
+	if s.Agreed(platform.Pressure) {
+		d.relay.KeepConnections(s.MaxFDs)
+	}
 	return d, d.initTelemetry()
 }
 
@@ -188,6 +192,7 @@
 		return err
 	}
 	d.relay.StreamSent = m.StreamSent
+	d.relay.Connection = func(p upstream.Purpose, reused bool) { m.Connection(p.String(), reused) }
 	d.relay.Ended = func(n routing.ServiceName, c result.Code, took time.Duration, attempts int) {
 		m.RequestEnded(string(n), c, took, attempts)
 	}
--- a/relay/checkpoint.go
+++ b/relay/checkpoint.go
@@ -151,7 +151,7 @@
 	if err != nil {
 		return platform.KVMoveResult{}, fmt.Errorf("encode move: %w", err)
 	}
-	_, body, err := r.control(ctx, r.transport, at, http.MethodPost, platform.KVMovePath, b)
+	_, body, err := r.control(ctx, r.onNew(), at, http.MethodPost, platform.KVMovePath, b)
 	if err != nil {
 		return platform.KVMoveResult{}, err
 	}
@@ -163,7 +163,7 @@
 
 // control makes a control call to a server, which is any call that doesn't carry a caller's
 // request.
-func (r *Relay) control(ctx context.Context, via *http.Transport, at backend.Choice, method, path string, body []byte) (http.Header, []byte, error) {
+func (r *Relay) control(ctx context.Context, v via, at backend.Choice, method, path string, body []byte) (http.Header, []byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+at.Address+path, bytes.NewReader(body))
@@ -175,12 +175,13 @@
 	}
 	req = req.WithContext(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(c httptrace.GotConnInfo) {
+			r.countConnection(v.purpose, c.Reused)
 			if !c.Reused {
 				r.connected(at.Service)
 			}
 		},
 	}))
-	resp, err := via.RoundTrip(req)
+	resp, err := v.send(req)
 	var u dialError
 	if errors.As(err, &u) && !errors.Is(ctx.Err(), context.Canceled) {
 		r.connectionFailed(&at)
--- a/relay/place.go
+++ b/relay/place.go
@@ -13,6 +13,7 @@
 	"quetzalhold/engine"
 	"quetzalhold/platform"
 	"quetzalhold/telemetry"
+	"quetzalhold/upstream"
 )
 
 // The limits of querying engines for load reports before a generation is placed.
@@ -31,6 +32,7 @@
 // place picks the engine that runs a generation and the one that gets its replica, based on
 // their load reports. It prefers engines in this region unless they are loaded or unreachable.
 func (r *Relay) place(ctx context.Context, j *job, now time.Time, exclude []engine.ServerID, avoid engine.ServerID) (backend.Placement, bool) {
+	ctx = j.withReportAge(ctx)
 	n := r.need(j, now, exclude, avoid)
 	near := r.Pool.Candidates(n.Nearby(), maxQueried)
 	list := r.queryNear(ctx, n, near, now)
@@ -119,7 +121,7 @@
 		if c.Limited {
 			return backend.Report{}, errNoRoom
 		}
-		return r.Report(ctx, c)
+		return r.placementReport(ctx, c)
 	})
 	list := make([]backend.Engine, 0, len(choices))
 	for range choices {
@@ -192,7 +194,7 @@
 	if c.Limited {
 		return 0, errNoRoom
 	}
-	_, body, err := r.control(ctx, r.controlTransport, c, http.MethodGet, platform.CachePath, nil)
+	_, body, err := r.control(ctx, r.onKept(&c, upstream.Report, upstream.Options{}), c, http.MethodGet, platform.CachePath, nil)
 	if err != nil {
 		return 0, err
 	}
@@ -202,7 +204,7 @@
 
 // Identify queries the address of a server for the id of the server that answers there.
 func (r *Relay) Identify(ctx context.Context, c backend.Choice, healthPath string) (engine.ServerID, error) {
-	h, _, err := r.control(ctx, r.controlTransport, c, http.MethodGet, healthPath, nil)
+	h, _, err := r.control(ctx, r.onKept(&c, upstream.Control, upstream.Options{Recent: true}), c, http.MethodGet, healthPath, nil)
 	if err != nil {
 		return "", err
 	}
@@ -211,7 +213,7 @@
 
 // Report queries an engine for its load.
 func (r *Relay) Report(ctx context.Context, c backend.Choice) (backend.Report, error) {
-	_, body, err := r.control(ctx, r.controlTransport, c, http.MethodGet, platform.ReportPath, nil)
+	_, body, err := r.control(ctx, r.onKept(&c, upstream.Report, upstream.Options{}), c, http.MethodGet, platform.ReportPath, nil)
 	if err != nil {
 		return backend.Report{}, err
 	}
--- a/relay/plain.go
+++ b/relay/plain.go
@@ -160,6 +160,7 @@
 		p.tried = append(p.tried, to.ID)
 	}
 	p.retrier.Sent(attempts)
+	ctx = p.mayKeep(ctx, &to)
 	p.sentTo = append(p.sentTo, sentTo{server: to, at: now, attempts: attempts, handover: handover})
 	go func() {
 		rep := reply{server: to}
@@ -216,6 +217,8 @@
 	case rep.outcome == NotRun:
 		p.keepTrials(rep.server)
 		return sent.attempts
+	case failedOnKept(rep.err):
+		p.tried = slices.DeleteFunc(p.tried, func(id engine.ServerID) bool { return id == rep.server.ID })
 	case rep.outcome == Lost && !p.isOver():
 		p.markUnanswered(sent, "request not answered", time.Now())
 	}
@@ -262,7 +265,7 @@
 			p.best = &rep
 		}
 	default:
-		if rep.outcome == Lost {
+		if rep.outcome == Lost && !failedOnKept(rep.err) {
 			p.observeCrash(rep.server, false, rep.err)
 		}
 		p.refundRetry(rep.err)
--- a/relay/reach.go
+++ b/relay/reach.go
@@ -10,6 +10,7 @@
 	"quetzalhold/backend"
 	"quetzalhold/engine"
 	"quetzalhold/routing"
+	"quetzalhold/upstream"
 )
 
 // Reach decides whether this entry VM is cut off from all servers of a service, or of all services. It does
@@ -273,6 +274,7 @@
 	defer cancel()
 	c, err := r.dial(ctx, "tcp", to.Address)
 	if err == nil {
+		r.countConnection(upstream.Probe, false)
 		_ = c.Close() // nothing was sent on it
 	}
 	return err
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -29,6 +29,7 @@
 	"quetzalhold/quarantine"
 	"quetzalhold/result"
 	"quetzalhold/routing"
+	"quetzalhold/upstream"
 )
 
 // Relay is the HTTP handler that forwards callers' requests. Create it with [New]; the
@@ -95,6 +96,8 @@
 	Ended func(service routing.ServiceName, c result.Code, took time.Duration, attempts int)
 	// StreamSent is called for each stream sent to an engine, with the reason; may be nil.
 	StreamSent func(why string)
+	// Connection is called for each connection to a server that was opened, or used again; may be nil.
+	Connection func(p upstream.Purpose, reused bool)
 	// Answered is called for each answer of a server, including failures; may be nil.
 	Answered func(ServerAnswer)
 	// Tracer starts a span for each request, with the decisions about it as events; nil for
@@ -121,6 +124,8 @@
 	dial             engine.Dialer
 	transport        *http.Transport // for requests
 	controlTransport *http.Transport // for control calls, such as load reports
+	kept             *upstream.Pool  // nil if connections are not kept
+	recent           recentReports
 	logMalformed     sync.Once
 }
 
@@ -158,7 +163,12 @@
 }
 
 // CloseIdle closes idle connections.
-func (r *Relay) CloseIdle() { r.controlTransport.CloseIdleConnections() }
+func (r *Relay) CloseIdle() {
+	r.controlTransport.CloseIdleConnections()
+	if r.kept != nil {
+		r.kept.CloseIdle()
+	}
+}
 
 // job is a caller's request being served.
 type job struct {
@@ -172,6 +182,7 @@
 	priority     routing.Priority
 	version      routing.Version // of the configuration in use when it was admitted
 	tokens       engine.Tokens   // KV cache that it takes at an engine
+	reportAge    time.Duration   // of a load report that may serve its placement; 0 for the default
 	fingerprint  quarantine.Fingerprint
 	parts        []quarantine.Suspect // parts of its prompt that other requests may have too
 	sound        bool                 // a server was past the beginning of the answer
--- a/relay/send.go
+++ b/relay/send.go
@@ -17,6 +17,7 @@
 	"quetzalhold/engine"
 	"quetzalhold/platform"
 	"quetzalhold/routing"
+	"quetzalhold/upstream"
 )
 
 //go:generate go tool -modfile=../tools/go.mod stringer -type=Outcome,Action -linecomment -output=relay_string.go
@@ -66,6 +67,24 @@
 
 type dialTimeoutKey struct{}
 
+// limitDial returns a dialer that gives up after the time that the request's context states for opening a connection.
+func limitDial(dial engine.Dialer) engine.Dialer {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		limit, ok := ctx.Value(dialTimeoutKey{}).(time.Duration)
+		if !ok {
+			limit = defaultDialTimeout
+		}
+		// The transport continues to dial after the request has ended.
+		ctx, cancel := context.WithTimeout(ctx, limit)
+		defer cancel()
+		c, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, dialError{err}
+		}
+		return c, nil
+	}
+}
+
 // newTransport returns a transport that opens a connection for every request. A kept one may
 // have gone silent or may carry the late answer to another request, and http.Transport retries
 // requests by itself only on kept ones.
@@ -74,20 +93,7 @@
 		DisableKeepAlives:      true,
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: engine.MaxHeaderBytes,
-		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			limit, ok := ctx.Value(dialTimeoutKey{}).(time.Duration)
-			if !ok {
-				limit = defaultDialTimeout
-			}
-			// The transport continues to dial after the request has ended.
-			ctx, cancel := context.WithTimeout(ctx, limit)
-			defer cancel()
-			c, err := dial(ctx, network, address)
-			if err != nil {
-				return nil, dialError{err}
-			}
-			return c, nil
-		},
+		DialContext:            limitDial(dial),
 	}
 }
 
@@ -136,13 +142,16 @@
 			return nil, errNoRoom
 		}
 		ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-			GotConn: func(httptrace.GotConnInfo) {
-				r.Pool.RecordDial(to.ID, time.Since(begun))
-				r.connected(to.Service)
+			GotConn: func(c httptrace.GotConnInfo) {
+				r.countConnection(purposeOf(ctx), c.Reused)
+				if !c.Reused {
+					r.Pool.RecordDial(to.ID, time.Since(begun))
+					r.connected(to.Service)
+				}
 			},
 		})
 	}
-	resp, err := r.transport.RoundTrip(m.outgoing(ctx, to, send))
+	resp, err := r.sendRequest(ctx, m, to, send)
 	r.sent(to, m.route, begun, err)
 	if err != nil {
 		return nil, fmt.Errorf("send to %s: %w", to.ID, err)
@@ -195,6 +204,7 @@
 	}
 	r.recordNoLimit(to, resp, sentAt)
 	if refused {
+		r.recent.forget(to.ID)
 		r.recordRefusal(to, resp, now, sentAt)
 		return NotRun, fmt.Errorf("refused with status %d", resp.StatusCode)
 	}
@@ -279,6 +289,7 @@
 
 // reportRestart reports to Restarted that another start, or another server, answers at a server's address.
 func (r *Relay) reportRestart(to backend.Choice) {
+	r.dropKept(to.Address)
 	if r.Restarted != nil {
 		r.Restarted(to)
 	}
@@ -312,7 +323,7 @@
 	defer r.Pool.End(to.ID, work)
 	rep.server = to
 	begun := time.Now()
-	resp, err := r.roundTrip(ctx, m, to, send)
+	resp, err := r.roundTrip(withPurpose(ctx, upstream.Call), m, to, send)
 	defer func() {
 		if resp != nil && rep.rest == nil {
 			_ = resp.Body.Close() // its end was read, or it is not needed
--- a/relay/stop.go
+++ b/relay/stop.go
@@ -91,7 +91,7 @@
 	m, err := r.moveCache(ctx, from.to, platform.KVMove{Run: s.msg.params.ID, Target: target, StopRun: true})
 	if err == nil {
 		from.ending.stopped.Store(true)
-		_, _, err = r.control(ctx, r.transport, from.to, http.MethodDelete, platform.KVHandlePath(m.Handle), nil)
+		_, _, err = r.control(ctx, r.onNew(), from.to, http.MethodDelete, platform.KVHandlePath(m.Handle), nil)
 		return false, err
 	}
 	stopped, again := afterStop(err, began)
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -20,6 +20,7 @@
 	"quetzalhold/quarantine"
 	"quetzalhold/result"
 	"quetzalhold/telemetry"
+	"quetzalhold/upstream"
 )
 
 // run is one attempt at a stream: one connection to one engine.
@@ -744,6 +745,7 @@
 func (s *streamRun) pause() bool {
 	delay := streamRetryDelay
 	s.rounds++
+	s.reportAge = waitingReportAge
 	if s.rounds > maxStreamRounds || s.sends >= maxSends {
 		switch {
 		case !s.headSent:
@@ -885,6 +887,9 @@
 	results := make(chan probeResult, 2)
 	s.cur.probeResults = results
 	ctx, id := s.ctx, s.msg.params.ID
+	if s.relay.kept != nil && !to.Peer && !s.refusesNow(&to, now) {
+		ctx = withKeptProbe(ctx)
+	}
 	go s.relay.probe(ctx, to, id, by, usual+probeRetryDelay, report, results)
 }
 
@@ -914,6 +919,7 @@
 	connect := func() {
 		c, err := r.dial(dialCtx, "tcp", to.Address)
 		if err == nil {
+			r.countConnection(upstream.Probe, false)
 			_ = c.Close() // nothing was sent on it
 		}
 		connections <- probeResult{err: err}
@@ -928,7 +934,13 @@
 			reports <- probeResult{err: err, idle: err == nil && rep.Waiting+rep.Prefilling+rep.Generating == 0, events: rep.Events[id]}
 		}()
 	} else {
-		go connect()
+		go func() {
+			if r.probeKept(ctx, to, deadline) {
+				connections <- probeResult{}
+				return
+			}
+			connect()
+		}()
 	}
 	second := time.NewTimer(retryAfter)
 	defer second.Stop()
--- a/telemetry/gateway.go
+++ b/telemetry/gateway.go
@@ -24,6 +24,8 @@
 	streams    metric.Int64Counter
 	storeCalls metric.Int64Counter
 	idleClosed metric.Int64Counter
+	opened     metric.Int64Counter
+	reused     metric.Int64Counter
 	storeTime  metric.Float64Histogram
 	handler    http.Handler
 }
@@ -80,6 +82,8 @@
 		{&t.streams, "quetzalhold.gateway.takeovers", "{takeover}", "Streams sent to an engine, by reason."},
 		{&t.storeCalls, "quetzalhold.gateway.store.calls", "{call}", "Calls to the platform's store by result code, a watch as one."},
 		{&t.idleClosed, "quetzalhold.gateway.idle.closed", "{connection}", "Callers' connections closed because they were idle for too long."},
+		{&t.opened, "quetzalhold.gateway.connections.opened", "{connection}", "Connections opened to servers, by purpose."},
+		{&t.reused, "quetzalhold.gateway.connections.reused", "{request}", "Requests to servers on connections that were kept, by purpose."},
 	} {
 		if *c.into, err = m.Int64Counter(c.name, metric.WithUnit(c.unit), metric.WithDescription(c.text)); err != nil {
 			return nil, fmt.Errorf("instrument %s: %w", c.name, err)
@@ -149,6 +153,16 @@
 	t.streams.Add(context.Background(), 1, metric.WithAttributes(attribute.String("why", why)))
 }
 
+// Connection counts a connection to a server by purpose: one that was opened, or the use of one that was kept.
+func (t *Gateway) Connection(purpose string, reused bool) {
+	by := metric.WithAttributes(attribute.String("purpose", purpose))
+	if reused {
+		t.reused.Add(context.Background(), 1, by)
+		return
+	}
+	t.opened.Add(context.Background(), 1, by)
+}
+
 // StoreCall records a call to the store.
 func (t *Gateway) StoreCall(c result.Code, took time.Duration) {
 	t.storeCalls.Add(context.Background(), 1, code(c))
