--- a/gateway/world_test.go
+++ b/gateway/world_test.go
@@ -52,6 +52,8 @@
 	version int
 	// badSlack is the slack of the bound on a bad version, in requests.
 	badSlack float64
+	// agreements are those in the settings of entry VMs that are started after they are set.
+	agreements []string
 	// traced receives the spans of entry VMs that are started after it is set; nil for
 	// none.
 	traced *tracetest.InMemoryExporter
@@ -168,7 +170,7 @@
 	s := &settings.Gateway{
 		ID: v.id, Domain: v.domain, Regions: map[names.ID]names.ID{"cn-a": "c", "wv-a": "w"},
 		Listen: v.host + ":80", Readiness: v.host + ":81", Peers: v.host + ":82", Metrics: v.host + ":83",
-		Store: string(storeHost) + ":80", HeartbeatMs: 1200, Seeds: v.seeds,
+		Store: string(storeHost) + ":80", HeartbeatMs: 1200, Seeds: v.seeds, Agreements: w.agreements,
 		Bounds: settings.Bounds{DrainMs: 3000, GraceS: 8, ConfigMs: 3000, RepeatRatio: 0.8, RepeatSlack: 150, RepeatWindowS: 10, BadSlack: w.badSlack},
 	}
 	ctx, cancel := context.WithCancel(context.Background())
--- a/relay/connections.go
+++ b/relay/connections.go
@@ -4,9 +4,11 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"time"
 
 	"quetzalhold/backend"
+	"quetzalhold/engine"
 	"quetzalhold/platform"
 	"quetzalhold/telemetry"
 	"quetzalhold/upstream"
@@ -103,6 +105,14 @@
 	return context.WithValue(ctx, freshKey{}, !reuse)
 }
 
+// leaveServer lets a call go elsewhere whose kept connection to a server has failed, as the server may have ended. If
+// there is no other server, it goes there again.
+func (p *plainRequest) leaveServer(id engine.ServerID) {
+	if _, ok := p.relay.choose(p.job, time.Now(), p.tried); !ok {
+		p.tried = slices.DeleteFunc(p.tried, func(x engine.ServerID) bool { return x == id })
+	}
+}
+
 // sendRequest sends a caller's request on a new connection, or on a kept one if its context permits that.
 func (r *Relay) sendRequest(ctx context.Context, m *message, to backend.Choice, send *platform.ServerRequest) (*http.Response, error) {
 	fresh, ok := ctx.Value(freshKey{}).(bool)
--- a/relay/plain.go
+++ b/relay/plain.go
@@ -218,7 +218,7 @@
 		p.keepTrials(rep.server)
 		return sent.attempts
 	case failedOnKept(rep.err):
-		p.tried = slices.DeleteFunc(p.tried, func(id engine.ServerID) bool { return id == rep.server.ID })
+		p.leaveServer(rep.server.ID)
 	case rep.outcome == Lost && !p.isOver():
 		p.markUnanswered(sent, "request not answered", time.Now())
 	}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -706,6 +706,7 @@
 func (s *streamRun) failOver(why string) bool {
 	from := s.cur
 	from.ending.failed = true
+	s.reportAge = 0
 	s.countEmpty(from)
 	switch {
 	case !s.route.Resumable:
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -250,7 +250,20 @@
 	c.element, c.answeredAt = e, now
 	c.setIdle(true)
 	p.idle[c.server.Address] = append(p.idle[c.server.Address], c)
-	c.expiry = time.AfterFunc(keep, func() { p.drop(func(x *conn) bool { return x == c && x.element == e }) })
+	c.expiry = time.AfterFunc(keep, func() { p.expire(c, e) })
+}
+
+// expire closes a connection if it is still idle since it was linked as e.
+func (p *Pool) expire(c *conn, e *list.Element) {
+	p.mu.Lock()
+	same := c.element == e
+	if same {
+		p.unlink(c)
+	}
+	p.mu.Unlock()
+	if same {
+		c.close()
+	}
 }
 
 // unlink removes a connection from the idle ones. The caller holds p.mu.
