relay: engines' streams are read although their callers read slowly, where the agreement pressure holds

An engine cuts off an answer that stays unread for some seconds, and the loop of a stream that waits for its caller neither probes nor fails over. What is held is bounded over all streams; above that, the one that holds most ends.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -158,6 +158,7 @@
 	d.relay.Log = d.log
 	if s.Agreed(platform.Pressure) {
 		d.relay.KeepConnections(s.MaxFDs)
+		d.relay.ReadAhead(slowCallerMemory(s))
 	}
 	return d, d.initTelemetry()
 }
@@ -175,6 +176,7 @@
 		},
 		CutOff:   d.relay.CutOff,
 		Taken:    d.relay.Taken,
+		Held:     d.relay.HeldForCallers,
 		Limited:  func() int { return d.pool.LimitedServers(time.Now()) },
 		StoreAge: func() time.Duration { return time.Since(d.changes.FreshAt()) },
 		DroppedLines: func() int64 {
@@ -217,9 +219,24 @@
 	bodyMemoryShare = 0.3
 	// answerMemoryShare is the same for long answers to calls.
 	answerMemoryShare = 0.1
-	megabyte          = 1_000_000
+	// slowCallerShare is the same for what callers that read slowly have not read of their streams.
+	slowCallerShare = 0.08
+	// defaultSlowCallerMB is used if the permitted memory is unknown: the share of the smallest entry VMs.
+	defaultSlowCallerMB = 8
+	megabyte            = 1_000_000
 )
 
+// slowCallerMemory returns the memory for what callers that read slowly have not read of their streams, in bytes.
+func slowCallerMemory(s *settings.Gateway) int64 {
+	switch {
+	case s.SlowReaderMemoryMB > 0:
+		return int64(s.SlowReaderMemoryMB) * megabyte
+	case s.MemoryMB > 0:
+		return int64(slowCallerShare * megabyte * float64(s.MemoryMB))
+	}
+	return defaultSlowCallerMB * megabyte
+}
+
 // Serve runs the daemon until ctx ends, and then until the in-flight requests have
 // ended or the grace period is nearly over.
 func (d *Daemon) Serve(ctx context.Context) error {
--- a/relay/handover.go
+++ b/relay/handover.go
@@ -106,6 +106,7 @@
 		s.keep("retry budget spent")
 		return
 	}
+	s.reportAge = 0
 	p, memory, ok := s.pick(time.Now(), from, slices.Concat(s.tried, []engine.ServerID{from.to.ID}))
 	if !ok {
 		s.tried = nil
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -118,6 +118,7 @@
 	bodies           bodyMemory
 	answers          bodyMemory
 	takings          takings
+	backlogs         backlogs
 	checkReach       chan struct{} // wakes WatchReach up
 	trying           chan struct{} // full while servers are tried for cutOffSince
 	taken            atomic.Int64  // requests of other entry VMs in flight
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -84,7 +84,8 @@
 	ctx       context.Context
 	cur       *run
 	handover  handover
-	headSent  bool // the response head was sent to the caller
+	headSent  bool     // the response head was sent to the caller
+	backlog   *backlog // of what the caller has not read; nil before the first event, or if nothing is read ahead
 	firstAt   time.Time
 	emptyRuns int   // consecutive runs without an event
 	lastID    int64 // id of the last event sent to the caller, or received by it before it resumed
@@ -113,6 +114,7 @@
 		s.lastID = id
 	}
 	defer s.closeRuns()
+	defer s.closeBacklog()
 	if s.rejectTooLate() || !s.start("first", nil) {
 		return
 	}
@@ -151,6 +153,8 @@
 		case o := <-s.cur.checkpoints:
 			s.checkpointDone(o)
 		case <-blocks:
+		case <-s.backlog.changes():
+			s.checkCaller()
 		case <-timer.C:
 		case <-ctx.Done():
 			s.endCancelled()
@@ -584,11 +588,7 @@
 		s.relay.announceClose(s.w.Header())
 		s.w.WriteHeader(http.StatusOK)
 	}
-	_, err := s.w.Write(e.raw)
-	if err == nil {
-		err = http.NewResponseController(s.w).Flush()
-	}
-	if err != nil {
+	if err := s.sendEvent(e.raw); err != nil {
 		s.abort(result.Wrap(result.CallerGone, err, "send event"))
 	}
 	if e.id != 0 {
@@ -612,7 +612,9 @@
 		s.relay.stats.Add(s.route.Name, Sample{Prompt: s.msg.params.PromptTokens, First: first, Gap: gap, Events: s.lastID})
 		s.reportAnswer(s.cur.to, false, first, gap)
 	}
-	s.end(result.OK, s.cur.to.ID, zap.Int64("lastEvent", s.lastID))
+	server := s.cur.to.ID
+	s.awaitCaller()
+	s.end(result.OK, server, zap.Int64("lastEvent", s.lastID))
 	return false
 }
 
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -49,6 +49,9 @@
 	// Agreements are the names of the agreements with clients and servers that hold on the
 	// deployment, as package platform names them. Unknown ones have no effect.
 	Agreements []string `json:"agreements,omitempty"`
+	// SlowReaderMemoryMB is the memory for what callers that read slowly have not read of their
+	// streams, in 10^6 bytes; 0 for 8% of MemoryMB. It is in force with the agreement pressure.
+	SlowReaderMemoryMB int `json:"slowReaderMemoryMB,omitempty"`
 	// LogLevel is debug, info, warn or error; info if empty.
 	LogLevel string `json:"logLevel"`
 	// OTLP is the IP number and port to which traces are exported over HTTP;
@@ -137,6 +140,9 @@
 	if g.MaxFDs < 0 {
 		c.add(result.OutOfRange, "maxFds", "%d is below 0", g.MaxFDs)
 	}
+	if g.SlowReaderMemoryMB < 0 {
+		c.add(result.OutOfRange, "slowReaderMemoryMB", "%d is below 0", g.SlowReaderMemoryMB)
+	}
 	if _, ok := g.Regions[g.Domain]; !ok {
 		c.add(result.UnknownDomain, "domain", "%q has no region", g.Domain)
 	}
--- a/telemetry/gateway.go
+++ b/telemetry/gateway.go
@@ -59,9 +59,10 @@
 	Version      func() int64         // of the configuration in force; 0 for none
 	StoreAge     func() time.Duration // since this entry VM was last known to be up to date with the store
 	DroppedLines func() int64
-	CutOff       func() bool // reports whether no server is reached
-	Taken        func() int  // requests of other entry VMs in flight
-	Limited      func() int  // servers to which requests need a permit
+	CutOff       func() bool  // reports whether no server is reached
+	Taken        func() int   // requests of other entry VMs in flight
+	Held         func() int64 // bytes held for callers that read slowly
+	Limited      func() int   // servers to which requests need a permit
 }
 
 // NewGateway returns metrics that are scraped from [Gateway.Handler].
@@ -122,6 +123,7 @@
 			return 0
 		}},
 		{"quetzalhold.gateway.taken", "{request}", "Requests in flight that other entry VMs have handed over.", func() int64 { return int64(g.Taken()) }},
+		{"quetzalhold.gateway.held", "By", "Bytes of streams held for callers that read slowly.", g.Held},
 		{"quetzalhold.gateway.servers.limited", "{server}", "Backend servers to which requests need a permit.", func() int64 { return int64(g.Limited()) }},
 		{"quetzalhold.gateway.log.dropped", "{line}", "Log lines dropped because the writer was slow.", g.DroppedLines},
 	} {
