--- a/relay/stream.go
+++ b/relay/stream.go
@@ -20,6 +20,7 @@
 	"quetzalhold/quarantine"
 	"quetzalhold/result"
 	"quetzalhold/telemetry"
+	"quetzalhold/upstream"
 )
 
 // run is one attempt at a stream: one connection to one engine.
@@ -83,7 +84,8 @@
 	ctx       context.Context
 	cur       *run
 	handover  handover
-	headSent  bool // the response head was sent to the caller
+	headSent  bool     // the response head was sent to the caller
+	backlog   *backlog // of what the caller has not read; nil before the first event, or if nothing is read ahead
 	firstAt   time.Time
 	emptyRuns int   // consecutive runs without an event
 	lastID    int64 // id of the last event sent to the caller, or received by it before it resumed
@@ -112,6 +114,7 @@
 		s.lastID = id
 	}
 	defer s.closeRuns()
+	defer s.closeBacklog()
 	if s.rejectTooLate() || !s.start("first", nil) {
 		return
 	}
@@ -150,6 +153,8 @@
 		case o := <-s.cur.checkpoints:
 			s.checkpointDone(o)
 		case <-blocks:
+		case <-s.backlog.changes():
+			s.checkCaller()
 		case <-timer.C:
 		case <-ctx.Done():
 			s.endCancelled()
@@ -583,11 +588,7 @@
 		s.relay.announceClose(s.w.Header())
 		s.w.WriteHeader(http.StatusOK)
 	}
-	_, err := s.w.Write(e.raw)
-	if err == nil {
-		err = http.NewResponseController(s.w).Flush()
-	}
-	if err != nil {
+	if err := s.sendEvent(e.raw); err != nil {
 		s.abort(result.Wrap(result.CallerGone, err, "send event"))
 	}
 	if e.id != 0 {
@@ -611,7 +612,9 @@
 		s.relay.stats.Add(s.route.Name, Sample{Prompt: s.msg.params.PromptTokens, First: first, Gap: gap, Events: s.lastID})
 		s.reportAnswer(s.cur.to, false, first, gap)
 	}
-	s.end(result.OK, s.cur.to.ID, zap.Int64("lastEvent", s.lastID))
+	server := s.cur.to.ID
+	s.awaitCaller()
+	s.end(result.OK, server, zap.Int64("lastEvent", s.lastID))
 	return false
 }
 
@@ -705,6 +708,7 @@
 func (s *streamRun) failOver(why string) bool {
 	from := s.cur
 	from.ending.failed = true
+	s.reportAge = 0
 	s.countEmpty(from)
 	switch {
 	case !s.route.Resumable:
@@ -744,6 +748,7 @@
 func (s *streamRun) pause() bool {
 	delay := streamRetryDelay
 	s.rounds++
+	s.reportAge = waitingReportAge
 	if s.rounds > maxStreamRounds || s.sends >= maxSends {
 		switch {
 		case !s.headSent:
@@ -885,6 +890,9 @@
 	results := make(chan probeResult, 2)
 	s.cur.probeResults = results
 	ctx, id := s.ctx, s.msg.params.ID
+	if s.relay.kept != nil && !to.Peer && !s.refusesNow(&to, now) {
+		ctx = withKeptProbe(ctx)
+	}
 	go s.relay.probe(ctx, to, id, by, usual+probeRetryDelay, report, results)
 }
 
@@ -914,6 +922,7 @@
 	connect := func() {
 		c, err := r.dial(dialCtx, "tcp", to.Address)
 		if err == nil {
+			r.countConnection(upstream.Probe, false)
 			_ = c.Close() // nothing was sent on it
 		}
 		connections <- probeResult{err: err}
@@ -928,7 +937,13 @@
 			reports <- probeResult{err: err, idle: err == nil && rep.Waiting+rep.Prefilling+rep.Generating == 0, events: rep.Events[id]}
 		}()
 	} else {
-		go connect()
+		go func() {
+			if r.probeKept(ctx, to, deadline) {
+				connections <- probeResult{}
+				return
+			}
+			connect()
+		}()
 	}
 	second := time.NewTimer(retryAfter)
 	defer second.Stop()
