--- a/settings/gateway_test.go
+++ b/settings/gateway_test.go
@@ -32,6 +32,12 @@
 		So(err, ShouldNotBeNil)
 		So(golden.Diff("testdata/gateway.golden", []byte(err.Error()+"\n")), ShouldBeEmpty)
 	})
+	Convey("Bounds below 0 are faults", t, func() {
+		_, err := settings.ParseGateway([]byte(strings.Replace(string(raw), "{", `{"maxFds": -1, "slowReaderMemoryMB": -1,`, 1)))
+		So(err, ShouldNotBeNil)
+		So(err.Error(), ShouldContainSubstring, "maxFds")
+		So(err.Error(), ShouldContainSubstring, "slowReaderMemoryMB")
+	})
 	Convey("Invalid JSON is an error", t, func() {
 		So(settings.IsGateway([]byte("{")), ShouldBeFalse)
 		_, err := settings.ParseGateway([]byte("{"))
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -38,6 +38,10 @@
 	states   bool // the last answer has said how long the connection is kept
 }
 
+// reportBuffer is the size of the buffers of a connection for load reports, in bytes: those of net/http, 4 KB each,
+// would be idle memory for hundreds of servers.
+const reportBuffer = 1 << 10
+
 // errSpent reports that a connection has ended.
 var errSpent = errors.New("the connection has ended")
 
@@ -48,6 +52,9 @@
 		MaxResponseHeaderBytes: engine.MaxHeaderBytes,
 		DialContext:            c.dial,
 	}
+	if o.Class == Reports {
+		c.transport.ReadBufferSize, c.transport.WriteBufferSize = reportBuffer, reportBuffer
+	}
 	return c
 }
 
