--- a/relay/connections_test.go
+++ b/relay/connections_test.go
@@ -15,6 +15,7 @@
 	"quetzalhold/engine"
 	"quetzalhold/platform/platformtest"
 	"quetzalhold/result"
+	"quetzalhold/routing"
 	"quetzalhold/upstream"
 )
 
@@ -63,6 +64,11 @@
 	} {
 		withHarness(t, x.name, func(w *harness) {
 			c := w.countConnections(x.keep)
+			config := testConfig()
+			for i := range config.Routes {
+				config.Routes[i].MaxAttempts = 3
+			}
+			w.setTable(routing.NewTable(config))
 			w.add("a0", "app", 0, work)
 			for i := range 20 {
 				a := w.request(context.Background(), http.MethodPost, x.path, "body", "X-Request-Id", fmt.Sprintf("r%d", i))
@@ -210,6 +216,7 @@
 			t.Logf("kept %v: %d reports, %d connections opened for them, %d reused", keep, asked, opened, reused)
 			if keep {
 				So(opened, ShouldBeLessThanOrEqualTo, 2*len(w.servers))
+				So(asked, ShouldBeLessThanOrEqualTo, len(w.servers)*int(period/(100*time.Millisecond)))
 			}
 		})
 	}
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -238,6 +238,20 @@
 			So(open, ShouldEqual, 1)
 		})
 	}
+	withBench(t, "an extra answer before the next request", func(b *bench) {
+		_, at := b.add("10.1.64.1", func(w io.Writer, r request) bool {
+			plain("")(w, r)
+			_, _ = io.WriteString(w, extra)
+			return true
+		})
+		for i := range 500 {
+			path := fmt.Sprintf("/%d", i)
+			body, err := b.send(context.Background(), upstream.Options{Server: at, Class: upstream.Calls}, path)
+			if err != nil || body != path {
+				t.Fatalf("request %d: %q, %v", i, body, err)
+			}
+		}
+	})
 	withBench(t, "a late answer", func(b *bench) {
 		s, at := b.add("10.1.64.1", nil)
 		s.answer = func(w io.Writer, r request) bool {
@@ -310,6 +324,7 @@
 		_, err = b.pool.Do(req, o)
 		var kept *upstream.KeptError
 		So(errors.As(err, &kept), ShouldBeTrue)
+		time.Sleep(10 * time.Millisecond)
 		opened, _, requests := s.counts()
 		So(opened, ShouldEqual, 1)
 		So(requests, ShouldEqual, 2)
