upstream: a kept connection is not used at once after an answer, nor with an unread byte or end

An answer that followed another one at once was taken for the next one in one of some 200 requests with the race detector on (TestForeignAnswer): its bytes came between the check and the request.

--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
 	"quetzalhold/engine"
@@ -32,6 +33,7 @@
 	closed   bool
 	reading  bool // the transport waits for bytes
 	idle     bool // no request is in progress
+	kept     bool // it has carried a request before the one in progress
 	sent     int  // bytes of the request in progress, or more
 	received int  // bytes since the request in progress began
 	stated   time.Duration
@@ -99,16 +101,40 @@
 	return c.closed
 }
 
-// usable reports whether the connection shows no end and no unread byte: the transport waits for bytes only once
-// it has found none. With recent, the connection must have been used within recentlyUsed, and within half of
-// the time that the server states. The caller holds the pool's lock.
+// settleTime is how long a connection is not used after an answer, so that bytes that follow the answer at once are
+// found.
+const settleTime = time.Millisecond
+
+// usable reports whether the connection shows no end and no unread byte: its transport waits for bytes, and the
+// socket has none. With recent, the connection must have been used within recentlyUsed, and within half of the time
+// that the server states. The caller holds the pool's lock.
 func (c *conn) usable(now time.Time, recent bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if recent && now.Sub(c.answeredAt) > c.recentLocked() {
+	idle := now.Sub(c.answeredAt)
+	if idle < settleTime || recent && idle > c.recentLocked() {
 		return false
 	}
-	return c.reading && !c.closed
+	return c.reading && !c.closed && !hasUnread(c.raw)
+}
+
+// hasUnread reports whether a socket has an unread byte, or its end. A process that was not scheduled for a while
+// has not read it yet. Connections that are no sockets have none.
+func hasUnread(raw net.Conn) bool {
+	s, ok := raw.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	fd, err := s.SyscallConn()
+	if err != nil {
+		return true
+	}
+	var n int
+	var peeked error
+	err = fd.Control(func(fd uintptr) {
+		n, _, peeked = syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	})
+	return err != nil || n > 0 || !errors.Is(peeked, syscall.EAGAIN)
 }
 
 func (c *conn) recentLocked() time.Duration {
@@ -135,7 +161,7 @@
 func (c *conn) doKept(req *http.Request) (*http.Response, error) {
 	begun := time.Now()
 	c.mu.Lock()
-	c.sent, c.received = 0, 0
+	c.kept, c.sent, c.received = true, 0, 0
 	c.mu.Unlock()
 	resp, err := c.transport.RoundTrip(req)
 	if err == nil {
@@ -209,8 +235,8 @@
 // errUnrequested reports bytes that answer no request.
 var errUnrequested = errors.New("bytes that answer no request")
 
-// Read implements io.Reader. It fails if bytes come while no request is in progress: the transport closes the
-// connection then.
+// Read implements io.Reader. It fails if bytes come on a kept connection before a request was sent: the transport
+// closes the connection then.
 func (w *wire) Read(p []byte) (int, error) {
 	c := w.of
 	c.mu.Lock()
@@ -220,7 +246,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.reading = false
-	if n > 0 && c.idle {
+	if n > 0 && (c.idle || c.kept && c.sent == 0) {
 		return 0, errUnrequested
 	}
 	c.received += n
