admit: streams wait at their entry VM, in order of urgency, before they are sent to an engine

Cause: engines prefill prompts in the order in which they accepted them, so in an overload the most urgent class lost most, and engines worked through prompts that were late anyway.

Change: new package admit (queue of an entry VM, shares of an issuer, rejection), used by relay before a stream is first sent, by gateway with the reports of the retry budgets, and by feed on the wire.

--- a/feed/feed.go
+++ b/feed/feed.go
@@ -13,6 +13,7 @@
 
 	"github.com/google/uuid"
 
+	"quetzalhold/admit"
 	"quetzalhold/backend"
 	"quetzalhold/engine"
 	"quetzalhold/move"
@@ -113,6 +114,10 @@
 	Permits []backend.Permit `json:"permits,omitempty"`
 	// Crowds are the services whose servers get only a part of what they can answer.
 	Crowds []backend.Crowd `json:"crowds,omitempty"`
+	// Grants are the requester's parts of the windows of services whose streams wait in order.
+	Grants []admit.Grant `json:"grants,omitempty"`
+	// Sums are the demands of the failure domain of an entry VM that issues such parts.
+	Sums []admit.Sum `json:"sums,omitempty"`
 	// Members lists all known entry VMs; it is omitted if the requester already has the list
 	// with MembersDigest.
 	Members       []Member `json:"members,omitempty"`
@@ -197,6 +202,9 @@
 			return err
 		}
 	}
+	if err := a.checkAdmission(); err != nil {
+		return err
+	}
 	for i := range a.Crashes {
 		if err := a.Crashes[i].Check(); err != nil {
 			return err
@@ -240,6 +248,10 @@
 	ServerLimits []ServerLimit
 	Demands      []backend.Demand // permits that the requester needs
 	Crowds       []backend.Crowd  // services whose servers get only a part of what they can answer
+	// Needs are what the requester's streams need of services whose streams wait in order, and Sums the
+	// demands of its failure domain if it issues parts of their windows.
+	Needs []admit.Demand
+	Sums  []admit.Sum
 	// Members is the digest of the list of members that the requester last received.
 	Members uint64
 	Moves   int64 // sequence number of the moves that the requester has
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -15,6 +15,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"quetzalhold/admit"
 	"quetzalhold/backend"
 	"quetzalhold/engine"
 	"quetzalhold/feed"
@@ -301,6 +302,9 @@
 func FuzzQuestion(f *testing.F) {
 	q := feed.Request{From: feed.Member{ID: "e", Address: "10.0.0.1:1", Domain: "d", LinkMbps: 10}, Epoch: "x", Seq: 4, Config: 5, Wait: time.Second, Starting: true, Usage: []backend.Usage{{Service: "s", Requests: 3, Retries: 1, Earned: 2.25, Limit: 0.7, Short: true}}, Hung: []feed.ServerStart{{ID: "s1", Start: 7}}, Demands: []backend.Demand{{Server: "s1", Start: 7, Rate: 4.1, Count: 3}}, ServerLimits: feed.ServerLimits(time.Unix(5, 0), []backend.RateLimit{{Server: "s1", Start: 7, Rate: 4.1, At: time.Unix(2, 0)}})}
 	f.Add(q.Query().Encode())
+	f.Add((&feed.Request{Needs: needs, Sums: sums}).Query().Encode())
+	f.Add("seq=0&waitMs=0&config=0&link=1&need=s+1+1+1+1&needRank=1+1+1+1+1+1+1")
+	f.Add("seq=0&waitMs=0&config=0&link=1&sum=s+1+1+1+1+1&sumRank=0+1+-1+1+1+NaN+1")
 	f.Add("seq=9999999999999999999&waitMs=-1&config=a")
 	f.Add("seq=0&waitMs=0&config=0&link=1&usage=s+3+1")
 	f.Add("seq=0&waitMs=0&config=0&link=1&usage=s+3+1+NaN+1+true")
@@ -320,6 +324,47 @@
 	})
 }
 
+// needs and sums are what is reported of services whose streams wait in order.
+var (
+	needs = []admit.Demand{{Service: "s", Window: 9, Share: 4, FirstEvents: admit.FirstEvents{Count: 3, Mean: time.Second}, Ranks: []admit.RankDemand{{Rank: 1, Pending: 5, Waiting: 6, Late: 7, Ended: 1.25, InTime: 0.5}}}, {Service: "t"}}
+	sums  = []admit.Sum{{Silent: 2, Demand: admit.Demand{Service: "t", Ranks: []admit.RankDemand{{Rank: 3, Waiting: 1}, {Rank: 5, Late: 1}}}}}
+)
+
+// TestAdmissionOnTheWire guards against demands that are lost or mixed up on the way, and against values that no
+// entry VM sends.
+func TestAdmissionOnTheWire(t *testing.T) {
+	Convey("Demands and sums", t, func() {
+		q := feed.Request{Needs: needs, Sums: sums}
+		got, err := feed.ParseRequest(q.Query())
+		So(err, ShouldBeNil)
+		So(got.Needs, ShouldResemble, needs)
+		So(got.Sums, ShouldResemble, sums)
+		for _, x := range []struct{ name, value string }{
+			{"need", "s 1 1 1"},
+			{"need", "s -1 1 1 1"},
+			{"need", "s 9999999999999999 1 1 1"},
+			{"sum", "s 1 1 1 1 -1"},
+			{"needRank", "7 1 1 1 1 1 1"},
+			{"needRank", "0 99 1 1 1 1 1"},
+			{"needRank", "0 1 1 1 -1 1 1"},
+			{"needRank", "0 1 1 1 1 NaN 1"},
+		} {
+			v := q.Query()
+			v.Set(x.name, x.value)
+			_, err := feed.ParseRequest(v)
+			So(err, ShouldNotBeNil)
+		}
+		for _, a := range []feed.Response{
+			{Epoch: "e", Grants: []admit.Grant{{Service: "s", Window: -1}}},
+			{Epoch: "e", Grants: []admit.Grant{{Service: "s", Held: []admit.Rank{-1}}}},
+			{Epoch: "e", Grants: []admit.Grant{{Service: "s", Shares: []admit.Share{{Rank: 1, Tokens: -1}}}}},
+			{Epoch: "e", Sums: []admit.Sum{{Silent: -1}}},
+		} {
+			So(a.Check(), ShouldNotBeNil)
+		}
+	})
+}
+
 // TestLimitOnTheWire checks that a limit keeps its age on the way to another entry VM and back.
 func TestLimitOnTheWire(t *testing.T) {
 	Convey("A limit and the end of one", t, func() {
--- a/feed/http.go
+++ b/feed/http.go
@@ -72,6 +72,7 @@
 	for _, x := range q.Crowds {
 		v.Add("crowd", fmt.Sprintf("%s %g %d", x.Service, x.Share, x.AgeMs))
 	}
+	q.addAdmission(v)
 	addStarts(v, "hung", q.Hung)
 	addStarts(v, "leaving", q.Leaving)
 	return v
@@ -211,6 +212,9 @@
 	if err := q.parseLimits(v); err != nil {
 		return q, err
 	}
+	if err := q.parseAdmission(v); err != nil {
+		return q, err
+	}
 	var err error
 	if q.Hung, err = parseStarts(v, "hung"); err != nil {
 		return q, err
--- a/feed/members.go
+++ b/feed/members.go
@@ -201,6 +201,37 @@
 	return best, best != m.Self
 }
 
+// Issuers returns the best-ranked member of each other failure domain but for those that failed to answer.
+func (m *Members) Issuers(failed map[MemberID]time.Time) []Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	best := make(map[names.ID]Member)
+	for _, k := range m.known {
+		if _, skip := failed[k.ID]; skip || k.Domain == m.Self.Domain {
+			continue
+		}
+		if b, ok := best[k.Domain]; !ok || ranksBefore(k.Member, b) {
+			best[k.Domain] = k.Member
+		}
+	}
+	list := make([]Member, 0, len(best))
+	for _, x := range best {
+		list = append(list, x)
+	}
+	return list
+}
+
+// Domains returns the number of known entry VMs, including Self, by failure domain.
+func (m *Members) Domains() map[names.ID]int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	n := map[names.ID]int{m.Self.Domain: 1}
+	for _, k := range m.known {
+		n[k.Domain]++
+	}
+	return n
+}
+
 // RanksFirst reports whether Self is the best-ranked member of its failure domain, regardless of
 // whether the others respond.
 func (m *Members) RanksFirst() bool {
--- a/gateway/budgets.go
+++ b/gateway/budgets.go
@@ -80,8 +80,8 @@
 	}
 }
 
-// shareBudgets reports the use of the retry budgets, and the permits needed for servers with limits,
-// to the best-ranked entry VM of the failure domain that answers, until ctx ends, and applies what it
+// shareBudgets reports the use of the retry budgets, the permits needed for servers with limits, and what
+// streams need of services whose streams wait in order, to the best-ranked entry VM of the failure domain that answers, until ctx ends, and applies what it
 // grants. That does not depend on the state of the store.
 func (d *Daemon) shareBudgets(ctx context.Context) {
 	var known feed.Epoch
@@ -112,7 +112,7 @@
 // applies the limits that m grants. It returns m's epoch, and false if m has not answered.
 func (d *Daemon) reportBudgets(ctx context.Context, m feed.Member, known feed.Epoch) (feed.Epoch, bool) {
 	reportedAt := time.Now()
-	q := feed.Request{From: d.members.Self, Brief: true, Epoch: known, Usage: d.usage(reportedAt), Demands: d.pool.Demands(reportedAt), Crowds: d.pool.Crowds(reportedAt)}
+	q := feed.Request{From: d.members.Self, Brief: true, Epoch: known, Usage: d.usage(reportedAt), Demands: d.pool.Demands(reportedAt), Crowds: d.pool.Crowds(reportedAt), Needs: d.relay.Demands(reportedAt)}
 	if t := d.table.Load(); t != nil {
 		q.Config = t.Version
 	}
@@ -121,6 +121,7 @@
 		d.log.Info("retry budgets not reported", zap.String("to", string(m.ID)), zap.Error(err))
 		return known, false
 	}
+	d.applyShares(reportedAt, a.Grants)
 	now := time.Now()
 	if a.Epoch == known {
 		d.setLimits(now, reportedAt, a.Limits)
@@ -176,5 +177,6 @@
 	limits, permits := d.grant(now, &feed.Request{From: d.members.Self, Epoch: epoch, Usage: d.usage(now), Demands: d.pool.Demands(now)})
 	d.setLimits(now, now, limits)
 	d.pool.AddPermits(now, permits)
+	d.applyShares(now, d.issuer.Report(now, string(d.members.Self.ID), d.relay.Demands(now)))
 	return epoch
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -19,6 +19,7 @@
 
 	"go.uber.org/zap"
 
+	"quetzalhold/admit"
 	"quetzalhold/backend"
 	"quetzalhold/clock"
 	"quetzalhold/engine"
@@ -79,6 +80,8 @@
 	allotments backend.Allotments
 	// permits divides the limits that servers have named among the entry VMs that ask here.
 	permits backend.Permits
+	// issuer divides the windows of services among the entry VMs that report their demands here.
+	issuer admit.Issuer
 	// short wakes shareBudgets up.
 	short chan struct{}
 }
@@ -139,6 +142,7 @@
 	d.relay.Hung = d.reportHung
 	d.relay.Leaving = d.reportLeaving
 	d.relay.LimitChanged = d.reportLimit
+	d.initAdmission()
 	d.pool.OnShort = d.reportShort
 	d.pool.EntryVMs = d.members.Count
 	d.pool.Seed = s.ID
@@ -172,6 +176,7 @@
 		CutOff:   d.relay.CutOff,
 		Taken:    d.relay.Taken,
 		Limited:  func() int { return d.pool.LimitedServers(time.Now()) },
+		Admitted: d.admissionState,
 		StoreAge: func() time.Duration { return time.Since(d.changes.FreshAt()) },
 		DroppedLines: func() int64 {
 			if d.lines == nil {
@@ -188,6 +193,7 @@
 		return err
 	}
 	d.relay.StreamSent = m.StreamSent
+	d.observeAdmission(m)
 	d.relay.Ended = func(n routing.ServiceName, c result.Code, took time.Duration, attempts int) {
 		m.RequestEnded(string(n), c, took, attempts)
 	}
@@ -261,6 +267,7 @@
 	go d.follow(background)
 	go d.sweep(background)
 	go d.shareBudgets(background)
+	go d.exchangeSums(background)
 	go d.publishCrashes(background)
 	go d.relay.WatchReach(background)
 	d.log.Info("started", zap.Duration("after", time.Since(start)), zap.String("listen", s.Listen))
@@ -422,6 +429,7 @@
 			a := d.changes.Respond(now, q, d.pool.List)
 			a.Limits, a.Permits = d.grant(now, &q)
 			a.Crowds = d.pool.Crowds(now)
+			a.Grants, a.Sums = d.grantShares(now, &q), d.exchangeSumsWith(now, &q)
 			return a
 		},
 	})
--- a/gateway/world_test.go
+++ b/gateway/world_test.go
@@ -50,6 +50,8 @@
 	seq   int
 	// version is that of the configuration.
 	version int
+	// urgent adds a route to the engines that is more urgent.
+	urgent bool
 	// badSlack is the slack of the bound on a bad version, in requests.
 	badSlack float64
 	// traced receives the spans of entry VMs that are started after it is set; nil for
@@ -116,22 +118,29 @@
 
 // configure writes a configuration with one API key.
 func (w *world) configure(version int, key string) {
+	routes := []any{
+		map[string]any{
+			"name": "book", "host": "h.example", "path_prefix": "/book/", "kind": "non_idempotent", "timeout_ms": 1000,
+			"target_latency_ms": 200, "priority": 2, "service": "app", "max_attempts": 1,
+		},
+		map[string]any{
+			"name": "status", "host": "h.example", "path_prefix": "/status/", "kind": "idempotent", "timeout_ms": 1000,
+			"target_latency_ms": 200, "priority": 2, "service": "app", "max_attempts": 3,
+		},
+		map[string]any{
+			"name": "brief", "host": "h.example", "path_prefix": "/brief/", "kind": "streaming", "timeout_ms": 25000,
+			"target_latency_ms": 4500, "target_gap_ms": 700, "priority": 1, "service": "models", "max_attempts": 5, "stream_resume": true,
+		},
+	}
+	if w.urgent {
+		routes = append(routes, map[string]any{
+			"name": "alert", "host": "h.example", "path_prefix": "/alert/", "kind": "streaming", "timeout_ms": 25000,
+			"target_latency_ms": 4000, "target_gap_ms": 700, "priority": 0, "service": "models", "max_attempts": 5, "stream_resume": true,
+		})
+	}
 	w.store.Put("config", "main", map[string]any{
 		"version": version,
-		"routes": []any{
-			map[string]any{
-				"name": "book", "host": "h.example", "path_prefix": "/book/", "kind": "non_idempotent", "timeout_ms": 1000,
-				"target_latency_ms": 200, "priority": 2, "service": "app", "max_attempts": 1,
-			},
-			map[string]any{
-				"name": "status", "host": "h.example", "path_prefix": "/status/", "kind": "idempotent", "timeout_ms": 1000,
-				"target_latency_ms": 200, "priority": 2, "service": "app", "max_attempts": 3,
-			},
-			map[string]any{
-				"name": "brief", "host": "h.example", "path_prefix": "/brief/", "kind": "streaming", "timeout_ms": 25000,
-				"target_latency_ms": 4500, "target_gap_ms": 700, "priority": 1, "service": "models", "max_attempts": 5, "stream_resume": true,
-			},
-		},
+		"routes":  routes,
 		"services": []any{
 			map[string]any{"name": "app", "health_path": "/health", "max_connections": 100},
 			map[string]any{"name": "models", "health_path": "/health", "max_connections": 300, "engine": map[string]any{
--- a/relay/checkpoint.go
+++ b/relay/checkpoint.go
@@ -66,7 +66,7 @@
 		return
 	}
 	r := s.cur
-	if r.to.Peer {
+	if r.to.Peer || s.withoutCopies(r) {
 		return
 	}
 	p := CheckpointState{Now: now, Generating: r.started, ReplicaAlive: s.replicaAlive(r, now), InProgress: r.checkpointing, TriedAt: r.triedAt}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -22,6 +22,7 @@
 	"go.opentelemetry.io/otel/trace"
 	"go.uber.org/zap"
 
+	"quetzalhold/admit"
 	"quetzalhold/backend"
 	"quetzalhold/engine"
 	"quetzalhold/names"
@@ -95,6 +96,12 @@
 	Ended func(service routing.ServiceName, c result.Code, took time.Duration, attempts int)
 	// StreamSent is called for each stream sent to an engine, with the reason; may be nil.
 	StreamSent func(why string)
+	// StreamWaits is called when a stream begins to wait before it is sent. May be nil.
+	StreamWaits func()
+	// StreamWaited is called for each stream that has waited, and StreamRejected for each that was rejected
+	// because of the wait. May be nil.
+	StreamWaited   func(routing.ServiceName, admit.Rank, time.Duration)
+	StreamRejected func(routing.ServiceName, admit.Rank, admit.Reason)
 	// Answered is called for each answer of a server, including failures; may be nil.
 	Answered func(ServerAnswer)
 	// Tracer starts a span for each request, with the decisions about it as events; nil for
@@ -108,6 +115,7 @@
 	Detector Detector
 	Log      *zap.Logger
 
+	admission        admission
 	stats            StreamStats
 	calls            CallStats
 	reach            reaches
@@ -480,7 +488,10 @@
 		if !e.RetryAt.IsZero() {
 			delay = max(0, time.Until(e.RetryAt))
 		}
-		platform.SetRetryAfter(w.Header(), delay+rand.N(retrySpread))
+		if e.Code != result.WaitTooLong { // its delays are spread
+			delay += rand.N(retrySpread)
+		}
+		platform.SetRetryAfter(w.Header(), delay)
 	}
 	to := &callerWriter{w: w}
 	r.announceClose(w.Header())
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -45,6 +45,8 @@
 	// resumes is set if it is to go on with a stream that has begun.
 	resumes   bool
 	proceeded bool // it has sent an event that no run before has sent
+	alone     bool // the report of its engine showed no waiting and prefilling request
+	noCopies  bool // it got no replica because of pressure
 
 	repeatedID int64 // id of the last event that it has sent again; 0 for none
 
@@ -97,6 +99,7 @@
 	handedCopy *AdmittedCopy
 	// retryAt is when the first engine accepts requests again; zero unless all refuse them.
 	retryAt time.Time
+	turn    queueTurn
 }
 
 // maxBufferedParts is how many parts of a run are buffered for the caller.
@@ -111,6 +114,7 @@
 	if id, err := strconv.ParseInt(j.msg.params.LastEvent, 10, 64); err == nil {
 		s.lastID = id
 	}
+	defer func() { s.turn.end() }()
 	defer s.closeRuns()
 	if s.rejectTooLate() || !s.start("first", nil) {
 		return
@@ -241,7 +245,7 @@
 func (s *streamRun) start(why string, from *run) bool {
 	s.beginTrials()
 	for {
-		if s.rejectBlocked() {
+		if s.rejectBlocked() || !s.awaitTurn() || s.rejectBlocked() {
 			return false
 		}
 		now, budget := time.Now(), s.relay.Budget(s.service)
@@ -260,6 +264,9 @@
 		}
 		p, memory, ok := s.pick(now, from, s.tried)
 		from = nil
+		if ok && s.awaitRoom(&p) {
+			continue
+		}
 		if !ok {
 			s.tried = nil
 			if !s.pause() {
@@ -343,7 +350,8 @@
 	now := time.Now()
 	ctx, cancel := s.runContext()
 	to := p.Run.Choice
-	s.cur = &run{to: to, ctx: ctx, cancel: cancel, sentAt: now, parts: make(chan part, maxBufferedParts), checkpoints: make(chan checkpoint, 1), work: backend.Load{Requests: 1, Pending: 1, Tokens: s.tokens}}
+	noCopies := s.limitReplica(&p)
+	s.cur = &run{to: to, ctx: ctx, cancel: cancel, sentAt: now, noCopies: noCopies, parts: make(chan part, maxBufferedParts), checkpoints: make(chan checkpoint, 1), work: backend.Load{Requests: 1, Pending: 1, Tokens: s.tokens}}
 	s.cur.state = StreamState{SentAt: now, Peer: to.Peer, FromCopy: memory != nil, FirstEventBy: now.Add(s.firstEventTimeout(p.Run.Report))}
 	send := &platform.ServerRequest{Server: to.ID, Organisation: s.organisation, TimeLeft: time.Until(s.deadline), Urgency: s.urgency(), ResumeFrom: memory}
 	if s.lastID > 0 {
@@ -362,6 +370,7 @@
 		send.Server = ""
 		ctx, s.cur.handed = s.admitted(ctx, s.cur.lent, s.handedCopy)
 	}
+	s.beginPending(&p, memory)
 	s.addAttempt(s.cur)
 	s.relay.Pool.Begin(to.ID, s.cur.work)
 	s.logEvent("stream sent", to.ID, zap.String("why", why), zap.Bool("fromCopy", memory != nil), zap.Int64("lastEvent", s.lastID),
@@ -521,6 +530,7 @@
 	if s.cur.events++; s.cur.events == beginEvents {
 		s.observeSound()
 	}
+	s.endPending(now)
 	if !s.cur.started {
 		s.cur.started = true
 		s.relay.Pool.End(s.cur.to.ID, backend.Load{Pending: s.cur.work.Pending})
@@ -607,7 +617,7 @@
 		s.w.WriteHeader(http.StatusOK)
 	}
 	if s.sends == 1 && s.msg.params.LastEvent == "" && s.lastID > 1 {
-		first, gap := s.firstAt.Sub(s.startedAt), time.Since(s.firstAt)/time.Duration(s.lastID-1)
+		first, gap := s.firstAt.Sub(s.startedAt)-s.turn.waited, time.Since(s.firstAt)/time.Duration(s.lastID-1)
 		s.relay.stats.Add(s.route.Name, Sample{Prompt: s.msg.params.PromptTokens, First: first, Gap: gap, Events: s.lastID})
 		s.reportAnswer(s.cur.to, false, first, gap)
 	}
@@ -643,10 +653,10 @@
 		return
 	}
 	a := ServerAnswer{
-		Service: s.service, Route: s.route.Name, Server: s.cur.to.ID, Version: s.cur.to.Version, First: time.Since(s.startedAt), Partial: true, Hung: hung,
+		Service: s.service, Route: s.route.Name, Server: s.cur.to.ID, Version: s.cur.to.Version, First: time.Since(s.startedAt) - s.turn.waited, Partial: true, Hung: hung,
 	}
 	if s.headSent {
-		a.First = s.firstAt.Sub(s.startedAt)
+		a.First = s.firstAt.Sub(s.startedAt) - s.turn.waited
 	}
 	if s.lastID >= minPartialEvents {
 		a.Gap = s.cur.state.LastEventAt.Sub(s.firstAt) / time.Duration(s.lastID-1)
--- a/result/code_string.go
+++ b/result/code_string.go
@@ -43,6 +43,7 @@
 	_ = x[PromptBlocked-2015]
 	_ = x[RequestBlocked-2016]
 	_ = x[CutOff-2017]
+	_ = x[WaitTooLong-2018]
 	_ = x[UnknownService-3000]
 	_ = x[ServiceNotReached-3001]
 	_ = x[OutcomeUnknown-3002]
@@ -79,7 +80,7 @@
 const (
 	_Code_name_0 = "OK"
 	_Code_name_1 = "BadRequestBodyTooLargeUnknownKeyUnknownModelDeadlinePassedBadCursorCursorMismatchReceivedTextNeededReceivedTextMismatchCallerGoneSupersededUnknownPathBadDeadlineUnknownRequestNotAllowedHeaderTooLarge"
-	_Code_name_2 = "NoServerEngineRefusedEngineLostAttemptsSpentOverloadedDrainingStreamUnknownStaleAttemptStaleFenceVersionMissingCrossedAnswerEngineSilentEngineMalformedVersionWithdrawnTooLatePromptBlockedRequestBlockedCutOff"
+	_Code_name_2 = "NoServerEngineRefusedEngineLostAttemptsSpentOverloadedDrainingStreamUnknownStaleAttemptStaleFenceVersionMissingCrossedAnswerEngineSilentEngineMalformedVersionWithdrawnTooLatePromptBlockedRequestBlockedCutOffWaitTooLong"
 	_Code_name_3 = "UnknownServiceServiceNotReachedOutcomeUnknownServiceRefusedServiceFailedUnknownCallBookingUnderWayKeyReused"
 	_Code_name_4 = "PlatformDownVersionConflictObjectMissingObjectTooLargeRateExceededHistoryGone"
 	_Code_name_5 = "SettingsUnreadableUnknownFieldWrongTypeMissingFieldOutOfRangeNotIPNumberUnknownDomainNameClashUnknownNameBadReferenceDuplicateNoConfigurationNoPresetAddressNotBound"
@@ -88,7 +89,7 @@
 
 var (
 	_Code_index_1 = [...]uint8{0, 10, 22, 32, 44, 58, 67, 81, 99, 119, 129, 139, 150, 161, 175, 185, 199}
-	_Code_index_2 = [...]uint8{0, 8, 21, 31, 44, 54, 62, 75, 87, 97, 111, 124, 136, 151, 167, 174, 187, 201, 207}
+	_Code_index_2 = [...]uint8{0, 8, 21, 31, 44, 54, 62, 75, 87, 97, 111, 124, 136, 151, 167, 174, 187, 201, 207, 218}
 	_Code_index_3 = [...]uint8{0, 14, 31, 45, 59, 72, 83, 98, 107}
 	_Code_index_4 = [...]uint8{0, 12, 27, 40, 54, 66, 77}
 	_Code_index_5 = [...]uint8{0, 18, 30, 39, 51, 61, 72, 85, 94, 105, 117, 126, 141, 149, 164}
@@ -102,7 +103,7 @@
 	case 1000 <= i && i <= 1015:
 		i -= 1000
 		return _Code_name_1[_Code_index_1[i]:_Code_index_1[i+1]]
-	case 2000 <= i && i <= 2017:
+	case 2000 <= i && i <= 2018:
 		i -= 2000
 		return _Code_name_2[_Code_index_2[i]:_Code_index_2[i+1]]
 	case 3000 <= i && i <= 3007:
--- a/result/info.go
+++ b/result/info.go
@@ -59,6 +59,7 @@
 	{PromptBlocked, http.StatusServiceUnavailable, "A part of the prompt crashes engines.", "leave out the part named in the message"},
 	{RequestBlocked, http.StatusServiceUnavailable, "The request crashes the servers that run it.", "change the request"},
 	{CutOff, http.StatusServiceUnavailable, "The entry VM reaches no servers.", retryLater},
+	{WaitTooLong, http.StatusServiceUnavailable, "Streams ahead of this one leave it too little time.", retryLater},
 
 	{UnknownService, http.StatusNotFound, "There is no such plain service.", "check the service's name"},
 	{ServiceNotReached, http.StatusBadGateway, "No server of the service was reached; the call did not run.", retryLater},
--- a/result/result.go
+++ b/result/result.go
@@ -64,6 +64,7 @@
 	PromptBlocked                       // 2015
 	RequestBlocked                      // 2016
 	CutOff                              // 2017
+	WaitTooLong                         // 2018
 )
 
 // Codes about plain services.
--- a/telemetry/gateway.go
+++ b/telemetry/gateway.go
@@ -24,6 +24,8 @@
 	streams    metric.Int64Counter
 	storeCalls metric.Int64Counter
 	idleClosed metric.Int64Counter
+	rejections metric.Int64Counter
+	waits      metric.Float64Histogram
 	storeTime  metric.Float64Histogram
 	handler    http.Handler
 }
@@ -60,6 +62,16 @@
 	CutOff       func() bool // reports whether no server is reached
 	Taken        func() int  // requests of other entry VMs in flight
 	Limited      func() int  // servers to which requests need a permit
+	Admitted     func() []Admission
+}
+
+// Admission is the state of the streams of a service that wait in order; the numbers are prompt tokens.
+type Admission struct {
+	Service string
+	Waiting map[int]int64 // streams by priority
+	Pending int64
+	Share   int64 // of this entry VM; 0 without pressure
+	Window  int64 // of the service; 0 if unknown
 }
 
 // NewGateway returns metrics that are scraped from [Gateway.Handler].
@@ -80,6 +92,7 @@
 		{&t.streams, "quetzalhold.gateway.takeovers", "{takeover}", "Streams sent to an engine, by reason."},
 		{&t.storeCalls, "quetzalhold.gateway.store.calls", "{call}", "Calls to the platform's store by result code, a watch as one."},
 		{&t.idleClosed, "quetzalhold.gateway.idle.closed", "{connection}", "Callers' connections closed because they were idle for too long."},
+		{&t.rejections, "quetzalhold.gateway.admission.rejections", "{stream}", "Streams rejected because of the wait, by service, priority and reason."},
 	} {
 		if *c.into, err = m.Int64Counter(c.name, metric.WithUnit(c.unit), metric.WithDescription(c.text)); err != nil {
 			return nil, fmt.Errorf("instrument %s: %w", c.name, err)
@@ -91,6 +104,7 @@
 		text string
 	}{
 		{&t.latency, "quetzalhold.gateway.latency", "Time from a request to its end, by service."},
+		{&t.waits, "quetzalhold.gateway.admission.waits", "How long streams waited before they were sent, by service and priority."},
 		{&t.storeTime, "quetzalhold.gateway.store.latency", "Time of calls to the platform's store, watches included."},
 	} {
 		*h.into, err = m.Float64Histogram(h.name, metric.WithUnit("s"), metric.WithDescription(h.text), metric.WithExplicitBucketBoundaries(latencyBuckets...))
@@ -98,6 +112,9 @@
 			return nil, fmt.Errorf("instrument %s: %w", h.name, err)
 		}
 	}
+	if err := observeAdmission(m, g.Admitted); err != nil {
+		return nil, err
+	}
 	return t, t.observe(m, g)
 }
 
@@ -133,6 +150,37 @@
 	return nil
 }
 
+// observeAdmission registers the gauges of the streams that wait in order.
+func observeAdmission(m metric.Meter, read func() []Admission) error {
+	if read == nil {
+		return nil
+	}
+	waiting, err := m.Int64ObservableGauge("quetzalhold.gateway.admission.waiting", metric.WithUnit("{stream}"), metric.WithDescription("Streams that wait before they are sent, by service and priority."))
+	if err != nil {
+		return fmt.Errorf("instrument admission.waiting: %w", err)
+	}
+	tokens, err := m.Int64ObservableGauge("quetzalhold.gateway.admission.tokens", metric.WithUnit("{token}"), metric.WithDescription("Prompt tokens by service and what: pending, share under pressure, window."))
+	if err != nil {
+		return fmt.Errorf("instrument admission.tokens: %w", err)
+	}
+	_, err = m.RegisterCallback(func(_ context.Context, o metric.Observer) error {
+		for _, a := range read() {
+			s := attribute.String("service", a.Service)
+			for p, n := range a.Waiting {
+				o.ObserveInt64(waiting, n, metric.WithAttributes(s, attribute.Int("priority", p)))
+			}
+			for what, n := range map[string]int64{"pending": a.Pending, "share": a.Share, "window": a.Window} {
+				o.ObserveInt64(tokens, n, metric.WithAttributes(s, attribute.String("what", what)))
+			}
+		}
+		return nil
+	}, waiting, tokens)
+	if err != nil {
+		return fmt.Errorf("observe admission: %w", err)
+	}
+	return nil
+}
+
 // Handler serves the metrics for scraping.
 func (t *Gateway) Handler() http.Handler { return t.handler }
 
@@ -149,6 +197,16 @@
 	t.streams.Add(context.Background(), 1, metric.WithAttributes(attribute.String("why", why)))
 }
 
+// StreamWaited records how long a stream waited before it was sent or rejected.
+func (t *Gateway) StreamWaited(service string, priority int, waited time.Duration) {
+	t.waits.Record(context.Background(), waited.Seconds(), metric.WithAttributes(attribute.String("service", service), attribute.Int("priority", priority)))
+}
+
+// StreamRejected counts a stream that was rejected because of the wait.
+func (t *Gateway) StreamRejected(service string, priority int, why string) {
+	t.rejections.Add(context.Background(), 1, metric.WithAttributes(attribute.String("service", service), attribute.Int("priority", priority), attribute.String("why", why)))
+}
+
 // StoreCall records a call to the store.
 func (t *Gateway) StoreCall(c result.Code, took time.Duration) {
 	t.storeCalls.Add(context.Background(), 1, code(c))
