--- a/admit/issuer.go
+++ b/admit/issuer.go
@@ -24,7 +24,7 @@
 
 // ledger is what is known of the demand for a service.
 type ledger struct {
-	begunAt time.Time
+	begunAt time.Time // of the reports
 	vms     map[string]*account
 	domains map[names.ID]domainSum
 }
@@ -60,8 +60,10 @@
 	for _, d := range list {
 		l := i.ledger(now, d.Service)
 		a := &account{Demand: d, granted: float64(d.Share), at: now}
+		if l.expire(now); len(l.vms) == 0 {
+			l.begunAt = now
+		}
 		l.vms[vm] = a
-		l.expire(now)
 		g := l.grant(now, i.Domain, members, a)
 		a.granted = float64(g.total())
 		grants = append(grants, g)
--- a/relay/admission.go
+++ b/relay/admission.go
@@ -326,17 +326,23 @@
 // awaitRoom lets a new stream wait again if none of the engines considered has room for its KV cache. It
 // reports whether it does.
 func (s *streamRun) awaitRoom(p *backend.Placement) bool {
-	if !s.turn.pending || s.sends > 0 || p.Run.Peer || hasRoom(&p.Run, s.tokens, 1) {
+	if !s.turn.pending || s.sends > 0 || p.Run.Peer || hasRoom(&p.Run, s.tokens, 1, s.turn.line.underPressure(time.Now())) {
 		return false
 	}
 	s.turn.pending, s.turn.decided = false, s.turn.line.putBack(time.Now(), s.turn.ticket)
 	return true
 }
 
-// hasRoom reports whether an engine has room for n streams of so many tokens beside those that wait there, as far
-// as its report shows: it does not count what waiting ones will use.
-func hasRoom(e *backend.Engine, tokens engine.Tokens, n int) bool {
-	return e.Report == nil || e.Report.Total == 0 || e.Report.Used+tokens*engine.Tokens(e.Report.Waiting+n) <= e.Report.Total
+// hasRoom reports whether an engine has room for n streams of so many tokens, as far as its report shows. The
+// report does not count what prompts that wait there will use; under pressure they count as n does.
+func hasRoom(e *backend.Engine, tokens engine.Tokens, n int, pressure bool) bool {
+	if e.Report == nil || e.Report.Total == 0 {
+		return true
+	}
+	if pressure {
+		n += e.Report.Waiting
+	}
+	return e.Report.Used+tokens*engine.Tokens(n) <= e.Report.Total
 }
 
 // replicaRoom is the number of streams for which there is room at an engine that gets a replica under pressure:
@@ -345,7 +351,7 @@
 
 // limitReplica removes the replica of a placement at an engine without room. Under pressure only the most urgent
 // streams get one, where a report shows room: it takes as much room as the stream itself. It reports
-// whether the stream gets none for that reason.
+// whether the stream gets none because of pressure.
 func (s *streamRun) limitReplica(p *backend.Placement) bool {
 	t := s.relay.Table()
 	l := s.relay.line(s.service)
@@ -359,8 +365,9 @@
 	if pressure {
 		room = replicaRoom
 	}
-	if p.Replica != nil && (pressure && (!urgent || p.Replica.Report == nil) || !hasRoom(p.Replica, s.tokens, room)) {
+	if p.Replica != nil && (pressure && (!urgent || p.Replica.Report == nil) || !hasRoom(p.Replica, s.tokens, room, pressure)) {
 		p.Replica = nil
+		return pressure
 	}
 	return pressure && !urgent
 }
