admit: a stream that waits learns how long it takes at least once that is known

The least time of the service's other routes stands in now, and is looked up again while a stream waits.

--- a/admit/queue.go
+++ b/admit/queue.go
@@ -214,6 +214,13 @@
 	return slices.ContainsFunc(q.noRoomAt[:], func(at time.Time) bool { return now.Sub(at) < noRoomFor })
 }
 
+// SetNeed sets the least time that a waiting stream takes, which was unknown when it came.
+func (q *Queue) SetNeed(t *Ticket, need time.Duration) {
+	if t.state == stateWaiting {
+		t.Need = need
+	}
+}
+
 // Waiting returns how many streams wait.
 func (q *Queue) Waiting() int { return len(q.waiting) }
 
--- a/admit/queue_test.go
+++ b/admit/queue_test.go
@@ -154,6 +154,16 @@
 			So(list[0].Reason, ShouldEqual, admit.NoTimeLeft)
 			So(list[0].RetryAt.Sub(start.Add(10*time.Second)), ShouldBeBetweenOrEqual, 300*time.Millisecond, 10*time.Second/3)
 		})
+		Convey("waits no longer than the time that it turns out to need allows", func() {
+			s := stream(0, start, 4*time.Second, "a")
+			s.Need = 0
+			x, list := q.Add(start, s)
+			So(list, ShouldBeEmpty)
+			q.SetNeed(x, 24*time.Second)
+			list = q.Advance(start.Add(time.Second))
+			So(list, ShouldHaveLength, 1)
+			So(list[0].Reason, ShouldEqual, admit.NoTimeLeft)
+		})
 	})
 }
 
--- a/relay/admission.go
+++ b/relay/admission.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -195,11 +196,15 @@
 	l.deliver(l.queue.End(now, t))
 }
 
-// advance decides what follows from the time that has passed.
-func (l *line) advance(now time.Time) {
+// advance decides what follows from the time that has passed. The least time that a waiting stream takes may have
+// become known.
+func (l *line) advance(now time.Time, t *admit.Ticket, need func() time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.measure(now)
+	if t.Need == 0 {
+		l.queue.SetNeed(t, need())
+	}
 	l.deliver(l.queue.Advance(now))
 }
 
@@ -234,10 +239,36 @@
 	if s.route.LatencyTarget > 0 {
 		a.WantedAt = s.startedAt.Add(s.route.LatencyTarget)
 	}
+	a.Need = s.leastTime()
+	return a
+}
+
+// leastTime returns the least time that the stream takes; 0 if it is unknown.
+func (s *streamRun) leastTime() time.Duration {
 	if need, ok := s.relay.stats.MinTime(s.route.Name, s.lastID); ok {
-		a.Need = need
+		return need
 	}
-	return a
+	return s.relay.leastTime(s.service, s.lastID)
+}
+
+// leastTime returns the least time that streams of any route to a service take to resume after event last; 0 if
+// it is unknown. It stands in for that of a route of which there are too few samples here.
+func (r *Relay) leastTime(n routing.ServiceName, last int64) time.Duration {
+	t := r.Table()
+	if t == nil {
+		return 0
+	}
+	least := time.Duration(0)
+	for i := range t.Routes {
+		x := &t.Routes[i]
+		if !slices.ContainsFunc(x.Splits, func(s routing.Split) bool { return s.Service == n }) {
+			continue
+		}
+		if need, ok := r.stats.MinTime(x.Name, last); ok && (least == 0 || need < least) {
+			least = need
+		}
+	}
+	return least
 }
 
 // awaitTurn waits until a new stream may be sent. One that was sent before, resumes an answer or has waited at
@@ -292,7 +323,7 @@
 				r.refuse(s.w, s.job, result.New(result.Stopping, "no time for a stream that waits").AsNotRun().WithRetryAt(time.Now().Add(retryDelay)))
 				return admit.Decision{}, false
 			}
-			s.turn.line.advance(time.Now())
+			s.turn.line.advance(time.Now(), s.turn.ticket, s.leastTime)
 		case <-s.ctx.Done():
 			s.endCancelled()
 			return admit.Decision{}, false
