cost, backend, relay, feed, gateway: servers' speeds learned and used in placement

Slow engines got as many streams as fast ones: placement knew counts only. Entry VMs now sample times to first events, gaps and calls, report them with the retry budgets, and get back the servers that differ.

--- a/backend/backend.go
+++ b/backend/backend.go
@@ -142,12 +142,14 @@
 	Requests int
 	Pending  int // requests among them that have not produced output yet
 	Tokens   engine.Tokens
+	Prefill  engine.Tokens // prompt tokens of the pending requests that the server is to prefill
 }
 
 func (w *Load) add(o Load) {
 	w.Requests += o.Requests
 	w.Pending += o.Pending
 	w.Tokens += o.Tokens
+	w.Prefill += o.Prefill
 }
 
 func (p *Pool) group(n routing.ServiceName) *group {
@@ -417,7 +419,7 @@
 
 // End subtracts w from a server's load when requests end there.
 func (p *Pool) End(id engine.ServerID, w Load) {
-	p.withState(id, func(st *state) { st.load.add(Load{-w.Requests, -w.Pending, -w.Tokens}) })
+	p.withState(id, func(st *state) { st.load.add(Load{-w.Requests, -w.Pending, -w.Tokens, -w.Prefill}) })
 }
 
 // MarkResponsive records that a response or data arrived from a server, and resets its failures.
--- a/backend/choice.go
+++ b/backend/choice.go
@@ -8,6 +8,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"quetzalhold/cost"
 	"quetzalhold/engine"
 	"quetzalhold/names"
 	"quetzalhold/routing"
@@ -40,6 +41,8 @@
 	// Tokens is the KV cache that the request occupies; 0 for requests to plain services.
 	Tokens engine.Tokens
 	Model  *routing.Model // nil for plain services
+	// Cost is set while servers of the service are known to differ in speed. Without it all count as equal.
+	Cost *cost.Basis
 }
 
 // Nearby returns the criteria restricted to near servers.
@@ -66,6 +69,7 @@
 	Suspect    bool          // the server failed recently, as did all others
 	Limited    bool          // a request to the server needs a permit
 	Peer       bool          // not a server but another entry VM, which sends the request on
+	Speed      cost.Speed    // 0 while no servers of the service are known to differ
 }
 
 // candidate is a server considered by one choice.
@@ -85,6 +89,9 @@
 	if n.Model != nil {
 		return chooseEngine(&n, all), true
 	}
+	if n.Cost != nil {
+		return choosePlainByCost(&n, all), true
+	}
 	return choosePlain(all, p.Seed), true
 }
 
@@ -118,6 +125,10 @@
 		if n.AffinityKey != "" {
 			c.weight = xxhash.Sum64String(n.AffinityKey + "/" + string(st.ID))
 		}
+		if n.Cost != nil {
+			c.Speed = n.Cost.Speed(st.ID, st.Start)
+			c.weight = preferred(c.weight, n.Cost.Preference(c.Speed))
+		}
 		if c.Suspect {
 			suspect = append(suspect, c)
 		} else {
--- a/backend/place.go
+++ b/backend/place.go
@@ -27,6 +27,9 @@
 	Report *Report
 	// Rank is the engine's position in the rendezvous order of the affinity key, from 0.
 	Rank int
+	// Expected is the expected time to the first event, as of the placement; 0 while no engines of the service are
+	// known to differ in speed.
+	Expected time.Duration
 }
 
 // Placement is the engine that runs a generation and the engine that keeps a replica of the
@@ -106,12 +109,15 @@
 
 // Idle reports whether the engine has no work at all and room for the request.
 func (r *Engine) Idle(n Criteria) bool {
-	return r.Report != nil && r.Report.Waiting+r.Report.Prefilling+r.Report.Generating+r.unreported() == 0 &&
+	return (n.Cost == nil || !r.isSlow()) && r.Report != nil && r.Report.Waiting+r.Report.Prefilling+r.Report.Generating+r.unreported() == 0 &&
 		r.Report.Used+n.Tokens <= r.Report.Total
 }
 
 // cost returns the estimated delay of a request at an engine.
 func (r *Engine) cost(n *Criteria) time.Duration {
+	if n.Cost != nil {
+		return r.costBySpeed(n)
+	}
 	c := time.Duration(r.Rank) * weightRank
 	if r.Report == nil {
 		return c + weightNoReport + time.Duration(r.Load.Requests)*weightGenerating
@@ -134,7 +140,11 @@
 // LightlyLoaded reports whether the engine picked for the generation has so little load that no
 // other engines need to be polled.
 func (p *Placement) LightlyLoaded(n Criteria) bool {
-	return p.Run.Report != nil && p.Run.cost(&n) <= nearCostLimit
+	limit := nearCostLimit
+	if n.Cost != nil {
+		limit += n.Cost.Prefill.Time(n.Cost.Work.Prefill)
+	}
+	return p.Run.Report != nil && p.Run.cost(&n) <= limit
 }
 
 // Place picks the engine for a generation and the engine for its replica, which is in another
@@ -145,6 +155,9 @@
 	}
 	order := slices.Clone(list)
 	slices.SortStableFunc(order, func(a, b Engine) int { return cmp.Or(cmp.Compare(a.cost(&n), b.cost(&n)), cmp.Compare(a.ID, b.ID)) })
+	if n.Cost != nil {
+		pickNearlyEqual(&n, order)
+	}
 	p := Placement{Run: order[0], Polled: len(list)}
 	for i := range order {
 		if order[i].Report != nil {
--- a/cost/cost.go
+++ b/cost/cost.go
@@ -40,7 +40,7 @@
 }
 
 const (
-	// maxSamples is the number of samples that are kept for each service.
+	// maxSamples is the number of samples that are kept of each kind for each service.
 	maxSamples = 64
 	// minSamples is the number of samples needed for an estimate.
 	minSamples = 6
@@ -49,11 +49,17 @@
 	uncontendedQuantile = 0.75
 )
 
-// Rates learns the usual rate at which the servers of a service prefill prompts. The zero value has no
-// samples. Its methods are safe for concurrent use.
+// Rates learns the usual rates of a service's servers: above all at which they prefill prompts. The zero value has
+// no samples. Its methods are safe for concurrent use.
 type Rates struct {
 	mu      sync.Mutex
-	samples map[routing.ServiceName]*samples
+	samples map[series]*samples
+}
+
+// series names the samples of one kind of a service.
+type series struct {
+	service routing.ServiceName
+	kind    Kind
 }
 
 // samples is a ring of the latest rates.
@@ -68,16 +74,19 @@
 	if w.Prefill <= 0 || took <= 0 {
 		return
 	}
-	rate := Rate(float64(w.Prefill) / took.Seconds())
+	r.add(series{service, FirstEvent}, Rate(float64(w.Prefill)/took.Seconds()))
+}
+
+func (r *Rates) add(k series, rate Rate) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	s := r.samples[service]
+	s := r.samples[k]
 	if s == nil {
 		if r.samples == nil {
-			r.samples = make(map[routing.ServiceName]*samples)
+			r.samples = make(map[series]*samples)
 		}
 		s = &samples{}
-		r.samples[service] = s
+		r.samples[k] = s
 	}
 	if len(s.rates) < maxSamples {
 		s.rates = append(s.rates, rate)
@@ -89,13 +98,36 @@
 
 // Prefill returns the usual prefill rate of a server of a service; false if there are too few samples.
 func (r *Rates) Prefill(service routing.ServiceName) (Rate, bool) {
+	return r.quantile(series{service, FirstEvent}, uncontendedQuantile)
+}
+
+// PrefillRates returns the usual prefill rates of the services with enough samples.
+func (r *Rates) PrefillRates() map[routing.ServiceName]Rate {
+	r.mu.Lock()
+	var services []routing.ServiceName
+	for k := range r.samples {
+		if k.kind == FirstEvent {
+			services = append(services, k.service)
+		}
+	}
+	r.mu.Unlock()
+	all := make(map[routing.ServiceName]Rate)
+	for _, n := range services {
+		if rate, ok := r.Prefill(n); ok {
+			all[n] = rate
+		}
+	}
+	return all
+}
+
+func (r *Rates) quantile(k series, q float64) (Rate, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	s := r.samples[service]
+	s := r.samples[k]
 	if s == nil || len(s.rates) < minSamples {
 		return 0, false
 	}
 	sorted := slices.Clone(s.rates)
 	slices.Sort(sorted)
-	return sorted[int(uncontendedQuantile*float64(len(sorted)-1))], true
+	return sorted[int(q*float64(len(sorted)-1))], true
 }
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -14,6 +14,7 @@
 	"github.com/google/uuid"
 
 	"quetzalhold/backend"
+	"quetzalhold/cost"
 	"quetzalhold/engine"
 	"quetzalhold/move"
 	"quetzalhold/quarantine"
@@ -113,6 +114,8 @@
 	Permits []backend.Permit `json:"permits,omitempty"`
 	// Crowds are the services whose servers get only a part of what they can answer.
 	Crowds []backend.Crowd `json:"crowds,omitempty"`
+	// Speeds are the servers whose speed differs from the usual one, in the answer to a report on retry budgets.
+	Speeds []cost.ServiceSpeeds `json:"speeds,omitempty"`
 	// Members lists all known entry VMs; it is omitted if the requester already has the list
 	// with MembersDigest.
 	Members       []Member `json:"members,omitempty"`
@@ -197,6 +200,9 @@
 			return err
 		}
 	}
+	if err := checkSpeeds(a.Speeds); err != nil {
+		return err
+	}
 	for i := range a.Crashes {
 		if err := a.Crashes[i].Check(); err != nil {
 			return err
@@ -240,6 +246,7 @@
 	ServerLimits []ServerLimit
 	Demands      []backend.Demand // permits that the requester needs
 	Crowds       []backend.Crowd  // services whose servers get only a part of what they can answer
+	Samples      []cost.Sample    // what the requester has measured of servers' speeds since its last report
 	// Members is the digest of the list of members that the requester last received.
 	Members uint64
 	Moves   int64 // sequence number of the moves that the requester has
--- a/feed/http.go
+++ b/feed/http.go
@@ -72,6 +72,7 @@
 	for _, x := range q.Crowds {
 		v.Add("crowd", fmt.Sprintf("%s %g %d", x.Service, x.Share, x.AgeMs))
 	}
+	addSamples(v, q.Samples)
 	addStarts(v, "hung", q.Hung)
 	addStarts(v, "leaving", q.Leaving)
 	return v
@@ -212,6 +213,9 @@
 		return q, err
 	}
 	var err error
+	if q.Samples, err = parseSamples(v); err != nil {
+		return q, err
+	}
 	if q.Hung, err = parseStarts(v, "hung"); err != nil {
 		return q, err
 	}
--- a/gateway/budgets.go
+++ b/gateway/budgets.go
@@ -112,7 +112,7 @@
 // applies the limits that m grants. It returns m's epoch, and false if m has not answered.
 func (d *Daemon) reportBudgets(ctx context.Context, m feed.Member, known feed.Epoch) (feed.Epoch, bool) {
 	reportedAt := time.Now()
-	q := feed.Request{From: d.members.Self, Brief: true, Epoch: known, Usage: d.usage(reportedAt), Demands: d.pool.Demands(reportedAt), Crowds: d.pool.Crowds(reportedAt)}
+	q := feed.Request{From: d.members.Self, Brief: true, Epoch: known, Usage: d.usage(reportedAt), Demands: d.pool.Demands(reportedAt), Crowds: d.pool.Crowds(reportedAt), Samples: d.costs.Drain(reportedAt)}
 	if t := d.table.Load(); t != nil {
 		q.Config = t.Version
 	}
@@ -122,6 +122,7 @@
 		return known, false
 	}
 	now := time.Now()
+	d.costs.SetTable(reportedAt, a.Speeds)
 	if a.Epoch == known {
 		d.setLimits(now, reportedAt, a.Limits)
 		d.pool.AddPermits(reportedAt, a.Permits)
@@ -172,6 +173,7 @@
 // returns its epoch.
 func (d *Daemon) grantSelf(now time.Time) feed.Epoch {
 	epoch := d.changes.Epoch()
+	d.issueSpeeds(now)
 	d.followIssuer(now, epoch)
 	limits, permits := d.grant(now, &feed.Request{From: d.members.Self, Epoch: epoch, Usage: d.usage(now), Demands: d.pool.Demands(now)})
 	d.setLimits(now, now, limits)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -21,6 +21,7 @@
 
 	"quetzalhold/backend"
 	"quetzalhold/clock"
+	"quetzalhold/cost"
 	"quetzalhold/engine"
 	"quetzalhold/feed"
 	"quetzalhold/names"
@@ -79,6 +80,8 @@
 	allotments backend.Allotments
 	// permits divides the limits that servers have named among the entry VMs that ask here.
 	permits backend.Permits
+	// costs holds what requests cost and how fast servers are.
+	costs cost.Book
 	// short wakes shareBudgets up.
 	short chan struct{}
 }
@@ -132,6 +135,7 @@
 	d.relay.HelperFailed = d.helperFailed
 	d.relay.Region = func(n names.ID) names.ID { return s.Region(n) }
 	d.relay.Pool = &d.pool
+	d.relay.Costs = &d.costs
 	d.relay.Table = d.table.Load
 	d.relay.Ready = d.loaded
 	d.relay.Budget = d.budget
@@ -173,6 +177,8 @@
 		Taken:    d.relay.Taken,
 		Limited:  func() int { return d.pool.LimitedServers(time.Now()) },
 		StoreAge: func() time.Duration { return time.Since(d.changes.FreshAt()) },
+		Speeds:   func() (slow, fast int) { return d.costs.Levels(time.Now()) },
+		Prefill:  d.prefillRates,
 		DroppedLines: func() int64 {
 			if d.lines == nil {
 				return 0
@@ -422,6 +428,7 @@
 			a := d.changes.Respond(now, q, d.pool.List)
 			a.Limits, a.Permits = d.grant(now, &q)
 			a.Crowds = d.pool.Crowds(now)
+			a.Speeds = d.mergeSpeeds(now, &q)
 			return a
 		},
 	})
--- /dev/null
+++ b/relay/meter.go
@@ -0,0 +1,144 @@
+package relay
+
+import (
+	"net/http"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"quetzalhold/backend"
+	"quetzalhold/cost"
+	"quetzalhold/engine"
+	"quetzalhold/platform"
+)
+
+const (
+	// tokensPerEvent is the number of tokens in an event of an answer.
+	tokensPerEvent = 5
+	// gapsPerSample is the number of gaps between events whose median is a sample: that of several is not moved by
+	// an entry VM that pauses for some tens of milliseconds, and 8 take a quarter of a second at usual speed.
+	gapsPerSample = 8
+	// minGap is the shortest gap that counts. Events that were read later than they came are closer together.
+	minGap = time.Millisecond
+)
+
+// meter measures the speed of the engine of one run. Its method is called by the reader of the run alone.
+type meter struct {
+	costs  *cost.Book
+	sample cost.Sample
+	sentAt time.Time
+	travel time.Duration // time to open the connection and to reach the engine
+	// prompt is the number of tokens that the engine prefills before the first event, and certain that of those which
+	// cannot have been cached; 0 if the time to the first event says nothing.
+	prompt, certain engine.Tokens
+	after           int64 // events up to this id are repeated ones
+	lastAt          time.Time
+	gaps            []time.Duration
+}
+
+// newMeter returns the meter of a run; nil for one that is sent to another entry VM. The time to its first event counts only if nothing was known to be before it at
+// the engine.
+func (s *streamRun) newMeter(now time.Time, at *backend.Engine, fromCopy bool) *meter {
+	if at.Peer {
+		return nil
+	}
+	params := &s.msg.params
+	s.relay.Costs.ObservePrompt(s.service, params.PromptTokens)
+	m := &meter{
+		costs: s.relay.Costs, sentAt: now, after: s.lastID, travel: 2 * at.DialTime,
+		sample: cost.Sample{Service: s.service, Server: at.ID, Start: at.Start, Count: 1},
+	}
+	if !fromCopy && s.lastID == 0 && at.Report != nil && at.Load.Pending+at.Report.Waiting+at.Report.Prefilling == 0 {
+		m.prompt, m.certain = params.PromptTokens, params.PromptTokens
+		// The parts before the last one may be cached, as other requests have them too.
+		if n := len(params.Prompt); n > 0 {
+			m.certain = min(m.prompt, params.Prompt[n-1].Tokens)
+		}
+	}
+	return m
+}
+
+// event records that an event was read. A nil meter measures nothing.
+func (m *meter) event(now time.Time, e *event) {
+	if m == nil || e.isComment() || e.id != 0 && e.id <= m.after {
+		return
+	}
+	if m.lastAt.IsZero() {
+		m.lastAt = now
+		if took := now.Sub(m.sentAt); m.certain > 0 {
+			took = max(took-m.travel, took/2)
+			m.observe(now, cost.FirstEvent, float64(m.prompt)/took.Seconds(), float64(m.certain)/took.Seconds())
+		}
+		return
+	}
+	m.gaps = append(m.gaps, now.Sub(m.lastAt))
+	m.lastAt = now
+	if len(m.gaps) < gapsPerSample {
+		return
+	}
+	slices.Sort(m.gaps)
+	if gap := m.gaps[gapsPerSample/2]; gap >= minGap {
+		m.observe(now, cost.Gap, 1/gap.Seconds(), 1/gap.Seconds())
+	}
+	m.gaps = m.gaps[:0]
+}
+
+func (m *meter) observe(now time.Time, k cost.Kind, rate, least float64) {
+	s := m.sample
+	s.Kind, s.Rate, s.Least = k, cost.Rate(rate), cost.Rate(least)
+	m.costs.Observe(now, s)
+}
+
+// observeCall records how long a server took for a call. The time of a call that waits for others of this entry VM at
+// the same server counts too: it is what further calls have to expect there.
+func (p *plainRequest) observeCall(rep *reply) {
+	if rep.server.Peer || rep.status >= http.StatusInternalServerError || rep.took <= 0 {
+		return
+	}
+	rate := cost.Rate(1 / rep.took.Seconds())
+	p.relay.Costs.Observe(time.Now(), cost.Sample{
+		Service: p.service, Server: rep.server.ID, Start: rep.server.Start, Kind: cost.Call, Rate: rate, Least: rate, Count: 1,
+	})
+}
+
+// observeReport records what an engine's load report shows of its speed.
+func (r *Relay) observeReport(now time.Time, of *backend.Choice, rep *backend.Report) {
+	quiet := rep.Waiting+rep.Prefilling == 0
+	r.Costs.ObserveReport(now, cost.Sample{Service: of.Service, Server: of.ID, Start: of.Start}, quiet, rep.Events)
+}
+
+// observeOutput records the length of a complete answer.
+func (s *streamRun) observeOutput() {
+	s.relay.Costs.ObserveOutput(s.route.Name, s.msg.params.AnswerTokens, engine.Tokens(s.lastID*tokensPerEvent))
+}
+
+// basis returns what the choice of a server for the request is based on; nil while the servers of its service are not
+// known to differ.
+func (j *job) basis(now time.Time) *cost.Basis {
+	x := j.relay.Costs.Basis(now, j.service)
+	if x == nil {
+		return nil
+	}
+	x.Work = cost.Work{Prefill: j.msg.params.PromptTokens, Output: j.relay.Costs.Output(j.route.Name, j.msg.params.AnswerTokens)}
+	if j.model != nil && j.route.LatencyTarget > 0 {
+		x.FirstBy = j.startedAt.Add(j.route.LatencyTarget)
+	}
+	return x
+}
+
+// prefillTokens returns the tokens that an engine has to prefill for a run.
+func (s *streamRun) prefillTokens(from *platform.KVCopy) engine.Tokens {
+	if from != nil {
+		return 0
+	}
+	return s.msg.params.PromptTokens + engine.Tokens(s.lastID*tokensPerEvent)
+}
+
+// speedFields returns the inputs of a placement that are known only while the engines differ in speed.
+func speedFields(at *backend.Engine) zap.Field {
+	if at.Expected == 0 {
+		return zap.Skip()
+	}
+	return zap.Dict("bySpeed", zap.Duration("expected", at.Expected), zap.Float64("speed", at.Speed.Factor()), zap.Int64("ownTokens", int64(at.Load.Prefill)))
+}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -23,6 +23,7 @@
 	"go.uber.org/zap"
 
 	"quetzalhold/backend"
+	"quetzalhold/cost"
 	"quetzalhold/engine"
 	"quetzalhold/names"
 	"quetzalhold/platform"
@@ -104,6 +105,8 @@
 	BodyMemory int64
 	// AnswerMemory is the memory for the beginnings of long answers that are held at once, in bytes; 0 for no limit.
 	AnswerMemory int64
+	// Costs learns what requests cost and how fast servers are.
+	Costs *cost.Book
 	// Detector detects failed streams.
 	Detector Detector
 	Log      *zap.Logger
@@ -154,7 +157,7 @@
 	if d == nil {
 		d = (&net.Dialer{}).DialContext
 	}
-	return &Relay{checkReach: make(chan struct{}, 1), trying: make(chan struct{}, 1), Quarantine: &quarantine.List{}, Log: zap.NewNop(), dial: d, transport: newTransport(d), controlTransport: newControlTransport(d)}
+	return &Relay{checkReach: make(chan struct{}, 1), trying: make(chan struct{}, 1), Quarantine: &quarantine.List{}, Costs: &cost.Book{}, Log: zap.NewNop(), dial: d, transport: newTransport(d), controlTransport: newControlTransport(d)}
 }
 
 // CloseIdle closes idle connections.
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -60,6 +60,7 @@
 	noCheckpoint  []engine.ServerID // servers at which a checkpoint failed
 
 	ending ending
+	meter  *meter // measures its engine; nil if it was sent to another entry VM
 }
 
 // part is a part of a run's output: that its connection is open, the response head, an event, or
@@ -343,7 +344,7 @@
 	now := time.Now()
 	ctx, cancel := s.runContext()
 	to := p.Run.Choice
-	s.cur = &run{to: to, ctx: ctx, cancel: cancel, sentAt: now, parts: make(chan part, maxBufferedParts), checkpoints: make(chan checkpoint, 1), work: backend.Load{Requests: 1, Pending: 1, Tokens: s.tokens}}
+	s.cur = &run{to: to, ctx: ctx, cancel: cancel, sentAt: now, parts: make(chan part, maxBufferedParts), checkpoints: make(chan checkpoint, 1), work: backend.Load{Requests: 1, Pending: 1, Tokens: s.tokens, Prefill: s.prefillTokens(memory)}}
 	s.cur.state = StreamState{SentAt: now, Peer: to.Peer, FromCopy: memory != nil, FirstEventBy: now.Add(s.firstEventTimeout(p.Run.Report))}
 	send := &platform.ServerRequest{Server: to.ID, Organisation: s.organisation, TimeLeft: time.Until(s.deadline), Urgency: s.urgency(), ResumeFrom: memory}
 	if s.lastID > 0 {
@@ -362,10 +363,11 @@
 		send.Server = ""
 		ctx, s.cur.handed = s.admitted(ctx, s.cur.lent, s.handedCopy)
 	}
+	s.cur.meter = s.newMeter(now, &p.Run, memory != nil)
 	s.addAttempt(s.cur)
 	s.relay.Pool.Begin(to.ID, s.cur.work)
 	s.logEvent("stream sent", to.ID, zap.String("why", why), zap.Bool("fromCopy", memory != nil), zap.Int64("lastEvent", s.lastID),
-		zap.String("copyAt", string(copyID)), zap.Any("report", p.Run.Report), zap.Int("rank", p.Run.Rank), zap.Int("heard", p.Reports), zap.Int("asked", p.Polled))
+		zap.String("copyAt", string(copyID)), zap.Any("report", p.Run.Report), zap.Int("rank", p.Run.Rank), zap.Int("heard", p.Reports), zap.Int("asked", p.Polled), speedFields(&p.Run))
 	if s.relay.StreamSent != nil {
 		s.relay.StreamSent(why)
 	}
@@ -474,6 +476,7 @@
 			return
 		}
 		r.Pool.MarkResponsive(cur.to.ID, time.Now())
+		cur.meter.event(time.Now(), &e)
 		if !emit(part{event: e}) {
 			return
 		}
@@ -523,8 +526,8 @@
 	}
 	if !s.cur.started {
 		s.cur.started = true
-		s.relay.Pool.End(s.cur.to.ID, backend.Load{Pending: s.cur.work.Pending})
-		s.cur.work.Pending = 0
+		s.relay.Pool.End(s.cur.to.ID, backend.Load{Pending: s.cur.work.Pending, Prefill: s.cur.work.Prefill})
+		s.cur.work.Pending, s.cur.work.Prefill = 0, 0
 	}
 	if p.event.id != 0 && p.event.id <= s.lastID {
 		if s.cur.repeatedID == 0 {
@@ -610,6 +613,7 @@
 		first, gap := s.firstAt.Sub(s.startedAt), time.Since(s.firstAt)/time.Duration(s.lastID-1)
 		s.relay.stats.Add(s.route.Name, Sample{Prompt: s.msg.params.PromptTokens, First: first, Gap: gap, Events: s.lastID})
 		s.reportAnswer(s.cur.to, false, first, gap)
+		s.observeOutput()
 	}
 	s.end(result.OK, s.cur.to.ID, zap.Int64("lastEvent", s.lastID))
 	return false
--- a/telemetry/gateway.go
+++ b/telemetry/gateway.go
@@ -60,6 +60,10 @@
 	CutOff       func() bool // reports whether no server is reached
 	Taken        func() int  // requests of other entry VMs in flight
 	Limited      func() int  // servers to which requests need a permit
+	// Speeds returns the number of servers that are known to be slow and fast.
+	Speeds func() (slow, fast int)
+	// Prefill returns the usual prefill rates of services, in tokens a second.
+	Prefill func() map[string]float64
 }
 
 // NewGateway returns metrics that are scraped from [Gateway.Handler].
@@ -119,6 +123,14 @@
 		}},
 		{"quetzalhold.gateway.taken", "{request}", "Requests in flight that other entry VMs have handed over.", func() int64 { return int64(g.Taken()) }},
 		{"quetzalhold.gateway.servers.limited", "{server}", "Backend servers to which requests need a permit.", func() int64 { return int64(g.Limited()) }},
+		{"quetzalhold.gateway.servers.slow", "{server}", "Backend servers that are known to be slow.", func() int64 {
+			slow, _ := g.Speeds()
+			return int64(slow)
+		}},
+		{"quetzalhold.gateway.servers.fast", "{server}", "Backend servers that are known to be fast.", func() int64 {
+			_, fast := g.Speeds()
+			return int64(fast)
+		}},
 		{"quetzalhold.gateway.log.dropped", "{line}", "Log lines dropped because the writer was slow.", g.DroppedLines},
 	} {
 		_, err := m.Int64ObservableGauge(x.name, metric.WithUnit(x.unit), metric.WithDescription(x.text),
@@ -130,6 +142,16 @@
 			return fmt.Errorf("instrument %s: %w", x.name, err)
 		}
 	}
+	_, err := m.Float64ObservableGauge("quetzalhold.gateway.prefill", metric.WithUnit("{token}/s"), metric.WithDescription("Usual prefill rate of an engine, by service."),
+		metric.WithFloat64Callback(func(_ context.Context, o metric.Float64Observer) error {
+			for service, rate := range g.Prefill() {
+				o.Observe(rate, metric.WithAttributes(attribute.String("service", service)))
+			}
+			return nil
+		}))
+	if err != nil {
+		return fmt.Errorf("instrument quetzalhold.gateway.prefill: %w", err)
+	}
 	return nil
 }
 
