cost: speeds judged by gaps, samples exchanged in a region; tests

First events alone do not make a service uneven: a model of equal engines under load was taken for uneven by them.

--- a/backend/place.go
+++ b/backend/place.go
@@ -109,7 +109,7 @@
 
 // Idle reports whether the engine has no work at all and room for the request.
 func (r *Engine) Idle(n Criteria) bool {
-	return (n.Cost == nil || !r.isSlow()) && r.Report != nil && r.Report.Waiting+r.Report.Prefilling+r.Report.Generating+r.unreported() == 0 &&
+	return (n.Cost == nil || !r.isSlow() || r.cost(&n) <= n.easy()) && r.Report != nil && r.Report.Waiting+r.Report.Prefilling+r.Report.Generating+r.unreported() == 0 &&
 		r.Report.Used+n.Tokens <= r.Report.Total
 }
 
@@ -142,7 +142,7 @@
 func (p *Placement) LightlyLoaded(n Criteria) bool {
 	limit := nearCostLimit
 	if n.Cost != nil {
-		limit += n.Cost.Prefill.Time(n.Cost.Work.Prefill)
+		limit = nearMargin + n.Cost.Prefill.Time(n.Cost.Work.Prefill)
 	}
 	return p.Run.Report != nil && p.Run.cost(&n) <= limit
 }
--- a/backend/speed.go
+++ b/backend/speed.go
@@ -53,11 +53,11 @@
 	// imposedShare is the weight of the delay that a prompt imposes on each generation that runs at its engine. It
 	// takes most of the time of the prefill; but generations whose events come late by less than a second are
 	// still in time, while a first event that is late is lost.
-	imposedShare = 0.2
+	imposedShare = 0.05
 	// lateShare is the part of the time until the first event is wanted up to which an expected time counts as
 	// safe: estimates are off by a third when others' prompts arrive at the same time. What exceeds it counts
 	// lateWeight times more.
-	lateShare  = 0.6
+	lateShare  = 0.4
 	lateWeight = 2
 	// kvWeight is the weight of the time for which the request occupies KV cache at an engine that is full: other
 	// requests wait for it. It falls with the square of the share in use.
@@ -66,6 +66,10 @@
 	tokensPerEvent = 5
 )
 
+// nearMargin is by how much the cost of a near engine may exceed the time to prefill the prompt at the usual speed
+// before engines in other regions are polled, whose reports take about 150 ms and whose answers 60 ms more.
+const nearMargin = 300 * time.Millisecond
+
 // costBySpeed returns the estimated delay of a request at an engine and of the generations that run there.
 func (r *Engine) costBySpeed(n *Criteria) time.Duration {
 	x, speed := n.Cost, speedMillis(r.Speed)
@@ -98,11 +102,24 @@
 	nearlyEqualTime  = 60 * time.Millisecond
 )
 
+// easyShare is the part of the time until the first event is wanted up to which expected times count as equal: all of
+// them are safe. Short prompts so go to slow engines too, which keeps what is known of these up to date and leaves the
+// fast ones to long prompts.
+const easyShare = 0.15
+
+// easy returns the cost up to which engines count as equal.
+func (n *Criteria) easy() time.Duration {
+	if n.Cost.FirstBy.IsZero() {
+		return 0
+	}
+	return time.Duration(easyShare * float64(max(0, n.Cost.FirstBy.Sub(n.Now))))
+}
+
 // pickNearlyEqual moves a random one of the engines whose cost is nearly the least to the front of a list in the order
 // of their cost, and sets the expected time of all.
 func pickNearlyEqual(n *Criteria, order []Engine) {
 	least := order[0].cost(n)
-	limit := least + max(nearlyEqualTime, time.Duration(nearlyEqualShare*float64(least)))
+	limit := max(n.easy(), least+max(nearlyEqualTime, time.Duration(nearlyEqualShare*float64(least))))
 	equal := 1
 	for equal < len(order) && order[equal].cost(n) <= limit {
 		equal++
--- a/cost/book.go
+++ b/cost/book.go
@@ -17,6 +17,8 @@
 	tableValidFor = 3 * time.Second
 	// maxPending bounds the samples of one report, which is the query of a URL.
 	maxPending = 24
+	// maxForwarded is the same for what an issuer sends to those of other failure domains.
+	maxForwarded = 48
 	// promptWeight is the divisor by which one prompt counts in the usual length.
 	promptWeight = 16
 )
@@ -29,6 +31,7 @@
 
 	mu       sync.Mutex
 	pending  []observed // not reported yet
+	forward  []observed // not sent to other issuers yet
 	known    map[routing.ServiceName]*serviceTable
 	knownAt  time.Time
 	own      bool // known was made here
@@ -55,53 +58,103 @@
 	b.learner.Add(now, s)
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	o := observed{s, now.Add(-time.Duration(s.AgeMs) * time.Millisecond)}
-	i := slices.IndexFunc(b.pending, func(p observed) bool { return p.Server == s.Server && p.Start == s.Start && p.Kind == s.Kind })
-	switch {
-	case i >= 0:
-		p := &b.pending[i]
-		if s.Kind == Call {
-			// The mean of several calls: one of them may be of a kind that takes long.
-			p.Rate += (s.Rate - p.Rate) / Rate(p.Count+1)
-			p.Least = p.Rate
-		} else {
-			p.Rate, p.Least = max(p.Rate, s.Rate), max(p.Least, s.Least)
+	b.pending = collect(b.pending, observedAt(now, s), maxPending)
+}
+
+func observedAt(now time.Time, s Sample) observed {
+	return observed{s, now.Add(-time.Duration(s.AgeMs) * time.Millisecond)}
+}
+
+// collect adds a sample to a list of at most limit ones, in which there is one for each kind and server's start.
+func collect(list []observed, o observed, limit int) []observed {
+	i := slices.IndexFunc(list, func(p observed) bool { return p.Server == o.Server && p.Start == o.Start && p.Kind == o.Kind })
+	if i < 0 {
+		if len(list) < limit {
+			list = append(list, o)
 		}
-		p.Count, p.at = min(p.Count+s.Count, maxCount), o.at
-	case len(b.pending) < maxPending:
-		b.pending = append(b.pending, o)
+		return list
+	}
+	p := &list[i]
+	if o.Kind == Call {
+		// The mean of several calls: one of them may be of a kind that takes long.
+		p.Rate += (o.Rate - p.Rate) * Rate(o.Count) / Rate(p.Count+o.Count)
+		p.Least = p.Rate
+	} else {
+		p.Rate, p.Least = max(p.Rate, o.Rate), max(p.Least, o.Least)
 	}
+	p.Count = min(p.Count+o.Count, maxCount)
+	if o.at.After(p.at) {
+		p.at = o.at
+	}
+	return list
 }
 
 // Drain returns the samples since the last call, to be reported.
 func (b *Book) Drain(now time.Time) []Sample {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	list := make([]Sample, 0, len(b.pending))
-	for _, p := range b.pending {
-		p.AgeMs = max(0, now.Sub(p.at).Milliseconds())
-		list = append(list, p.Sample)
-	}
+	list := b.pending
 	b.pending = nil
-	return list
+	return sentAt(now, list)
+}
+
+// sentAt returns samples in the form in which they are sent at an instant.
+func sentAt(now time.Time, list []observed) []Sample {
+	all := make([]Sample, 0, len(list))
+	for _, o := range list {
+		o.AgeMs = max(0, now.Sub(o.at).Milliseconds())
+		all = append(all, o.Sample)
+	}
+	return all
 }
 
-// Merge adds the samples that another entry VM has reported and returns the table of servers whose speed differs.
+// Merge adds the samples that an entry VM of the failure domain has reported, and returns the table of servers whose
+// speed differs.
 func (b *Book) Merge(now time.Time, list []Sample) []ServiceSpeeds {
+	b.Add(now, list)
+	b.mu.Lock()
 	for _, s := range list {
-		b.learner.Add(now, s)
+		b.forward = collect(b.forward, observedAt(now, s), maxForwarded)
 	}
+	b.mu.Unlock()
 	return b.learner.Table(now)
 }
 
+// Add adds samples that the issuer of another failure domain has sent.
+func (b *Book) Add(now time.Time, list []Sample) {
+	for _, s := range list {
+		b.learner.Add(now, s)
+	}
+}
+
+// Forward returns the samples of the failure domain since the last call, to be sent to the issuers of others; none
+// while no server is known to differ.
+func (b *Book) Forward(now time.Time) []Sample {
+	differ := len(b.learner.Table(now)) > 0
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	list := b.forward
+	b.forward = nil
+	if !differ {
+		return nil
+	}
+	return sentAt(now, list)
+}
+
 // SetTable sets the table that the issuer has answered to a report of an instant.
 func (b *Book) SetTable(reportedAt time.Time, list []ServiceSpeeds) {
 	b.setTable(reportedAt, list, false)
 }
 
 // SetOwnTable sets the table of this entry VM's own samples and of those reported to it, and returns the changes of
-// levels since the last call.
+// levels since the last call. It is for the issuer, whose own samples need no report.
 func (b *Book) SetOwnTable(now time.Time) []Crossing {
+	b.mu.Lock()
+	for _, o := range b.pending {
+		b.forward = collect(b.forward, o, maxForwarded)
+	}
+	b.pending = nil
+	b.mu.Unlock()
 	b.setTable(now, b.learner.Table(now), true)
 	return b.learner.Crossings()
 }
--- a/cost/learner.go
+++ b/cost/learner.go
@@ -22,8 +22,11 @@
 	maxEvidence = 16
 	// fewSamples and fewCalls are the measurements needed for full confidence; fewer count half. Of 12 streams
 	// about one waits for a prompt that no report showed, and then looks like that of a slow server.
-	fewSamples = 2
+	fewSamples = 3
 	fewCalls   = 4
+	// slowestByFirst is the lowest speed that times to first events alone can show: it does not make a service
+	// uneven. Under load the reports of several placements may all lack the same prompts.
+	slowestByFirst = 1 / 1.4
 	// maxKnown bounds the servers with samples. It is above the 4,200 engines of the target size.
 	maxKnown = 8192
 	// tableInterval is how long a table is answered before it is made again.
@@ -87,6 +90,9 @@
 	l.rates.add(series{s.Service, s.Kind}, s.Rate)
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if s.Kind == Gap && s.Rate*stretchedFrom <= l.events[s.Service].rate {
+		l.rates.add(series{s.Service, stretchedGap}, s.Rate)
+	}
 	e := l.servers[s.Server]
 	switch {
 	case e == nil && len(l.servers) >= maxKnown:
@@ -114,11 +120,12 @@
 // usual returns the usual rates of a service.
 func (l *Learner) usual(now time.Time, service routing.ServiceName) ServiceSpeeds {
 	u := ServiceSpeeds{Service: service}
+	u.stretched, _ = l.rates.quantile(series{service, stretchedGap}, uncontendedQuantile)
 	u.Prefill, _ = l.rates.Prefill(service)
 	u.Calls, _ = l.rates.quantile(series{service, Call}, usualCalls)
 	if rate, ok := l.rates.quantile(series{service, Gap}, uncontendedQuantile); ok {
 		known := l.events[service]
-		u.Events = max(rate, known.rate*Rate(math.Exp2(-float64(now.Sub(known.at))/float64(gapDecline))))
+		u.Events = max(rate, known.rate*Rate(math.Exp2(-float64(max(0, now.Sub(known.at)))/float64(gapDecline))))
 		if l.events == nil {
 			l.events = make(map[routing.ServiceName]peak)
 		}
@@ -127,38 +134,53 @@
 	return u
 }
 
-// An engine that prefills a prompt does so in chunks between the decoding steps of its answers, whose gaps are about
-// stretch times as long then. Gaps from stretchedFrom times the usual one on are read as those of such an engine:
-// they must not make an engine with much to do look slow.
-const (
-	stretch       = 5
-	stretchedFrom = 4
-)
+// stretchedFrom is the multiple of the usual gap from which on a gap counts as one of an engine that prefills a prompt:
+// it does so in chunks between the decoding steps of its answers, whose gaps are about five times as long then. Such
+// gaps are compared with each other: a busy engine must not look slow. The multiple is above the gaps of an engine that
+// has become three times slower.
+const stretchedFrom = 4
+
+// sameGap is the ratio of the rates of a sample up to which its gaps count as equal. Where only some are stretched,
+// those between them are of any length.
+const sameGap = 1.3
 
-// speed returns the speed that a sample shows; false if it shows none.
-func (o *observed) speed(u *ServiceSpeeds) (float64, bool) {
+// speed returns the speed that a sample shows, and how much that says.
+func (o *observed) speed(u *ServiceSpeeds) (float64, strength) {
 	usual := [...]Rate{FirstEvent: u.Prefill, Gap: u.Events, Call: u.Calls}[o.Kind]
 	if usual <= 0 {
-		return 0, false
+		return 0, none
 	}
-	v := float64(o.Rate / usual)
-	switch o.Kind {
-	case FirstEvent:
-		// How much of the prompt was cached is not known: the truth lies between Least and Rate.
-		if least := float64(o.Least / usual); least > 1 {
-			v = least
-		} else if v >= 1 {
-			return 0, false
-		}
-	case Gap:
-		if v*stretchedFrom <= 1 {
-			v = min(1, v*stretch)
+	v, least := float64(o.Rate/usual), float64(o.Least/usual)
+	switch {
+	case least > 1:
+		v = least
+	case o.Kind == FirstEvent && v >= 1:
+		return 0, none // how much of the prompt was cached is not known
+	case o.Kind == Gap && v >= 1:
+		v = 1
+	case o.Kind == Gap && o.Rate > sameGap*o.Least:
+		return 0, none
+	case o.Kind == Gap && v*stretchedFrom <= 1:
+		// A much slower engine that prefills nothing has such gaps too, so they never show that one is not slow.
+		if v = float64(o.Rate / max(u.stretched, o.Rate)); v*Different > 1 {
+			return 0, none
 		}
+		return clamp(v), weak
 	default:
 	}
-	return clamp(v), true
+	return clamp(v), strong
 }
 
+// strength is how much a sample says of a server's speed.
+type strength int
+
+// The strengths. Weak samples count only if there are no strong ones.
+const (
+	none strength = iota
+	weak
+	strong
+)
+
 // estimate returns a server's speed; false if the samples show none. All that delays an answer beyond the speed of its
 // engine, such as prompts that no report has shown, makes the engine look slower: the fastest sample is the truest.
 // Calls scatter in both directions: their median counts.
@@ -168,16 +190,20 @@
 	}
 	newest := e.samples[len(e.samples)-1].at
 	var streams, calls []float64
-	count := 0
+	count, best, gaps := 0, weak, false
 	for i := range e.samples {
 		o := &e.samples[i]
-		v, ok := o.speed(u)
-		switch {
-		case !ok || newest.Sub(o.at) > evidenceWindow:
+		v, says := o.speed(u)
+		if says < best || newest.Sub(o.at) > evidenceWindow {
 			continue
-		case o.Kind == Call:
+		}
+		if says > best {
+			best, count, streams, gaps = says, 0, nil, false
+		}
+		gaps = gaps || o.Kind == Gap
+		if o.Kind == Call {
 			calls = append(calls, v)
-		default:
+		} else {
 			streams = append(streams, v)
 		}
 		count += o.Count
@@ -186,7 +212,9 @@
 	need := fewSamples
 	switch {
 	case len(streams) > 0:
-		v = slices.Max(streams)
+		if v = slices.Max(streams); !gaps {
+			v = max(v, slowestByFirst)
+		}
 	case len(calls) > 0:
 		slices.Sort(calls)
 		v, need = calls[len(calls)/2], fewCalls
--- a/cost/names_string.go
+++ b/cost/names_string.go
@@ -11,11 +11,12 @@
 	_ = x[FirstEvent-0]
 	_ = x[Gap-1]
 	_ = x[Call-2]
+	_ = x[stretchedGap-3]
 }
 
-const _Kind_name = "first eventgapcall"
+const _Kind_name = "first eventgapcallstretched gap"
 
-var _Kind_index = [...]uint8{0, 11, 14, 18}
+var _Kind_index = [...]uint8{0, 11, 14, 18, 31}
 
 func (i Kind) String() string {
 	idx := int(i) - 0
--- a/cost/sample.go
+++ b/cost/sample.go
@@ -17,6 +17,9 @@
 	FirstEvent Kind = iota // first event
 	Gap                    // gap
 	Call                   // call
+	// stretchedGap is that of an engine that prefills a prompt. It is no kind of a sample: which gaps are stretched is
+	// decided where samples are merged.
+	stretchedGap // stretched gap
 )
 
 // Sample is a measurement of the speed of a server's start.
@@ -27,7 +30,8 @@
 	Kind    Kind
 	// Rate is the prompt tokens, events or calls a second that the server handled for one request.
 	Rate Rate
-	// Least is the rate that is certain. It is less than Rate where a part of the prompt may have been cached.
+	// Least is the rate that is certain. It is less than Rate where a part of the prompt may have been cached, and
+	// where only some gaps of an answer were as short.
 	Least Rate
 	Count int   // measurements that the sample stands for
 	AgeMs int64 // time in milliseconds since the measurement
@@ -63,6 +67,8 @@
 	Calls   Rate                `json:"calls,omitempty"`   // usual, in calls that follow each other a second
 	// Servers are those whose speed differs from the usual one.
 	Servers []ServerSpeed `json:"servers"`
+
+	stretched Rate // usual rate of events while an engine prefills
 }
 
 // Valid reports whether all fields are in range.
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -8,6 +8,7 @@
 	"net/http/httptest"
 	"net/url"
 	"reflect"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -16,6 +17,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"quetzalhold/backend"
+	"quetzalhold/cost"
 	"quetzalhold/engine"
 	"quetzalhold/feed"
 	"quetzalhold/memnet"
@@ -304,6 +306,7 @@
 	f.Add("seq=9999999999999999999&waitMs=-1&config=a")
 	f.Add("seq=0&waitMs=0&config=0&link=1&usage=s+3+1")
 	f.Add("seq=0&waitMs=0&config=0&link=1&usage=s+3+1+NaN+1+true")
+	f.Add("seq=0&waitMs=0&config=0&link=1&speed=s+s1+7+1+33.3+20+2+250")
 	f.Fuzz(func(t *testing.T, s string) {
 		v, err := url.ParseQuery(s)
 		if err != nil {
@@ -320,6 +323,43 @@
 	})
 }
 
+// TestSpeedsOnTheWire guards against samples and tables that change on the way or are out of range, and against bytes for
+// tables without entries.
+func TestSpeedsOnTheWire(t *testing.T) {
+	Convey("Samples of servers' speeds", t, func() {
+		s := cost.Sample{Service: "models", Server: "s1", Start: 7, Kind: cost.Gap, Rate: 1 / 0.03, Least: 20.25, Count: 3, AgeMs: 250}
+		q := feed.Request{Samples: []cost.Sample{s, s}}
+		got, err := feed.ParseRequest(q.Query())
+		So(err, ShouldBeNil)
+		So(got.Samples, ShouldResemble, q.Samples)
+		got, err = feed.ParseRequest((&feed.Request{}).Query())
+		So(err, ShouldBeNil)
+		So(got.Samples, ShouldBeNil)
+		for _, bad := range []string{"models s1 7 3 1 1 1 0", "models s1 7 -1 1 1 1 0", "models s1 7 1 NaN 1 1 0", "models s1 7 1 1 -1 1 0", "models s1 7 1 1 1 0 0", "models s1 7 1 1 1 1 -1", "models s1"} {
+			v := (&feed.Request{}).Query()
+			v.Set("speed", bad)
+			_, err := feed.ParseRequest(v)
+			So(err, ShouldNotBeNil)
+		}
+		v := (&feed.Request{Samples: slices.Repeat([]cost.Sample{s}, 1000)}).Query()
+		got, err = feed.ParseRequest(v)
+		So(err, ShouldBeNil)
+		So(len(got.Samples), ShouldBeLessThan, 100)
+	})
+	Convey("A table of speeds", t, func() {
+		check := func(s cost.ServiceSpeeds) error {
+			return (&feed.Response{Epoch: "e", Speeds: []cost.ServiceSpeeds{s}}).Check()
+		}
+		So(check(cost.ServiceSpeeds{Service: "models", Prefill: 8000, Servers: []cost.ServerSpeed{{ID: "s1", Start: 7, Speed: 0.46}}}), ShouldBeNil)
+		So(check(cost.ServiceSpeeds{Service: "models", Prefill: -1}), ShouldNotBeNil)
+		So(check(cost.ServiceSpeeds{Service: "models", Servers: []cost.ServerSpeed{{ID: "s1"}}}), ShouldNotBeNil)
+		So(check(cost.ServiceSpeeds{Service: "models", Servers: make([]cost.ServerSpeed, 300)}), ShouldNotBeNil)
+		b, err := json.Marshal(feed.Response{Epoch: "e", Speeds: []cost.ServiceSpeeds{}})
+		So(err, ShouldBeNil)
+		So(string(b), ShouldNotContainSubstring, "speeds")
+	})
+}
+
 // TestLimitOnTheWire checks that a limit keeps its age on the way to another entry VM and back.
 func TestLimitOnTheWire(t *testing.T) {
 	Convey("A limit and the end of one", t, func() {
--- a/feed/members.go
+++ b/feed/members.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -201,6 +202,23 @@
 	return best, best != m.Self
 }
 
+// BestNear returns the best-ranked available member of each other failure domain in the region of Self. region returns
+// the region of a failure domain.
+func (m *Members) BestNear(now time.Time, region func(names.ID) names.ID) []Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	best := make(map[names.ID]Member)
+	for _, k := range m.known {
+		if k.Domain == m.Self.Domain || region(k.Domain) != region(m.Self.Domain) || !k.available(now) {
+			continue
+		}
+		if b, ok := best[k.Domain]; !ok || ranksBefore(k.Member, b) {
+			best[k.Domain] = k.Member
+		}
+	}
+	return slices.SortedFunc(maps.Values(best), func(a, b Member) int { return cmp.Compare(a.Domain, b.Domain) })
+}
+
 // RanksFirst reports whether Self is the best-ranked member of its failure domain, regardless of
 // whether the others respond.
 func (m *Members) RanksFirst() bool {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -267,6 +267,7 @@
 	go d.follow(background)
 	go d.sweep(background)
 	go d.shareBudgets(background)
+	go d.forwardSamples(background)
 	go d.publishCrashes(background)
 	go d.relay.WatchReach(background)
 	d.log.Info("started", zap.Duration("after", time.Since(start)), zap.String("listen", s.Listen))
--- a/relay/meter.go
+++ b/relay/meter.go
@@ -16,8 +16,9 @@
 const (
 	// tokensPerEvent is the number of tokens in an event of an answer.
 	tokensPerEvent = 5
-	// gapsPerSample is the number of gaps between events whose median is a sample: that of several is not moved by
-	// an entry VM that pauses for some tens of milliseconds, and 8 take a quarter of a second at usual speed.
+	// gapsPerSample is the number of gaps between events that make a sample; 8 take a quarter of a second at usual
+	// speed. Their lower quartile counts, since prompts that the engine prefills now and then stretch the others; their
+	// median is certain, since an entry VM that pauses for some tens of milliseconds shortens a few.
 	gapsPerSample = 8
 	// minGap is the shortest gap that counts. Events that were read later than they came are closer together.
 	minGap = time.Millisecond
@@ -78,8 +79,8 @@
 		return
 	}
 	slices.Sort(m.gaps)
-	if gap := m.gaps[gapsPerSample/2]; gap >= minGap {
-		m.observe(now, cost.Gap, 1/gap.Seconds(), 1/gap.Seconds())
+	if gap := m.gaps[gapsPerSample/4]; gap >= minGap {
+		m.observe(now, cost.Gap, 1/gap.Seconds(), 1/m.gaps[gapsPerSample/2].Seconds())
 	}
 	m.gaps = m.gaps[:0]
 }
