--- a/feed/feed.go
+++ b/feed/feed.go
@@ -6,6 +6,7 @@
 package feed
 
 import (
+	"errors"
 	"math"
 	"slices"
 	"sync"
@@ -15,6 +16,7 @@
 
 	"quetzalhold/admit"
 	"quetzalhold/backend"
+	"quetzalhold/cost"
 	"quetzalhold/engine"
 	"quetzalhold/move"
 	"quetzalhold/quarantine"
@@ -118,6 +120,8 @@
 	Grants []admit.Grant `json:"grants,omitempty"`
 	// Sums are the demands of the failure domain of an entry VM that issues such parts.
 	Sums []admit.Sum `json:"sums,omitempty"`
+	// Speeds are the servers whose speed differs from the usual one, in the answer to a report on retry budgets.
+	Speeds []cost.ServiceSpeeds `json:"speeds,omitempty"`
 	// Members lists all known entry VMs; it is omitted if the requester already has the list
 	// with MembersDigest.
 	Members       []Member `json:"members,omitempty"`
@@ -202,7 +206,7 @@
 			return err
 		}
 	}
-	if err := a.checkAdmission(); err != nil {
+	if err := errors.Join(a.checkAdmission(), checkSpeeds(a.Speeds)); err != nil {
 		return err
 	}
 	for i := range a.Crashes {
@@ -250,8 +254,9 @@
 	Crowds       []backend.Crowd  // services whose servers get only a part of what they can answer
 	// Needs are what the requester's streams need of services whose streams wait in order, and Sums the
 	// demands of its failure domain if it issues parts of their windows.
-	Needs []admit.Demand
-	Sums  []admit.Sum
+	Needs   []admit.Demand
+	Sums    []admit.Sum
+	Samples []cost.Sample // what the requester has measured of servers' speeds since its last report
 	// Members is the digest of the list of members that the requester last received.
 	Members uint64
 	Moves   int64 // sequence number of the moves that the requester has
--- a/feed/members.go
+++ b/feed/members.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -203,22 +204,32 @@
 
 // Issuers returns the best-ranked member of each other failure domain but for those that failed to answer.
 func (m *Members) Issuers(failed map[MemberID]time.Time) []Member {
+	return m.best(func(k *member) bool {
+		_, skip := failed[k.ID]
+		return !skip
+	})
+}
+
+// BestNear returns the best-ranked available member of each other failure domain in the region of Self. region returns
+// the region of a failure domain.
+func (m *Members) BestNear(now time.Time, region func(names.ID) names.ID) []Member {
+	return m.best(func(k *member) bool { return region(k.Domain) == region(m.Self.Domain) && k.available(now) })
+}
+
+// best returns the best-ranked member of each other failure domain among those that fit.
+func (m *Members) best(fits func(*member) bool) []Member {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	best := make(map[names.ID]Member)
 	for _, k := range m.known {
-		if _, skip := failed[k.ID]; skip || k.Domain == m.Self.Domain {
+		if k.Domain == m.Self.Domain || !fits(k) {
 			continue
 		}
 		if b, ok := best[k.Domain]; !ok || ranksBefore(k.Member, b) {
 			best[k.Domain] = k.Member
 		}
 	}
-	list := make([]Member, 0, len(best))
-	for _, x := range best {
-		list = append(list, x)
-	}
-	return list
+	return slices.SortedFunc(maps.Values(best), func(a, b Member) int { return cmp.Compare(a.Domain, b.Domain) })
 }
 
 // Domains returns the number of known entry VMs, including Self, by failure domain.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -22,6 +22,7 @@
 	"quetzalhold/admit"
 	"quetzalhold/backend"
 	"quetzalhold/clock"
+	"quetzalhold/cost"
 	"quetzalhold/engine"
 	"quetzalhold/feed"
 	"quetzalhold/names"
@@ -83,6 +84,8 @@
 	permits backend.Permits
 	// issuer divides the windows of services among the entry VMs that report their demands here.
 	issuer admit.Issuer
+	// costs holds what requests cost and how fast servers are.
+	costs cost.Book
 	// short wakes shareBudgets up.
 	short chan struct{}
 }
@@ -136,6 +139,7 @@
 	d.relay.HelperFailed = d.helperFailed
 	d.relay.Region = func(n names.ID) names.ID { return s.Region(n) }
 	d.relay.Pool = &d.pool
+	d.relay.Costs = &d.costs
 	d.relay.Table = d.table.Load
 	d.relay.Ready = d.loaded
 	d.relay.Budget = d.budget
@@ -184,6 +188,8 @@
 		Limited:  func() int { return d.pool.LimitedServers(time.Now()) },
 		Admitted: d.admissionState,
 		StoreAge: func() time.Duration { return time.Since(d.changes.FreshAt()) },
+		Speeds:   func() (slow, fast int) { return d.costs.Levels(time.Now()) },
+		Prefill:  d.prefillRates,
 		DroppedLines: func() int64 {
 			if d.lines == nil {
 				return 0
@@ -290,6 +296,7 @@
 	go d.sweep(background)
 	go d.shareBudgets(background)
 	go d.exchangeSums(background)
+	go d.forwardSamples(background)
 	go d.publishCrashes(background)
 	go d.relay.WatchReach(background)
 	d.log.Info("started", zap.Duration("after", time.Since(start)), zap.String("listen", s.Listen))
@@ -452,6 +459,7 @@
 			a.Limits, a.Permits = d.grant(now, &q)
 			a.Crowds = d.pool.Crowds(now)
 			a.Grants, a.Sums = d.grantShares(now, &q), d.exchangeSumsWith(now, &q)
+			a.Speeds = d.mergeSpeeds(now, &q)
 			return a
 		},
 	})
