--- a/admit/admit.go
+++ b/admit/admit.go
@@ -16,30 +16,34 @@
 
 //go:generate go tool -modfile=../tools/go.mod stringer -type=Action,Reason -linecomment -output=enum_string.go
 
-// Rank orders streams by urgency: by priority, and among those of a priority answers under way come first.
-// 0 is the most urgent.
+// Rank orders streams by urgency: by the priority of the caller's organisation, or of the route if that has
+// none; then by the priority of the route, as most organisations have the same one; then answers under way come
+// first. 0 is the most urgent.
 type Rank int
 
 // Ranks is the number of ranks. Priorities above 9 count as 9, as in the urgency that engines are told.
 const (
-	Ranks       = 2 * (maxPriority + 1)
-	maxPriority = 9
+	Ranks      = 2 * priorities * priorities
+	priorities = 10
 )
 
-// NewRank returns the rank of a stream.
-func NewRank(p routing.Priority, underWay bool) Rank {
-	r := 2 * Rank(min(max(p, 0), maxPriority))
+// NewRank returns the rank of a stream with the priority that is in force for its caller, on a route with a
+// priority.
+func NewRank(caller, route routing.Priority, underWay bool) Rank {
+	r := 2 * (priorities*level(caller) + level(route))
 	if !underWay {
 		r++
 	}
 	return r
 }
 
+func level(p routing.Priority) Rank { return Rank(min(max(p, 0), priorities-1)) }
+
 // UnderWay reports whether streams of the rank resume an answer.
 func (r Rank) UnderWay() bool { return r%2 == 0 }
 
-// Priority returns the priority of the rank's streams.
-func (r Rank) Priority() routing.Priority { return routing.Priority(r / 2) }
+// Priority returns the priority that is in force for the callers of the rank's streams.
+func (r Rank) Priority() routing.Priority { return routing.Priority(r / 2 / priorities) }
 
 // Stream is what admission needs to know of a stream.
 type Stream struct {
--- a/admit/divide.go
+++ b/admit/divide.go
@@ -44,6 +44,8 @@
 const (
 	// floorShare is the part of the window that each rank with demand gets at least.
 	floorShare = 0.05
+	// floorLimit bounds what all ranks get in that way, however many there are.
+	floorLimit = 0.15
 	// heldMargin is by how much a rank has to be in time less often than a more urgent one, so as not to be held
 	// back. Without it, the least urgent class of TestReplay was in time as often as the most urgent one.
 	heldMargin = 0.05
@@ -118,7 +120,7 @@
 		least[r] = min(n.all(r), floorShare*window)
 		fresh += least[r]
 	}
-	left := max(window-underWay, floorShare*window)
+	left := min(max(window-underWay, floorShare*window), floorLimit*window)
 	if fresh <= left {
 		return least
 	}
--- a/backend/place.go
+++ b/backend/place.go
@@ -147,6 +147,13 @@
 	return p.Run.Report != nil && p.Run.cost(&n) <= limit
 }
 
+// PrefillsAtOnce reports whether the engine picked for the generation has room for it and no other prompts to
+// prefill.
+func (p *Placement) PrefillsAtOnce(n Criteria) bool {
+	r := &p.Run
+	return r.Report != nil && r.Report.Waiting+r.Report.Prefilling+r.unreported() == 0 && r.Report.Used+n.Tokens <= r.Report.Total
+}
+
 // Place picks the engine for a generation and the engine for its replica, which is in another
 // failure domain if possible. It returns false if list is empty.
 func Place(n Criteria, list []Engine) (Placement, bool) {
--- a/relay/admission.go
+++ b/relay/admission.go
@@ -214,6 +214,13 @@
 	return l.queue.UnderPressure(now)
 }
 
+// underPressure reports whether admission is in force for a service and its streams need more than the engines
+// can prefill at once.
+func (r *Relay) underPressure(n routing.ServiceName, now time.Time) bool {
+	l := r.line(n)
+	return l != nil && l.underPressure(now)
+}
+
 // queueTurn is a stream's place in the queue of its service. The zero value has none.
 type queueTurn struct {
 	line    *line
@@ -233,7 +240,7 @@
 // admitStream returns what admission needs to know of the stream.
 func (s *streamRun) admitStream(underWay bool) admit.Stream {
 	a := admit.Stream{
-		Rank: admit.NewRank(s.priority, underWay), Organisation: s.organisation, Tokens: s.msg.params.PromptTokens,
+		Rank: admit.NewRank(s.priority, s.route.Priority, underWay), Organisation: s.organisation, Tokens: s.msg.params.PromptTokens,
 		CameAt: s.startedAt, Deadline: s.deadline,
 	}
 	if s.route.LatencyTarget > 0 {
--- a/relay/place.go
+++ b/relay/place.go
@@ -35,8 +35,11 @@
 	ctx = j.withReportAge(ctx)
 	n := r.need(j, now, exclude, avoid)
 	near := r.Pool.Candidates(n.Nearby(), maxQueried)
-	list := r.queryNear(ctx, n, near, now)
-	if p, ok := backend.Place(n, list); ok && p.LightlyLoaded(n) {
+	// Under pressure all engines are loaded with generations: to ask those of other regions as well takes longer
+	// than an engine that has no prompt to prefill needs to begin.
+	pressure := r.underPressure(j.service, now)
+	list := r.queryNear(ctx, n, near, now, pressure)
+	if p, ok := backend.Place(n, list); ok && (p.LightlyLoaded(n) || pressure && p.PrefillsAtOnce(n)) {
 		if p.Replica == nil || p.Replica.Domain == p.Run.Domain {
 			r.setCopy(&p, j, now, exclude)
 		}
@@ -46,17 +49,17 @@
 	return backend.Place(n, list)
 }
 
-// queryNear queries engines for their load reports, a few at a time, until one has no work.
-// Where one does not answer, it queries the rest together, since each round may take until the
+// queryNear queries engines for their load reports, a few at a time, until one has no work, or under pressure
+// no prompts to prefill. Where one does not answer, it queries the rest together, since each round may take until the
 // timeout.
-func (r *Relay) queryNear(ctx context.Context, n backend.Criteria, near []backend.Choice, now time.Time) []backend.Engine {
+func (r *Relay) queryNear(ctx context.Context, n backend.Criteria, near []backend.Choice, now time.Time, pressure bool) []backend.Engine {
 	var list []backend.Engine
 	for from, atOnce := 0, queriedAtOnce; from < len(near); {
 		next := near[from:min(from+atOnce, len(near))]
 		list = append(list, r.queryReports(ctx, next, from, now)...)
 		from += len(next)
 		p, ok := backend.Place(n, list)
-		if ok && p.Run.Idle(n) {
+		if ok && (p.Run.Idle(n) || pressure && p.PrefillsAtOnce(n)) {
 			break
 		}
 		if p.Reports < from {
