--- a/admit/queue.go
+++ b/admit/queue.go
@@ -125,15 +125,18 @@
 	if t.state != stateWaiting || !q.UnderPressure(now) {
 		return t, list
 	}
-	wait, ahead, rate := q.expectedWait(now, t)
-	if left := t.Deadline.Sub(now); ahead > 0 && left-wait < t.Need {
-		d := q.reject(now, t, WaitTooLong)
-		d.ExpectedWait, d.Ahead, d.Rate = wait, ahead, rate
-		list = append(list, d)
+	if q.waitsTooLong(now, t) {
+		list = append(list, q.reject(now, t, WaitTooLong))
 	}
 	return t, list
 }
 
+// waitsTooLong reports whether the wait expected of a stream leaves it too little time.
+func (q *Queue) waitsTooLong(now time.Time, t *Ticket) bool {
+	wait, ahead, _ := q.expectedWait(now, t)
+	return ahead > 0 && t.Deadline.Sub(now)-wait < t.Need
+}
+
 // First records that a pending stream has had its first event and returns the decisions that follow.
 func (q *Queue) First(now time.Time, t *Ticket) []Decision {
 	if t.state == statePending && !t.UnderWay() {
@@ -188,10 +191,15 @@
 func (q *Queue) Advance(now time.Time) []Decision {
 	q.tick(now)
 	var list []Decision
+	pressure := q.UnderPressure(now)
 	for _, t := range slices.Clone(q.waiting) {
-		if !now.Before(t.Deadline.Add(-max(t.Need, answerMargin))) {
+		switch timely := q.timely(now, t); {
+		case !now.Before(t.Deadline.Add(-max(t.Need, answerMargin))):
 			list = append(list, q.reject(now, t, NoTimeLeft))
-		} else if !q.timely(now, t) {
+		case !timely && pressure && q.waitsTooLong(now, t):
+			// Its caller can return while there is time, and does not wait in vain.
+			list = append(list, q.reject(now, t, WaitTooLong))
+		case !timely:
 			q.record(now, t, false)
 		}
 	}
--- a/relay/admission.go
+++ b/relay/admission.go
@@ -252,7 +252,7 @@
 
 // leastTime returns the least time that the stream takes; 0 if it is unknown.
 func (s *streamRun) leastTime() time.Duration {
-	if need, ok := s.relay.stats.MinTime(s.route.Name, s.lastID); ok {
+	if need, ok := s.relay.stats.RecentTime(s.route.Name, s.lastID); ok {
 		return need
 	}
 	return s.relay.leastTime(s.service, s.lastID)
--- a/relay/decision_test.go
+++ b/relay/decision_test.go
@@ -183,4 +183,21 @@
 		_, ok = p.MinTime("other", 0)
 		So(ok, ShouldBeFalse)
 	})
+	Convey("The usual time of the last streams rises with the load, whatever the earlier ones took", t, func() {
+		var p StreamStats
+		_, ok := p.RecentTime("r", 0)
+		So(ok, ShouldBeFalse)
+		for i := range 2*maxSamples + 5 {
+			s := Sample{Prompt: 1000, First: time.Second, Gap: 40 * time.Millisecond, Events: 100}
+			if i >= 2*maxSamples {
+				s.Gap = 120 * time.Millisecond
+			}
+			p.Add("r", s)
+		}
+		need, ok := p.RecentTime("r", 0)
+		So(ok, ShouldBeTrue)
+		So(need, ShouldEqual, 13*time.Second)
+		need, _ = p.RecentTime("r", 50)
+		So(need, ShouldEqual, 7*time.Second)
+	})
 }
--- a/relay/stats.go
+++ b/relay/stats.go
@@ -36,6 +36,23 @@
 	l.next[r]++
 }
 
+// newest returns the latest n samples of a route, or all if there are fewer.
+func (l *recent[T]) newest(r routing.RouteName, n int) []T {
+	all := l.samples[r]
+	if len(all) <= n {
+		return slices.Clone(all)
+	}
+	end := len(all)
+	if len(all) == maxSamples {
+		end = l.next[r] % maxSamples // the oldest one is there
+	}
+	list := make([]T, 0, n)
+	for i := range n {
+		list = append(list, all[(end-n+i+len(all))%len(all)])
+	}
+	return list
+}
+
 // StreamStats keeps the timing of recent streams of each route, from which it estimates how
 // long a stream takes. Its zero value is ready to use and has no samples.
 type StreamStats struct {
@@ -99,6 +116,28 @@
 	return time.Duration(first + max(0, events-last)*gap), true
 }
 
+// recentSamples is the number of samples from which RecentTime is estimated: those of some seconds, as the time
+// that a stream takes rises with the load within seconds.
+const recentSamples = 8
+
+// RecentTime returns the median time that the last streams of a route took to resume after event last, or MinTime if
+// that is longer; false if there are too few samples.
+func (p *StreamStats) RecentTime(r routing.RouteName, last int64) (time.Duration, bool) {
+	least, ok := p.MinTime(r, last)
+	if !ok {
+		return 0, false
+	}
+	p.mu.Lock()
+	newest := p.recent.newest(r, recentSamples)
+	p.mu.Unlock()
+	times := make([]time.Duration, 0, len(newest))
+	for _, s := range newest {
+		times = append(times, s.First+time.Duration(max(0, s.Events-last))*s.Gap)
+	}
+	slices.Sort(times)
+	return max(least, times[len(times)/2]), true
+}
+
 // CallStats keeps how long the servers of each route took for recent calls. Its zero value is ready to
 // use and has no samples.
 type CallStats struct {
