connlimit, gateway, entry, relay: bounds on unfinished heads, bodies and connections of clients

Clients could hold heads and bodies of any number until timeouts, and connections without end. A listener wrapper on all addresses now limits each head by the configuration in force, and the memory of all unfinished heads and the number of connections without a request by totals of the process. Bodies that stop arriving give way to others past the bound on bodies, and unused bodies no longer keep connections.

--- a/connlimit/crowd_test.go
+++ b/connlimit/crowd_test.go
@@ -115,7 +115,7 @@
 		}
 		return c.fill("x", 900)
 	}},
-	{"idle", func(c client) error { return nil }},
+	{"idle", func(client) error { return nil }},
 	{"idle after a request", func(c client) error {
 		if err := c.requestLine(http.MethodGet); err != nil {
 			return err
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -20,6 +20,7 @@
 	"quetzalhold/booking"
 	"quetzalhold/caller"
 	"quetzalhold/clock"
+	"quetzalhold/connlimit"
 	"quetzalhold/engine"
 	"quetzalhold/limit"
 	"quetzalhold/names"
@@ -66,6 +67,7 @@
 	crashesChanged chan struct{}
 	lease          *objects.Lease
 	http           *http.Server
+	clients        connlimit.Limiter
 
 	draining  atomic.Bool  // reports not ready, but still accepts requests
 	stopping  atomic.Bool  // refuses new requests
@@ -133,6 +135,11 @@
 	d.owners.self = d.members.Self().Address
 	d.bookings = &booking.Runner{Apply: d.applyBooking, Limits: booking.Limits{Retention: limits.BookingKeepMs.Duration()}}
 	d.http = d.newServer(limits)
+	if err := d.initClients(); err != nil {
+		return nil, err
+	}
+	// callerStallMs bounds the pauses of callers that read an answer as well.
+	d.clients.Attach(d.http, connlimit.BodyTimeout{Stall: limits.CallerStallMs.Duration()})
 	return d, nil
 }
 
@@ -253,14 +260,11 @@
 	return &http.Server{
 		Handler:           d.countInFlight(limitHeader(l.MaxHeaderBytes, mux)),
 		ReadHeaderTimeout: headerTimeout,
-		// Beyond this multiple of the limit net/http rejects the request itself,
-		// without a result code.
-		MaxHeaderBytes: headerReadFactor * int(l.MaxHeaderBytes),
 	}
 }
 
-// headerReadFactor times the limit on headers is how much of them net/http
-// reads, so that limitHeader can refuse larger ones with a result code.
+// headerReadFactor times the limit on headers is how much of them is read, so that limitHeader can refuse larger ones
+// with a result code. limitHeader does not count separators, and a line may have one other byte.
 const headerReadFactor = 4
 
 // limitHeader refuses requests whose headers and URI exceed a limit.
@@ -316,7 +320,7 @@
 		wg.Go(func() { loop(loopCtx) })
 	}
 	failed := make(chan error, 1)
-	go func() { failed <- d.http.Serve(l) }()
+	go func() { failed <- d.http.Serve(d.clients.Listen(l, d.headLimit)) }()
 	d.telemetry.Log.Info("serving", zap.String("address", l.Addr().String()))
 	var err error
 	select {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -21,6 +21,7 @@
 
 	"quetzalhold/backend"
 	"quetzalhold/clock"
+	"quetzalhold/connlimit"
 	"quetzalhold/engine"
 	"quetzalhold/feed"
 	"quetzalhold/names"
@@ -59,6 +60,7 @@
 	draining   atomic.Bool // callers' connections are being closed
 	health     storeHealth
 	conns      idleConns
+	clients    connlimit.Limiter
 	moves      moves
 	orders     orderChecks
 	quarantine quarantine.List
@@ -155,7 +157,10 @@
 	d.relay.BodyMemory = int64(bodyMemoryShare * megabyte * float64(s.MemoryMB))
 	d.relay.AnswerMemory = int64(answerMemoryShare * megabyte * float64(s.MemoryMB))
 	d.relay.Log = d.log
-	return d, d.initTelemetry()
+	if err := d.initTelemetry(); err != nil {
+		return nil, err
+	}
+	return d, d.initClients(s)
 }
 
 // initTelemetry sets up the metrics and the tracer.
@@ -203,6 +208,9 @@
 	// readHeaderTimeout bounds how long a caller may take to send headers. It is above
 	// every limit that configurations set.
 	readHeaderTimeout = 10 * time.Second
+	// unusedBodyWait bounds the time to receive a body that no handler uses. Those of requests that other entry VMs
+	// hand over have the deadline of the request.
+	unusedBodyWait = time.Second
 	// sweepInterval is how often sweep runs.
 	sweepInterval = time.Second
 	// memoryLimitShare is the part of the permitted memory that the garbage collector
@@ -245,11 +253,20 @@
 	for _, x := range []struct {
 		server  *http.Server
 		address string
-	}{{front, s.Listen}, {ready, s.Readiness}, {peers, s.Peers}, {metrics, s.Metrics}} {
+		head    func() connlimit.Bytes
+		bodies  time.Duration
+	}{
+		{front, s.Listen, d.callerHead, readHeaderTimeout},
+		{ready, s.Readiness, d.probeHead, unusedBodyWait},
+		{peers, s.Peers, d.peerHead, unusedBodyWait},
+		{metrics, s.Metrics, d.probeHead, unusedBodyWait},
+	} {
 		l, err := d.bind(ctx, x.address)
 		if err != nil {
 			return err
 		}
+		d.clients.Attach(x.server, connlimit.BodyTimeout{Total: x.bodies})
+		l = d.clients.Listen(l, x.head)
 		if x.server == front {
 			callers = l
 		}
--- a/relay/bodies.go
+++ b/relay/bodies.go
@@ -3,19 +3,21 @@
 import (
 	"bytes"
 	"io"
+	"net/http"
 	"sync"
 	"time"
 
 	"quetzalhold/result"
 )
 
-// bodyMemory counts the memory that large bodies of requests, or of answers, take up. The zero value holds none.
+// bodyMemory counts the memory that the beginnings of long answers take up. The zero value holds none.
 type bodyMemory struct {
 	mu   sync.Mutex
 	held int64 // in bytes
 }
 
-// smallBody is the size up to which bodies are not counted, in bytes: there is always room for small requests.
+// smallBody is the size up to which bodies are counted only while they arrive, in bytes: there is always room for small
+// requests.
 const smallBody = 64 << 10
 
 // take takes size bytes in place of had, unless more than limit would be held then; 0 is no limit. There is room for
@@ -37,26 +39,44 @@
 	b.held -= n
 }
 
+// bodyLimits returns the limits on bodies of requests.
+func (r *Relay) bodyLimits() bodyLimits {
+	return bodyLimits{memory: r.BodyMemory, small: r.BodyMemory / smallShare, unfinished: r.UnfinishedBodies}
+}
+
 // holdBody takes the memory for a body of some size, or for more of it.
 func (j *job) holdBody(size int64) error {
-	if size <= smallBody {
-		return nil
-	}
-	if !j.relay.bodies.take(j.heldBody, size, j.relay.BodyMemory) {
-		return result.New(result.Overloaded, "no room for a body of %d bytes", size).AsNotRun().WithRetryAt(time.Now().Add(retryDelay))
+	if !j.relay.bodies.take(time.Now(), &j.arrival, size, j.relay.bodyLimits()) {
+		return j.noRoom(size)
 	}
-	j.heldBody = size
 	return nil
 }
 
+func (j *job) noRoom(size int64) error {
+	return result.New(result.Overloaded, "no room for a body of %d bytes", size).AsNotRun().WithRetryAt(time.Now().Add(retryDelay))
+}
+
 // releaseBody gives back the memory of the body.
-func (j *job) releaseBody() {
-	j.relay.bodies.give(j.heldBody)
-	j.heldBody = 0
+func (j *job) releaseBody() { j.relay.bodies.release(&j.arrival) }
+
+// arrivingBody is a body whose bytes are counted as they arrive.
+type arrivingBody struct {
+	io.Reader
+	job *job
+}
+
+// Read implements io.Reader.
+func (a arrivingBody) Read(p []byte) (int, error) {
+	n, err := a.Reader.Read(p)
+	a.job.relay.bodies.received(time.Now(), &a.job.arrival, int64(n))
+	return n, err
 }
 
 // readAll reads a body of up to limit bytes, once there is room for it.
 func (j *job) readAll(body io.Reader, limit int64) ([]byte, error) {
+	if j.msg.ContentLength == 0 {
+		return nil, nil
+	}
 	var b bytes.Buffer
 	size := int64(smallBody) // of a body of unknown length
 	if n := j.msg.ContentLength; n >= 0 {
@@ -69,10 +89,35 @@
 		if j.msg.ContentLength > 0 {
 			b.Grow(int(size) + bytes.MinRead) // at once: each growth leaves garbage of half its size
 		}
-		_, err := b.ReadFrom(io.LimitReader(body, size-int64(b.Len())+1))
+		_, err := b.ReadFrom(io.LimitReader(arrivingBody{body, j}, size-int64(b.Len())+1))
 		if err != nil || int64(b.Len()) <= size {
+			if !j.relay.bodies.finish(&j.arrival) {
+				return nil, j.noRoom(size)
+			}
 			return b.Bytes(), err
 		}
 		size = min(2*size, limit)
 	}
 }
+
+// unreadStall is how long the rest of a body that is not used may stay away before the connection is closed. Callers
+// that send it without a pause get their answer after it.
+const unreadStall = time.Second
+
+// discardUnread reads the rest of a body for which there was no room, after its answer. How it ends does not matter.
+func (j *job) discardUnread(w http.ResponseWriter) {
+	control := http.NewResponseController(w)
+	buf := make([]byte, 4<<10)
+	for {
+		until := time.Now().Add(unreadStall)
+		if j.deadline.Before(until) {
+			until = j.deadline
+		}
+		if control.SetReadDeadline(until) != nil {
+			return
+		}
+		if _, err := j.unread.Read(buf); err != nil {
+			return
+		}
+	}
+}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -102,6 +102,8 @@
 	Tracer trace.Tracer
 	// BodyMemory is the memory for large bodies of requests that are held at once, in bytes; 0 for no limit.
 	BodyMemory int64
+	// UnfinishedBodies is the maximum number of bodies of requests that arrive at once; 0 for no limit.
+	UnfinishedBodies int
 	// AnswerMemory is the memory for the beginnings of long answers that are held at once, in bytes; 0 for no limit.
 	AnswerMemory int64
 	// Detector detects failed streams.
@@ -112,7 +114,7 @@
 	calls            CallStats
 	reach            reaches
 	unevenRoutes     unevenRoutes
-	bodies           bodyMemory
+	bodies           requestBodies
 	answers          bodyMemory
 	takings          takings
 	checkReach       chan struct{} // wakes WatchReach up
@@ -177,7 +179,7 @@
 	sound        bool                 // a server was past the beginning of the answer
 	trials       []quarantine.Suspect // those of which its last send is a trial
 	claimed      []quarantine.Suspect // trials of its first send, claimed by the entry VM from which it was taken
-	heldBody     int64                // memory that its body takes up
+	arrival      arrival              // its body
 	unread       io.Reader            // the rest of a body for which there is no room; nil for none
 	startedAt    time.Time
 	deadline     time.Time
@@ -430,7 +432,9 @@
 	limit := cmp.Or(l.BodyBytes, defaultBodyBytes)
 	body := http.MaxBytesReader(w, j.msg.Body, limit)
 	// Not every ResponseWriter supports deadlines; httptest.ResponseRecorder doesn't.
-	_ = http.NewResponseController(w).SetReadDeadline(j.deadline)
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(j.deadline)
+	j.arrival.cut = func() { _ = control.SetReadDeadline(time.Now()) }
 	var err error
 	j.msg.body, err = j.readAll(body, limit)
 	if err != nil {
@@ -441,8 +445,11 @@
 	switch {
 	case errors.As(err, &noRoom):
 		// Some callers read no answer before they have sent the body. Not every ResponseWriter can do this.
-		_ = http.NewResponseController(w).EnableFullDuplex()
+		_ = control.EnableFullDuplex()
 		j.unread = body
+		if j.arrival.rejected {
+			w.Header().Set("Connection", "close")
+		}
 		return noRoom
 	case errors.As(err, &tooLarge):
 		return result.New(result.BodyTooLarge, "limit %d bytes", limit).AsNotRun()
@@ -451,7 +458,7 @@
 	case err != nil:
 		return result.Wrap(result.CallerGone, err, "read body").AsNotRun()
 	}
-	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
+	_ = control.SetReadDeadline(time.Time{})
 	return nil
 }
 
@@ -489,8 +496,7 @@
 	result.Write(w, e)
 	j.end(e.Code, "", zap.Bool("notRun", e.NotRun), zap.String("why", e.Error()), zap.NamedError("writeError", to.flush()))
 	if j.unread != nil {
-		// The answer is out; how the rest of the request ends does not matter.
-		_, _ = io.Copy(io.Discard, j.unread)
+		j.discardUnread(w)
 	}
 }
 
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -57,7 +57,8 @@
 	// TraceShare is the fraction of requests that are traced, 0 to 1.
 	TraceShare float64 `json:"traceShare,omitempty"`
 
-	Bounds Bounds `json:"bounds"`
+	Clients Clients `json:"clients,omitzero"`
+	Bounds  Bounds  `json:"bounds"`
 }
 
 // Bounds is the requirements that the users set for the system.
@@ -137,6 +138,7 @@
 	if g.MaxFDs < 0 {
 		c.add(result.OutOfRange, "maxFds", "%d is below 0", g.MaxFDs)
 	}
+	c.clients(g.Clients, g.MemoryMB, g.MaxFDs)
 	if _, ok := g.Regions[g.Domain]; !ok {
 		c.add(result.UnknownDomain, "domain", "%q has no region", g.Domain)
 	}
--- a/settings/gateway_test.go
+++ b/settings/gateway_test.go
@@ -32,6 +32,19 @@
 		So(err, ShouldNotBeNil)
 		So(golden.Diff("testdata/gateway.golden", []byte(err.Error()+"\n")), ShouldBeEmpty)
 	})
+	Convey("Limits of clients that no process can keep are faults", t, func() {
+		parse := func(clients string) error {
+			_, err := settings.ParseGateway([]byte(strings.Replace(string(raw), `"memoryMB": 134,`, `"memoryMB": 134, "maxFds": 4100, "clients": `+clients+",", 1)))
+			return err
+		}
+		So(parse(`{"headBytes": 32768, "headMemoryMB": 8, "idleConnections": 1000}`), ShouldBeNil)
+		So(parse(`{}`), ShouldBeNil)
+		err := parse(`{"headBytes": 100, "headMemoryMB": 135, "idleConnections": -1}`)
+		So(err, ShouldNotBeNil)
+		for _, field := range []string{"headBytes", "headMemoryMB", "idleConnections"} {
+			So(err.Error(), ShouldContainSubstring, "clients."+field)
+		}
+	})
 	Convey("Invalid JSON is an error", t, func() {
 		So(settings.IsGateway([]byte("{")), ShouldBeFalse)
 		_, err := settings.ParseGateway([]byte("{"))
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -51,9 +51,24 @@
 	Scheme string `json:"scheme,omitempty"`
 
 	Limits    Limits    `json:"limits"`
+	Clients   Clients   `json:"clients,omitzero"`
 	Telemetry Telemetry `json:"telemetry"`
 }
 
+// Clients limits what clients may hold of a process before they have sent a complete request. Zero fields mean
+// defaults, which connlimit.DefaultLimits derives from the limits of the process.
+type Clients struct {
+	// HeadBytes is the maximum size of a request's headers where the configuration sets none.
+	HeadBytes Bytes `json:"headBytes,omitempty"`
+	// HeadMemoryMB is the maximum memory of all unfinished heads, in 10^6 bytes.
+	HeadMemoryMB int `json:"headMemoryMB,omitempty"`
+	// IdleConnections is the maximum number of connections without a complete request.
+	IdleConnections int `json:"idleConnections,omitempty"`
+}
+
+// minHeadBytes is the least limit on heads: those of ordinary clients have some hundred bytes, with cookies 4 KB.
+const minHeadBytes Bytes = 4 << 10
+
 // Place is a failure domain in a region.
 type Place struct {
 	Names  names.Set `json:"names"`
@@ -186,6 +201,10 @@
 	}
 	c.places(e)
 	c.limits(e.Limits)
+	c.clients(e.Clients, 0, 0)
+	if h := e.Clients.HeadBytes; h > 0 && h < e.Limits.WithDefaults().MaxHeaderBytes {
+		c.add(result.OutOfRange, "clients.headBytes", "%d is below limits.maxHeaderBytes", h)
+	}
 	c.telemetry(e.Telemetry)
 	return c.faults
 }
@@ -259,6 +278,24 @@
 	}
 }
 
+// clients checks the limits of clients against the limits of the process; 0 stands for an unknown one.
+func (c *checker) clients(l Clients, memoryMB, maxFDs int) {
+	if l.HeadBytes != 0 && l.HeadBytes < minHeadBytes {
+		c.add(result.OutOfRange, "clients.headBytes", "%d; want 0, or %d or more", l.HeadBytes, minHeadBytes)
+	}
+	for _, f := range []struct {
+		name     string
+		v, limit int
+	}{{"clients.headMemoryMB", l.HeadMemoryMB, memoryMB}, {"clients.idleConnections", l.IdleConnections, maxFDs}} {
+		switch {
+		case f.v < 0:
+			c.add(result.OutOfRange, f.name, "%d is below 0", f.v)
+		case f.limit > 0 && f.v > f.limit:
+			c.add(result.OutOfRange, f.name, "%d is above the process's limit of %d", f.v, f.limit)
+		}
+	}
+}
+
 func (c *checker) telemetry(t Telemetry) {
 	switch t.LogLevel {
 	case "", "debug", "info", "warn", "error":
--- a/telemetry/gateway.go
+++ b/telemetry/gateway.go
@@ -26,6 +26,7 @@
 	idleClosed metric.Int64Counter
 	storeTime  metric.Float64Histogram
 	handler    http.Handler
+	meter      metric.Meter
 }
 
 // NewGatewayTracer returns the tracer of an entry VM on the users' platform, and the
@@ -69,7 +70,7 @@
 		return nil, err
 	}
 	m := sdkmetric.NewMeterProvider(sdkmetric.WithReader(scrape)).Meter(scope)
-	t := &Gateway{handler: handler}
+	t := &Gateway{handler: handler, meter: m}
 	for _, c := range []struct {
 		into       *metric.Int64Counter
 		name, unit string
--- a/telemetry/telemetry.go
+++ b/telemetry/telemetry.go
@@ -17,6 +17,7 @@
 	"go.opentelemetry.io/otel/exporters/otlp/otlpmetric/otlpmetrichttp"
 	"go.opentelemetry.io/otel/exporters/otlp/otlptrace/otlptracehttp"
 	otelprom "go.opentelemetry.io/otel/exporters/prometheus"
+	"go.opentelemetry.io/otel/metric"
 	sdkmetric "go.opentelemetry.io/otel/sdk/metric"
 	"go.opentelemetry.io/otel/sdk/resource"
 	sdktrace "go.opentelemetry.io/otel/sdk/trace"
@@ -35,6 +36,7 @@
 	Metrics *Metrics
 
 	handler   http.Handler
+	meter     metric.Meter
 	shutdowns []func(context.Context) error
 }
 
@@ -78,7 +80,8 @@
 // recorded as usual.
 func Discard() *Telemetry {
 	provider := sdkmetric.NewMeterProvider()
-	m, err := newMetrics(provider.Meter(scope))
+	meter := provider.Meter(scope)
+	m, err := newMetrics(meter)
 	if err != nil {
 		panic(err) // only for a malformed instrument name
 	}
@@ -87,6 +90,7 @@
 		Tracer:  sdktrace.NewTracerProvider(sdktrace.WithSampler(sdktrace.NeverSample())).Tracer(scope),
 		Metrics: m,
 		handler: http.NotFoundHandler(),
+		meter:   meter,
 	}
 }
 
@@ -171,7 +175,8 @@
 	p := sdkmetric.NewMeterProvider(opts...)
 	t.shutdowns = append(t.shutdowns, p.Shutdown)
 	t.handler = handler
-	t.Metrics, err = newMetrics(p.Meter(scope))
+	t.meter = p.Meter(scope)
+	t.Metrics, err = newMetrics(t.meter)
 	return err
 }
 
