--- a/relay/bodies_test.go
+++ b/relay/bodies_test.go
@@ -129,6 +129,38 @@
 	})
 }
 
+// TestStalledBody guards against a body that stops arriving and keeps its room until the request's deadline, and against a
+// rejection that breaks its promise.
+func TestStalledBody(t *testing.T) {
+	withHarness(t, "a stalled body gives way to another and is answered", func(w *harness) {
+		w.add("a0", "app", 0, 10*time.Millisecond)
+		const size = 1 << 20
+		w.relay.BodyMemory = size
+		c := testConfig()
+		c.Limits.BodyBytes = 2 * size
+		w.setTable(routing.NewTable(c))
+		conn, err := w.net.Dialer(callerHost)(context.Background(), "tcp", entryListen)
+		So(err, ShouldBeNil)
+		defer func() { _ = conn.Close() }()
+		_, err = fmt.Fprintf(conn, "POST /status/1 HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: stalled\r\nX-Api-Key: key-1\r\n"+
+			"Content-Length: %d\r\n\r\n%s", size, strings.Repeat("x", size/2))
+		So(err, ShouldBeNil)
+		send := func() int {
+			return w.requestBody(context.Background(), http.MethodPost, "/status/1", strings.NewReader(strings.Repeat("x", size))).status
+		}
+		So(send(), ShouldEqual, http.StatusServiceUnavailable)
+		time.Sleep(1100 * time.Millisecond)
+		So(send(), ShouldEqual, http.StatusOK)
+		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		So(err, ShouldBeNil)
+		defer func() { _ = resp.Body.Close() }()
+		So(resp.StatusCode, ShouldEqual, http.StatusServiceUnavailable)
+		So(resp.Close, ShouldBeTrue)
+		So(resp.Header.Get("Retry-After"), ShouldNotBeEmpty)
+		So(w.book.Runs("stalled"), ShouldBeEmpty)
+	})
+}
+
 // TestBodyTooLate guards against callers that are told that they have left, as the time of their requests was over
 // before the body was read.
 func TestBodyTooLate(t *testing.T) {
