connlimit, entry: bodies that arrive at the stand-alone daemon are bounded as well; unread bodies end sooner

The rest of a body that is not read, of a refused request for example, is awaited for 1 s, where net/http waited forever.

--- a/caller/server.go
+++ b/caller/server.go
@@ -93,7 +93,10 @@
 func ReadBody(w http.ResponseWriter, r *http.Request, limit settings.Bytes) ([]byte, error) {
 	b, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(limit)))
 	var tooLarge *http.MaxBytesError
+	var refused *result.Error
 	switch {
+	case errors.As(err, &refused):
+		return nil, refused // no room for the body
 	case errors.As(err, &tooLarge):
 		return nil, result.New(result.BodyTooLarge, "over %d bytes", limit).AsNotRun()
 	case err != nil:
--- a/connlimit/connlimit.go
+++ b/connlimit/connlimit.go
@@ -28,6 +28,8 @@
 	Silent // silent
 	Kept   // kept
 	Newest // newest
+	// NoBodyRoom is for a body that gets no room, or gives way to others.
+	NoBodyRoom // noBodyRoom
 	reasons
 )
 
@@ -84,5 +86,9 @@
 	readAhead Bytes = 4 << 10
 )
 
+// UnknownBodyMemory is the memory for bodies of a process that does not know its own limit: sixty of the default maximum
+// of 1 MiB.
+const UnknownBodyMemory Bytes = 64_000_000
+
 // HeadLimit returns the limit on the bytes read for a head whose headers may have some size.
 func HeadLimit(headers Bytes) Bytes { return headers + requestLine + readAhead }
--- a/connlimit/limiter.go
+++ b/connlimit/limiter.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -27,6 +28,8 @@
 	lastID  ConnID
 	conns   map[ConnID]*Conn
 	reports [reasons]report
+
+	bodies Bodies
 }
 
 // Report is the connections that were closed for a reason since the last report.
@@ -185,9 +188,8 @@
 // noServerLimit is a limit on heads for an http.Server whose listener limits them.
 const noServerLimit = 1 << 30
 
-// Attach prepares a server for listeners of l. It is called once all fields of the server are set. bodies limits the
-// time in which the body of a request arrives.
-func (l *Limiter) Attach(s *http.Server, bodies BodyTimeout) {
+// Attach prepares a server for listeners of l. It is called once all fields of the server are set.
+func (l *Limiter) Attach(s *http.Server, bodies BodyPolicy) {
 	s.MaxHeaderBytes = noServerLimit
 	track := s.ConnState
 	s.ConnState = func(c net.Conn, state http.ConnState) {
@@ -205,7 +207,7 @@
 		}
 		return context.WithValue(ctx, connKey{}, c)
 	}
-	next := bodies.limit(s.Handler)
+	next := l.limitBodies(bodies, s.Handler)
 	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		// The server reports no change of state for a request that it read together with the one before.
 		if c, ok := r.Context().Value(connKey{}).(*Conn); ok && !l.begin(c) {
@@ -217,8 +219,10 @@
 
 func (l *Limiter) track(c *Conn, state http.ConnState) {
 	switch state {
-	case http.StateActive, http.StateHijacked:
+	case http.StateActive:
 		l.begin(c)
+	case http.StateHijacked:
+		c.hijacked.Store(true)
 	case http.StateIdle:
 		l.apply(func(now time.Time) []Closing { return l.table.Kept(now, c.id) })
 	}
@@ -230,6 +234,8 @@
 	limiter *Limiter
 	id      ConnID
 	limit   func() Bytes
+	// hijacked is set once the connection belongs to a handler.
+	hijacked atomic.Bool
 }
 
 // NetConn returns the connection that c wraps.
@@ -305,57 +311,3 @@
 		left -= n
 	}
 }
-
-// BodyTimeout limits the time in which bodies arrive. Handlers may set other deadlines. The zero value sets no limit.
-type BodyTimeout struct {
-	// Total is the time from the head to the end of the body; 0 for no limit.
-	Total time.Duration
-	// Stall is the time without any byte of the body; 0 for no limit.
-	Stall time.Duration
-}
-
-// limit returns a handler whose requests' bodies are limited. Without a limit net/http waits forever for the rest of
-// a body that a handler has not read.
-func (t BodyTimeout) limit(next http.Handler) http.Handler {
-	wait := t.Total
-	if wait == 0 {
-		wait = t.Stall
-	}
-	if wait == 0 {
-		return next
-	}
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.Body != nil && r.Body != http.NoBody {
-			b := &limitedBody{ReadCloser: r.Body, control: http.NewResponseController(w), stall: t.Stall}
-			b.setDeadline(time.Now().Add(wait))
-			r = r.WithContext(r.Context())
-			r.Body = b
-		}
-		next.ServeHTTP(w, r)
-	})
-}
-
-// limitedBody is a body with a limit on the time in which it arrives.
-type limitedBody struct {
-	io.ReadCloser
-	control *http.ResponseController
-	stall   time.Duration
-}
-
-// Read implements io.Reader.
-func (b *limitedBody) Read(p []byte) (int, error) {
-	if b.stall > 0 {
-		b.setDeadline(time.Now().Add(b.stall))
-	}
-	n, err := b.ReadCloser.Read(p)
-	if errors.Is(err, io.EOF) {
-		// The deadline would end the request while it is answered.
-		b.setDeadline(time.Time{})
-	}
-	return n, err
-}
-
-func (b *limitedBody) setDeadline(at time.Time) {
-	// Not every ResponseWriter supports deadlines; httptest.ResponseRecorder doesn't.
-	_ = b.control.SetReadDeadline(at)
-}
--- a/connlimit/reason_string.go
+++ b/connlimit/reason_string.go
@@ -14,12 +14,13 @@
 	_ = x[Silent-3]
 	_ = x[Kept-4]
 	_ = x[Newest-5]
-	_ = x[reasons-6]
+	_ = x[NoBodyRoom-6]
+	_ = x[reasons-7]
 }
 
-const _Reason_name = "headTooLargeheadMemoryinHeadsilentkeptnewestreasons"
+const _Reason_name = "headTooLargeheadMemoryinHeadsilentkeptnewestnoBodyRoomreasons"
 
-var _Reason_index = [...]uint8{0, 12, 22, 28, 34, 38, 44, 51}
+var _Reason_index = [...]uint8{0, 12, 22, 28, 34, 38, 44, 54, 61}
 
 func (i Reason) String() string {
 	idx := int(i) - 0
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -139,7 +139,10 @@
 		return nil, err
 	}
 	// callerStallMs bounds the pauses of callers that read an answer as well.
-	d.clients.Attach(d.http, connlimit.BodyTimeout{Stall: limits.CallerStallMs.Duration()})
+	d.clients.Attach(d.http, connlimit.BodyPolicy{
+		Stall:  limits.CallerStallMs.Duration(),
+		Limits: connlimit.BodyLimits{Memory: connlimit.UnknownBodyMemory, Unfinished: d.clients.Limits.Connections},
+	})
 	return d, nil
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -265,7 +265,7 @@
 		if err != nil {
 			return err
 		}
-		d.clients.Attach(x.server, connlimit.BodyTimeout{Total: x.bodies})
+		d.clients.Attach(x.server, connlimit.BodyPolicy{Total: x.bodies})
 		l = d.clients.Listen(l, x.head)
 		if x.server == front {
 			callers = l
--- a/relay/bodies.go
+++ b/relay/bodies.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"quetzalhold/connlimit"
 	"quetzalhold/result"
 )
 
@@ -16,10 +17,6 @@
 	held int64 // in bytes
 }
 
-// smallBody is the size up to which bodies are counted only while they arrive, in bytes: there is always room for small
-// requests.
-const smallBody = 64 << 10
-
 // take takes size bytes in place of had, unless more than limit would be held then; 0 is no limit. There is room for
 // one body of any size.
 func (b *bodyMemory) take(had, size, limit int64) bool {
@@ -40,13 +37,13 @@
 }
 
 // bodyLimits returns the limits on bodies of requests.
-func (r *Relay) bodyLimits() bodyLimits {
-	return bodyLimits{memory: r.BodyMemory, small: r.BodyMemory / smallShare, unfinished: r.UnfinishedBodies}
+func (r *Relay) bodyLimits() connlimit.BodyLimits {
+	return connlimit.BodyLimits{Memory: connlimit.Bytes(r.BodyMemory), Unfinished: r.UnfinishedBodies}
 }
 
 // holdBody takes the memory for a body of some size, or for more of it.
 func (j *job) holdBody(size int64) error {
-	if !j.relay.bodies.take(time.Now(), &j.arrival, size, j.relay.bodyLimits()) {
+	if !j.relay.bodies.Take(time.Now(), &j.arrival, connlimit.Bytes(size), j.relay.bodyLimits()) {
 		return j.noRoom(size)
 	}
 	return nil
@@ -57,7 +54,7 @@
 }
 
 // releaseBody gives back the memory of the body.
-func (j *job) releaseBody() { j.relay.bodies.release(&j.arrival) }
+func (j *job) releaseBody() { j.relay.bodies.Release(&j.arrival) }
 
 // arrivingBody is a body whose bytes are counted as they arrive.
 type arrivingBody struct {
@@ -68,7 +65,7 @@
 // Read implements io.Reader.
 func (a arrivingBody) Read(p []byte) (int, error) {
 	n, err := a.Reader.Read(p)
-	a.job.relay.bodies.received(time.Now(), &a.job.arrival, int64(n))
+	a.job.relay.bodies.Received(time.Now(), &a.job.arrival, connlimit.Bytes(n))
 	return n, err
 }
 
@@ -78,7 +75,7 @@
 		return nil, nil
 	}
 	var b bytes.Buffer
-	size := int64(smallBody) // of a body of unknown length
+	size := int64(connlimit.SmallBody) // of a body of unknown length
 	if n := j.msg.ContentLength; n >= 0 {
 		size = min(n, limit)
 	}
@@ -91,7 +88,7 @@
 		}
 		_, err := b.ReadFrom(io.LimitReader(arrivingBody{body, j}, size-int64(b.Len())+1))
 		if err != nil || int64(b.Len()) <= size {
-			if !j.relay.bodies.finish(&j.arrival) {
+			if !j.relay.bodies.Finish(&j.arrival) {
 				return nil, j.noRoom(size)
 			}
 			return b.Bytes(), err
@@ -104,6 +101,17 @@
 // that send it without a pause get their answer after it.
 const unreadStall = time.Second
 
+// limitUnread bounds the time for the rest of a request that is refused before its body was read. net/http reads up to
+// 256 KB of it before it sends the answer.
+func (j *job) limitUnread(w http.ResponseWriter) {
+	now := time.Now()
+	if j.msg.ContentLength == 0 || j.unread != nil || !j.deadline.IsZero() && !now.Before(j.deadline) {
+		return
+	}
+	// Not every ResponseWriter supports deadlines; httptest.ResponseRecorder doesn't.
+	_ = http.NewResponseController(w).SetReadDeadline(now.Add(unreadStall))
+}
+
 // discardUnread reads the rest of a body for which there was no room, after its answer. How it ends does not matter.
 func (j *job) discardUnread(w http.ResponseWriter) {
 	control := http.NewResponseController(w)
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -289,6 +289,7 @@
 	defer r.taken.Add(-1)
 	n := r.taken.Add(1)
 	if err := j.readAdmitted(w); err != nil {
+		j.limitUnread(w)
 		r.refuse(w, j, err)
 		return
 	}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -23,6 +23,7 @@
 	"go.uber.org/zap"
 
 	"quetzalhold/backend"
+	"quetzalhold/connlimit"
 	"quetzalhold/engine"
 	"quetzalhold/names"
 	"quetzalhold/platform"
@@ -114,7 +115,7 @@
 	calls            CallStats
 	reach            reaches
 	unevenRoutes     unevenRoutes
-	bodies           requestBodies
+	bodies           connlimit.Bodies
 	answers          bodyMemory
 	takings          takings
 	checkReach       chan struct{} // wakes WatchReach up
@@ -179,7 +180,7 @@
 	sound        bool                 // a server was past the beginning of the answer
 	trials       []quarantine.Suspect // those of which its last send is a trial
 	claimed      []quarantine.Suspect // trials of its first send, claimed by the entry VM from which it was taken
-	arrival      arrival              // its body
+	arrival      connlimit.Body       // its body
 	unread       io.Reader            // the rest of a body for which there is no room; nil for none
 	startedAt    time.Time
 	deadline     time.Time
@@ -267,6 +268,7 @@
 	j.trace()
 	defer j.releaseBody()
 	if err := r.admit(w, j); err != nil {
+		j.limitUnread(w)
 		r.refuse(w, j, err)
 		return
 	}
@@ -434,7 +436,7 @@
 	// Not every ResponseWriter supports deadlines; httptest.ResponseRecorder doesn't.
 	control := http.NewResponseController(w)
 	_ = control.SetReadDeadline(j.deadline)
-	j.arrival.cut = func() { _ = control.SetReadDeadline(time.Now()) }
+	j.arrival.Cut = func() { _ = control.SetReadDeadline(time.Now()) }
 	var err error
 	j.msg.body, err = j.readAll(body, limit)
 	if err != nil {
@@ -447,7 +449,7 @@
 		// Some callers read no answer before they have sent the body. Not every ResponseWriter can do this.
 		_ = control.EnableFullDuplex()
 		j.unread = body
-		if j.arrival.rejected {
+		if j.relay.bodies.Rejected(&j.arrival) {
 			w.Header().Set("Connection", "close")
 		}
 		return noRoom
