--- a/relay/relay.go
+++ b/relay/relay.go
@@ -24,6 +24,7 @@
 
 	"quetzalhold/admit"
 	"quetzalhold/backend"
+	"quetzalhold/connlimit"
 	"quetzalhold/cost"
 	"quetzalhold/engine"
 	"quetzalhold/names"
@@ -113,6 +114,8 @@
 	Tracer trace.Tracer
 	// BodyMemory is the memory for large bodies of requests that are held at once, in bytes; 0 for no limit.
 	BodyMemory int64
+	// UnfinishedBodies is the maximum number of bodies of requests that arrive at once; 0 for no limit.
+	UnfinishedBodies int
 	// AnswerMemory is the memory for the beginnings of long answers that are held at once, in bytes; 0 for no limit.
 	AnswerMemory int64
 	// Costs learns what requests cost and how fast servers are.
@@ -126,7 +129,7 @@
 	calls            CallStats
 	reach            reaches
 	unevenRoutes     unevenRoutes
-	bodies           bodyMemory
+	bodies           connlimit.Bodies
 	answers          bodyMemory
 	takings          takings
 	backlogs         backlogs
@@ -200,7 +203,7 @@
 	sound        bool                 // a server was past the beginning of the answer
 	trials       []quarantine.Suspect // those of which its last send is a trial
 	claimed      []quarantine.Suspect // trials of its first send, claimed by the entry VM from which it was taken
-	heldBody     int64                // memory that its body takes up
+	arrival      connlimit.Body       // its body
 	unread       io.Reader            // the rest of a body for which there is no room; nil for none
 	startedAt    time.Time
 	deadline     time.Time
@@ -288,6 +291,7 @@
 	j.trace()
 	defer j.releaseBody()
 	if err := r.admit(w, j); err != nil {
+		j.limitUnread(w)
 		r.refuse(w, j, err)
 		return
 	}
@@ -453,7 +457,9 @@
 	limit := cmp.Or(l.BodyBytes, defaultBodyBytes)
 	body := http.MaxBytesReader(w, j.msg.Body, limit)
 	// Not every ResponseWriter supports deadlines; httptest.ResponseRecorder doesn't.
-	_ = http.NewResponseController(w).SetReadDeadline(j.deadline)
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(j.deadline)
+	j.arrival.Cut = func() { _ = control.SetReadDeadline(time.Now()) }
 	var err error
 	j.msg.body, err = j.readAll(body, limit)
 	if err != nil {
@@ -464,8 +470,11 @@
 	switch {
 	case errors.As(err, &noRoom):
 		// Some callers read no answer before they have sent the body. Not every ResponseWriter can do this.
-		_ = http.NewResponseController(w).EnableFullDuplex()
+		_ = control.EnableFullDuplex()
 		j.unread = body
+		if j.relay.bodies.Rejected(&j.arrival) {
+			w.Header().Set("Connection", "close")
+		}
 		return noRoom
 	case errors.As(err, &tooLarge):
 		return result.New(result.BodyTooLarge, "limit %d bytes", limit).AsNotRun()
@@ -474,7 +483,7 @@
 	case err != nil:
 		return result.Wrap(result.CallerGone, err, "read body").AsNotRun()
 	}
-	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
+	_ = control.SetReadDeadline(time.Time{})
 	return nil
 }
 
@@ -515,8 +524,7 @@
 	result.Write(w, e)
 	j.end(e.Code, "", zap.Bool("notRun", e.NotRun), zap.String("why", e.Error()), zap.NamedError("writeError", to.flush()))
 	if j.unread != nil {
-		// The answer is out; how the rest of the request ends does not matter.
-		_, _ = io.Copy(io.Discard, j.unread)
+		j.discardUnread(w)
 	}
 }
 
--- a/telemetry/gateway.go
+++ b/telemetry/gateway.go
@@ -30,6 +30,7 @@
 	waits      metric.Float64Histogram
 	storeTime  metric.Float64Histogram
 	handler    http.Handler
+	meter      metric.Meter
 }
 
 // NewGatewayTracer returns the tracer of an entry VM on the users' platform, and the
@@ -88,7 +89,7 @@
 		return nil, err
 	}
 	m := sdkmetric.NewMeterProvider(sdkmetric.WithReader(scrape)).Meter(scope)
-	t := &Gateway{handler: handler}
+	t := &Gateway{handler: handler, meter: m}
 	for _, c := range []struct {
 		into       *metric.Int64Counter
 		name, unit string
