upstream: a byte between the choice of a kept connection and its request is no answer

A connection counted as idle until it was chosen, and as kept only once its request was about to be sent. A byte that came between was handed to the transport as the beginning of the answer. It counts as kept from the moment it is put into the pool now. TestByteBeforeRequest fails without the change.

--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -32,9 +32,8 @@
 	dialed   bool
 	closed   bool
 	reading  bool // the transport waits for bytes
-	idle     bool // no request is in progress
-	kept     bool // it has carried a request before the one in progress
-	sent     int  // bytes of the request in progress, or more
+	kept     bool // it has been idle in the pool
+	sent     int  // bytes of the request in progress, or more; 0 while none is
 	received int  // bytes since the request in progress began
 	stated   time.Duration
 	states   bool // the last answer has said how long the connection is kept
@@ -160,9 +159,6 @@
 // doKept sends a request on a connection that was kept.
 func (c *conn) doKept(req *http.Request) (*http.Response, error) {
 	begun := time.Now()
-	c.mu.Lock()
-	c.kept, c.sent, c.received = true, 0, 0
-	c.mu.Unlock()
 	resp, err := c.transport.RoundTrip(req)
 	if err == nil {
 		return c.answered(resp), nil
@@ -246,17 +242,18 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.reading = false
-	if n > 0 && (c.idle || c.kept && c.sent == 0) {
+	if n > 0 && c.kept && c.sent == 0 {
 		return 0, errUnrequested
 	}
 	c.received += n
 	return n, err
 }
 
-func (c *conn) setIdle(idle bool) {
+// setIdle records that no request is in progress. Bytes that come before some of the next one is sent answer none.
+func (c *conn) setIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.idle = idle
+	c.kept, c.sent, c.received = true, 0, 0
 }
 
 // Write implements io.Writer. Bytes count as sent before they are, since the connection may fail meanwhile.
--- a/upstream/conn_test.go
+++ b/upstream/conn_test.go
@@ -39,3 +39,22 @@
 		})
 	}
 }
+
+// TestByteBeforeRequest guards against bytes that come after a connection was taken for a request, but before some of
+// it is sent, and are taken for the beginning of its answer.
+func TestByteBeforeRequest(t *testing.T) {
+	Convey("A byte before the request", t, func() {
+		entry, server := net.Pipe()
+		defer func() { _, _ = entry.Close(), server.Close() }()
+		p, at := &Pool{}, Server{Address: "10.1.64.1:80", Start: 1}
+		c := newConn(p, Options{Server: at, Class: Calls})
+		w := &wire{Conn: entry, of: c}
+		c.raw, c.reading = entry, true
+		c.addSent(100) // its first request
+		p.put(c)
+		So(p.take(Options{Server: at, Class: Calls}, time.Now().Add(2*settleTime)), ShouldEqual, c)
+		go func() { _, _ = server.Write([]byte("H")) }()
+		_, err := w.Read(make([]byte, 1))
+		So(err, ShouldEqual, errUnrequested)
+	})
+}
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -248,7 +248,7 @@
 	}
 	e := p.all.PushBack(c)
 	c.element, c.answeredAt = e, now
-	c.setIdle(true)
+	c.setIdle()
 	p.idle[c.server.Address] = append(p.idle[c.server.Address], c)
 	c.expiry = time.AfterFunc(keep, func() { p.expire(c, e) })
 }
@@ -274,7 +274,6 @@
 	c.expiry.Stop()
 	p.all.Remove(c.element)
 	c.element = nil
-	c.setIdle(false)
 	a := c.server.Address
 	p.idle[a] = slices.DeleteFunc(p.idle[a], func(x *conn) bool { return x == c })
 	if len(p.idle[a]) == 0 {
