--- a/relay/backlog_test.go
+++ b/relay/backlog_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -171,3 +172,72 @@
 		So(w.relay.HeldForCallers(), ShouldEqual, 0)
 	})
 }
+
+// breakingEngine lets an engine break off the stream r1 after some events, and refuse it from then on. It answers others.
+func (w *harness) breakingEngine(id string, calls *atomic.Int32, events int) {
+	s := w.add(id, "models", 0, work)
+	w.stopListening(s)
+	w.running[s.ID] = &http.Server{Handler: http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		if !strings.HasPrefix(r.URL.Path, "/brief/") {
+			s.ServeHTTP(rw, r)
+			return
+		}
+		rw.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+		rw.Header().Set("X-Server-Stamp", "stamp."+s.ID)
+		breaks := r.Header.Get("X-Request-Id") == "r1"
+		if breaks && calls.Add(1) > 1 {
+			rw.Header().Set("X-Not-Executed", "1")
+			rw.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		rw.Header().Set("Content-Type", "text/event-stream")
+		for n := 1; n <= bigEvents; n++ {
+			if breaks && n > events {
+				panic(http.ErrAbortHandler)
+			}
+			if _, err := io.WriteString(rw, bigEvent(n)); err != nil {
+				return
+			}
+			_ = http.NewResponseController(rw).Flush() // a failure shows at the next write
+			time.Sleep(10 * time.Millisecond)
+		}
+	})}
+	w.serve(s.Address, w.running[s.ID])
+}
+
+// TestWaitingStreamKeepsBacklog guards against a stream that has to end for its backlog and does not while it waits for
+// an engine that goes on with it, so that the bound does not hold or another stream ends instead.
+func TestWaitingStreamKeepsBacklog(t *testing.T) {
+	withHarness(t, "waiting stream", func(w *harness) {
+		const limit = 1_300_000
+		w.relay.ReadAhead(limit)
+		w.budget.SetSlack(1000)
+		var calls atomic.Int32
+		w.breakingEngine("e0", &calls, 50)
+		w.breakingEngine("e1", &calls, 50)
+		var waiting error
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			_, waiting = w.slowly("r1", 5*time.Second)
+		}()
+		time.Sleep(800 * time.Millisecond)
+		So(calls.Load(), ShouldBeGreaterThan, 1) // it waits
+		most, measured := int64(0), make(chan struct{})
+		go func() {
+			defer close(measured)
+			for range 100 {
+				most = max(most, w.relay.HeldForCallers())
+				time.Sleep(20 * time.Millisecond)
+			}
+		}()
+		_, err := w.slowly("r2", 5*time.Second)
+		<-done
+		<-measured
+		So(err, ShouldBeNil)
+		So(waiting, ShouldNotBeNil)
+		So(most, ShouldBeLessThan, limit+2*20_100)
+		time.Sleep(10 * time.Millisecond)
+		So(w.relay.HeldForCallers(), ShouldEqual, 0)
+	})
+}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -779,14 +779,23 @@
 		s.retryAt = at
 		return s.giveUp("every engine refuses requests for now")
 	}
+	return s.wait(delay)
+}
+
+// wait waits before the next round. It returns false if it has ended the request.
+func (s *streamRun) wait(delay time.Duration) bool {
 	t := time.NewTimer(delay)
 	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-s.ctx.Done():
-		s.endCancelled()
-		return false
+	for {
+		select {
+		case <-t.C:
+			return true
+		case <-s.backlog.changes():
+			s.checkCaller()
+		case <-s.ctx.Done():
+			s.endCancelled()
+			return false
+		}
 	}
 }
 
