relay: kept connections to a server that cannot be reached are closed

A server that a probe or a new connection did not reach kept its connections here. A call that followed within 2 s of the last one was sent on one of them, and got no answer (504) although the server was reached again. Failures to connect and failed probes close them now. TestKeptToUnreachable fails without the change.

--- a/relay/connections_test.go
+++ b/relay/connections_test.go
@@ -235,3 +235,21 @@
 		wg.Wait()
 	})
 }
+
+// TestKeptToUnreachable guards against calls on connections that were kept to a server which could not be reached
+// since: they may be silent although the server is reached again.
+func TestKeptToUnreachable(t *testing.T) {
+	withHarness(t, "reached again", func(w *harness) {
+		c := w.countConnections(true)
+		s := w.add("a0", "app", 0, work)
+		So(w.request(context.Background(), http.MethodPost, "/status/1", "body").status, ShouldEqual, http.StatusOK)
+		w.net.Partition(entryHost, w.host(s))
+		So(w.request(context.Background(), http.MethodPost, "/book/1", "body").status, ShouldNotEqual, http.StatusOK)
+		w.net.Heal(entryHost, w.host(s))
+		begun := time.Now()
+		So(w.request(context.Background(), http.MethodPost, "/status/1", "body").status, ShouldEqual, http.StatusOK)
+		So(time.Since(begun), ShouldBeLessThan, 100*time.Millisecond)
+		_, reused := c.of(upstream.Call)
+		So(reused, ShouldEqual, 0)
+	})
+}
--- a/relay/reach.go
+++ b/relay/reach.go
@@ -176,8 +176,10 @@
 	reachCheckInterval = 400 * time.Millisecond
 )
 
-// connectionFailed records that a server could not be connected to.
+// connectionFailed records that a server could not be connected to. Kept connections to it may be silent, and stay so
+// when it is reached again.
 func (r *Relay) connectionFailed(to *backend.Choice) {
+	r.dropKept(to.Address)
 	now, wake := time.Now(), false
 	for _, service := range []routing.ServiceName{allServices, to.Service} {
 		servers := len(r.Pool.Sample(now, service, checkAfterFailures))
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -995,6 +995,7 @@
 	if p.err != nil {
 		// Nothing listens there any more, so the run has failed too.
 		s.cur.state.ProbeDue = time.Now()
+		s.relay.dropKept(s.cur.to.Address)
 		s.logEvent("probe failed", s.cur.to.ID, zap.Error(fmt.Errorf("probe: %w", p.err)))
 		return
 	}
