--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -285,6 +285,7 @@
 			return err
 		}
 		if x.server == front {
+			l = d.boundSendBuffers(l)
 			callers = l
 		}
 		go func() { failed <- x.server.Serve(l) }()
