relay: load reports show the speed of engines also where connections are kept

The reports that placements share lose their lists of runs, as placements do not need them. Since speeds are learned from those lists, no speed was learned from reports where the agreement pressure holds. Each report is recorded once now, when it comes, by its whole list. TestSpeedsNotLearned fails without the change (no sample; one of 50 events per second with it).

--- a/relay/place.go
+++ b/relay/place.go
@@ -142,7 +142,6 @@
 			continue
 		default:
 			rep.Report = &a.value
-			r.observeReport(time.Now(), &c, rep.Report)
 		}
 		list = append(list, rep)
 	}
--- a/relay/reports.go
+++ b/relay/reports.go
@@ -101,7 +101,7 @@
 // waits for it goes on: to break it off would cost its connection.
 func (r *Relay) placementReport(ctx context.Context, c backend.Choice) (backend.Report, error) {
 	if r.kept == nil {
-		return r.Report(ctx, c)
+		return r.requestReport(ctx, &c)
 	}
 	age, _ := ctx.Value(reportAgeKey{}).(time.Duration)
 	x, isNew := r.recent.find(time.Now(), &c, age)
@@ -109,7 +109,7 @@
 		go func() {
 			defer close(x.done)
 			x.err = telemetry.Guard(r.Log, "load report", func() (err error) {
-				x.report, err = r.Report(context.WithoutCancel(ctx), c)
+				x.report, err = r.requestReport(context.WithoutCancel(ctx), &c)
 				return err
 			})
 			x.report.Events = nil // not needed for a placement
@@ -123,3 +123,13 @@
 		return backend.Report{}, ctx.Err()
 	}
 }
+
+// requestReport requests an engine's load for a placement. What it shows of the engine's speed is recorded once,
+// however many placements it serves.
+func (r *Relay) requestReport(ctx context.Context, c *backend.Choice) (backend.Report, error) {
+	rep, err := r.Report(ctx, *c)
+	if err == nil && rep.Ready && (rep.Start <= c.Start || c.Start == 0) {
+		r.observeReport(time.Now(), c, &rep)
+	}
+	return rep, err
+}
--- a/relay/reports_test.go
+++ b/relay/reports_test.go
@@ -1,13 +1,19 @@
 package relay
 
 import (
+	"context"
 	"errors"
+	"fmt"
+	"net/http"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 
 	"quetzalhold/backend"
+	"quetzalhold/cost"
+	"quetzalhold/memnet"
 )
 
 // TestSharedReportOutdated guards against placements by a load report that is too old, of an earlier start, or lacks
@@ -71,3 +77,43 @@
 		})
 	})
 }
+
+// TestSpeedsNotLearned guards against reports for placements whose runs are dropped before they show the speed of their
+// engine, and against one that shows it each time it is shared.
+func TestSpeedsNotLearned(t *testing.T) {
+	for _, keep := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			Convey(fmt.Sprintf("connections kept: %v", keep), t, func() {
+				var network memnet.Network
+				l, err := network.Listen("10.1.64.1:80")
+				So(err, ShouldBeNil)
+				begun := time.Now()
+				s := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+					_, _ = fmt.Fprintf(w, `{"state":"ready","running":1,"kv_total":88000,"runs":[["r",100,%d,0]]}`, time.Since(begun)/(20*time.Millisecond))
+				})}
+				go func() { _ = s.Serve(l) }()
+				r := New(network.Dialer("10.1.0.1"))
+				if keep {
+					r.KeepConnections(0)
+				}
+				defer time.Sleep(time.Minute)
+				defer func() { _ = s.Close() }()
+				defer r.CloseIdle()
+				c := backend.Choice{Server: backend.Server{ID: "e0", Service: "models", Address: "10.1.64.1:80"}}
+				j := &job{}
+				for range 2 {
+					for range 3 {
+						list := r.queryReports(j.withReportAge(context.Background()), []backend.Choice{c}, 0, time.Now())
+						So(list[0].Report, ShouldNotBeNil)
+						time.Sleep(10 * time.Millisecond)
+					}
+					time.Sleep(1970 * time.Millisecond)
+				}
+				samples := r.Costs.Drain(time.Now())
+				So(len(samples), ShouldEqual, 1)
+				So(samples[0].Kind, ShouldEqual, cost.Gap)
+				So(float64(samples[0].Rate), ShouldAlmostEqual, 50, 1)
+			})
+		})
+	}
+}
