--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -302,6 +302,7 @@
 		d.clients.Attach(x.server, connlimit.BodyPolicy{Total: x.bodies})
 		l = d.clients.Listen(l, x.head)
 		if x.server == front {
+			l = d.boundSendBuffers(l)
 			callers = l
 		}
 		go func() { failed <- x.server.Serve(l) }()
