--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -164,11 +164,16 @@
 	d.relay.BodyMemory = int64(bodyMemoryShare * megabyte * float64(s.MemoryMB))
 	d.relay.AnswerMemory = int64(answerMemoryShare * megabyte * float64(s.MemoryMB))
 	d.relay.Log = d.log
+	d.initPressure(s)
+	return d, d.initTelemetry()
+}
+
+// initPressure puts the agreement pressure in force for the relay if the settings list it.
+func (d *Daemon) initPressure(s *settings.Gateway) {
 	if s.Agreed(platform.Pressure) {
 		d.relay.KeepConnections(s.MaxFDs)
 		d.relay.ReadAhead(slowCallerMemory(s))
 	}
-	return d, d.initTelemetry()
 }
 
 // initTelemetry sets up the metrics and the tracer.
