--- a/relay/backlog_test.go
+++ b/relay/backlog_test.go
@@ -14,6 +14,7 @@
 
 	"quetzalhold/engine"
 	"quetzalhold/relay"
+	"quetzalhold/result"
 )
 
 // TestWrongStreamEnds guards against a stream that ends for the backlog of another one, and against backlogs that
@@ -241,3 +242,27 @@
 		So(w.relay.HeldForCallers(), ShouldEqual, 0)
 	})
 }
+
+// TestStopWaitsForSlowCaller guards against an entry VM that stops and goes on waiting for callers that read nothing, and
+// against engines that go on with their streams.
+func TestStopWaitsForSlowCaller(t *testing.T) {
+	for name, after := range map[string]time.Duration{"while the engine answers": 300 * time.Millisecond, "after the answer": 2 * time.Second} {
+		withHarness(t, name, func(w *harness) {
+			w.relay.ReadAhead(2_000_000)
+			took := w.bigEngine("e0")
+			done := make(chan error, 1)
+			go func() {
+				_, err := w.slowly("r1", 10*time.Second)
+				done <- err
+			}()
+			time.Sleep(after)
+			So(w.relay.HeldForCallers(), ShouldBeGreaterThan, 0)
+			w.cancelRequests(relay.ErrStopping)
+			time.Sleep(50 * time.Millisecond)
+			So(w.relay.HeldForCallers(), ShouldEqual, 0)
+			So(w.ended(), ShouldResemble, []result.Code{result.Stopping})
+			So(len(took), ShouldEqual, 1) // its connection was closed, or it has ended
+			So(<-done, ShouldNotBeNil)
+		})
+	}
+}
