--- a/gateway/callers.go
+++ b/gateway/callers.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"sync"
 
 	"go.uber.org/zap"
 
@@ -25,7 +26,8 @@
 // boundedListener bounds the send buffers of the connections that it accepts.
 type boundedListener struct {
 	net.Listener
-	log *zap.Logger
+	log       *zap.Logger
+	logFailed sync.Once
 }
 
 // Accept implements net.Listener.
@@ -37,7 +39,9 @@
 	// Connections of the in-memory network have no such buffer.
 	if b, ok := c.(interface{ SetWriteBuffer(bytes int) error }); ok {
 		if err := b.SetWriteBuffer(callerSendBuffer); err != nil {
-			l.log.Info("send buffer of a caller's connection not bounded", zap.Error(err))
+			l.logFailed.Do(func() {
+				l.log.Info("send buffer of a caller's connection not bounded; others are not logged", zap.Error(err))
+			})
 		}
 	}
 	return c, nil
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -163,17 +163,22 @@
 	d.relay.Closing = d.stopping.Load
 	d.relay.Draining = d.draining.Load
 	d.relay.StopAt = d.stopAt
+	d.relay.Log = d.log
+	d.initMemory(s)
+	if err := d.initTelemetry(); err != nil {
+		return nil, err
+	}
+	return d, d.initClients(s)
+}
+
+// initMemory bounds what the relay holds, and puts the agreement pressure in force for it if the settings list it.
+func (d *Daemon) initMemory(s *settings.Gateway) {
 	d.relay.BodyMemory = int64(bodyMemoryShare * megabyte * float64(s.MemoryMB))
 	d.relay.AnswerMemory = int64(answerMemoryShare * megabyte * float64(s.MemoryMB))
-	d.relay.Log = d.log
 	if s.Agreed(platform.Pressure) {
 		d.relay.KeepConnections(s.MaxFDs)
 		d.relay.ReadAhead(slowCallerMemory(s))
 	}
-	if err := d.initTelemetry(); err != nil {
-		return nil, err
-	}
-	return d, d.initClients(s)
 }
 
 // initTelemetry sets up the metrics and the tracer.
@@ -300,9 +305,11 @@
 			return err
 		}
 		d.clients.Attach(x.server, connlimit.BodyPolicy{Total: x.bodies})
-		l = d.clients.Listen(l, x.head)
 		if x.server == front {
 			l = d.boundSendBuffers(l)
+		}
+		l = d.clients.Listen(l, x.head)
+		if x.server == front {
 			callers = l
 		}
 		go func() { failed <- x.server.Serve(l) }()
