--- a/cost/book.go
+++ b/cost/book.go
@@ -368,7 +368,7 @@
 )
 
 // ObserveReport records the events that an engine's load report states of each of its runs. What its runs have made
-// since the last report shows its speed, unless it had prompts to prefill.
+// since the last report shows its speed, unless it had prompts to prefill at either time or has begun a run between.
 func (b *Book) ObserveReport(now time.Time, of Sample, quiet bool, events map[engine.RequestID]int64) {
 	b.mu.Lock()
 	last, ok := b.reported[of.Server]
@@ -387,9 +387,11 @@
 	}
 	var made int64
 	for id, n := range events {
-		if before, ok := last.events[id]; ok {
-			made = max(made, n-before)
+		before, ok := last.events[id]
+		if !ok {
+			return // whose prompt was prefilled meanwhile
 		}
+		made = max(made, n-before)
 	}
 	of.Kind, of.Count = Gap, 1
 	of.Rate = Rate(float64(made) / span.Seconds())
--- a/relay/meter.go
+++ b/relay/meter.go
@@ -60,11 +60,19 @@
 	return m
 }
 
-// event records that an event was read. A nil meter measures nothing.
-func (m *meter) event(now time.Time, e *event) {
+// maxBehind is how many parts of a run may wait for its caller while gaps count. More show that the reader waits for the
+// caller and not for the engine.
+const maxBehind = 2
+
+// event records that an event was read while so many parts wait for the caller. A nil meter measures nothing.
+func (m *meter) event(now time.Time, e *event, behind int) {
 	if m == nil || e.isComment() || e.id != 0 && e.id <= m.after {
 		return
 	}
+	if behind > maxBehind && !m.lastAt.IsZero() {
+		m.lastAt, m.gaps = now, m.gaps[:0]
+		return
+	}
 	if m.lastAt.IsZero() {
 		m.lastAt = now
 		if took := now.Sub(m.sentAt); m.certain > 0 {
@@ -91,10 +99,10 @@
 	m.costs.Observe(now, s)
 }
 
-// observeCall records how long a server took for a call. The time of a call that waits for others of this entry VM at
-// the same server counts too: it is what further calls have to expect there.
+// observeCall records how long a server took for a call, unless it had to wait for others of this entry VM there.
 func (p *plainRequest) observeCall(rep *reply) {
-	if rep.server.Peer || rep.status >= http.StatusInternalServerError || rep.took <= 0 {
+	waited := rep.server.Load.Requests >= max(1, rep.server.Slots)
+	if rep.server.Peer || waited || rep.status >= http.StatusInternalServerError || rep.took <= 0 {
 		return
 	}
 	rate := cost.Rate(1 / rep.took.Seconds())
--- a/relay/meter_test.go
+++ b/relay/meter_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"net/http"
+	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -56,6 +58,44 @@
 	})
 }
 
+// TestSlowCallerIsNoSlowEngine guards against the pace of a caller that is taken for that of the engine.
+func TestSlowCallerIsNoSlowEngine(t *testing.T) {
+	withHarness(t, "The gaps of an answer that its caller reads slowly are no samples", func(w *harness) {
+		w.add("e0", "models", 0, 30*time.Millisecond)
+		req := httptest.NewRequest(http.MethodPost, "http://h.example/brief/1", strings.NewReader("intake log"))
+		for name, value := range map[string]string{"X-Request-Id": "r1", "X-Api-Key": "key-1", "X-Prompt-Prefix": prompt, "X-Token-Count": "8200,650"} {
+			req.Header.Set(name, value)
+		}
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			w.relay.ServeHTTP(&slowWriter{ResponseRecorder: httptest.NewRecorder(), pause: 100 * time.Millisecond}, req)
+		}()
+		samples := 0
+		for range 20 { // an answer of 13 s
+			time.Sleep(time.Second)
+			for _, s := range w.relay.Costs.Drain(time.Now()) {
+				So(s.Rate, ShouldBeGreaterThan, 20)
+				samples++
+			}
+		}
+		<-done
+		So(samples, ShouldBeGreaterThan, 0)
+	})
+}
+
+// slowWriter takes a while for each write.
+type slowWriter struct {
+	*httptest.ResponseRecorder
+	pause time.Duration
+}
+
+// Write implements io.Writer.
+func (s *slowWriter) Write(p []byte) (int, error) {
+	time.Sleep(s.pause)
+	return s.ResponseRecorder.Write(p)
+}
+
 // TestStreamsAvoidSlowEngines guards against a table of speeds that placement does not use, and against placements whose
 // inputs are not in the log.
 func TestStreamsAvoidSlowEngines(t *testing.T) {
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -476,7 +476,7 @@
 			return
 		}
 		r.Pool.MarkResponsive(cur.to.ID, time.Now())
-		cur.meter.event(time.Now(), &e)
+		cur.meter.event(time.Now(), &e, len(cur.parts))
 		if !emit(part{event: e}) {
 			return
 		}
