cost, relay: gaps by the median of twelve, even ones only; evidence of the last 1.5 s

With jitter of 15 ms and pauses of 80 ms in the model, the lower quartile of eight gaps made equal engines uneven nearly all the time.

--- a/backend/speed_sim_test.go
+++ b/backend/speed_sim_test.go
@@ -224,13 +224,29 @@
 }
 
 func (f *fleet) event(s *modelStream) {
-	s.gaps = append(s.gaps, f.now.Sub(s.lastAt))
-	s.lastAt = f.now
-	if len(s.gaps) < 8 {
+	// Networks jitter, and entry VMs with a fraction of a core pause.
+	at := f.now.Add(time.Duration(f.choices.IntN(15)) * time.Millisecond)
+	if f.choices.IntN(20) == 0 {
+		at = at.Add(80 * time.Millisecond)
+	}
+	if at.Before(s.lastAt) {
+		at = s.lastAt
+	}
+	s.gaps = append(s.gaps, at.Sub(s.lastAt))
+	s.lastAt = at
+	if len(s.gaps) < 12 {
 		return
 	}
 	slices.Sort(s.gaps)
-	f.observe(s, cost.Gap, cost.Rate(1/s.gaps[2].Seconds()), cost.Rate(1/s.gaps[4].Seconds()))
+	// As relay.meter does.
+	short, median, long := s.gaps[3].Seconds(), s.gaps[6].Seconds(), s.gaps[9].Seconds()
+	switch {
+	case short < 0.001:
+	case long <= 2*short:
+		f.observe(s, cost.Gap, cost.Rate(1/median), cost.Rate(1/median))
+	default:
+		f.observe(s, cost.Gap, cost.Rate(1/short), cost.Rate(1/long))
+	}
 	s.gaps = s.gaps[:0]
 }
 
--- a/cost/book.go
+++ b/cost/book.go
@@ -79,8 +79,8 @@
 		// The mean of several calls: one of them may be of a kind that takes long.
 		p.Rate += (o.Rate - p.Rate) * Rate(o.Count) / Rate(p.Count+o.Count)
 		p.Least = p.Rate
-	} else {
-		p.Rate, p.Least = max(p.Rate, o.Rate), max(p.Least, o.Least)
+	} else if o.Rate > p.Rate {
+		p.Rate, p.Least = o.Rate, o.Least
 	}
 	p.Count = min(p.Count+o.Count, maxCount)
 	if o.at.After(p.at) {
--- a/cost/learner.go
+++ b/cost/learner.go
@@ -16,13 +16,13 @@
 	// so that a server that was avoided for its speed is tried again.
 	halfLife = 10 * time.Second
 	// evidenceWindow is the age, relative to the newest one, up to which samples of a server count together: a
-	// change of speed shows within this time, and an answer of the usual 130 events yields several samples in it.
-	evidenceWindow = 2500 * time.Millisecond
+	// change of speed shows within this time, and an answer yields three samples in it at the usual speed.
+	evidenceWindow = 1500 * time.Millisecond
 	// maxEvidence is the number of samples that are kept for each server.
 	maxEvidence = 16
 	// fewSamples and fewCalls are the measurements needed for full confidence; fewer count half. Of 12 streams
 	// about one waits for a prompt that no report showed, and then looks like that of a slow server.
-	fewSamples = 3
+	fewSamples = 2
 	fewCalls   = 4
 	// slowestByFirst is the lowest speed that times to first events alone can show: it does not make a service
 	// uneven. Under load the reports of several placements may all lack the same prompts.
@@ -87,7 +87,9 @@
 	if !s.Valid() || s.AgeMs > maxAgeMs {
 		return
 	}
-	l.rates.add(series{s.Service, s.Kind}, s.Rate)
+	if s.Kind != Gap || s.Rate == s.Least {
+		l.rates.add(series{s.Service, s.Kind}, s.Rate)
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if s.Kind == Gap && s.Rate*stretchedFrom <= l.events[s.Service].rate {
@@ -140,10 +142,6 @@
 // has become three times slower.
 const stretchedFrom = 4
 
-// sameGap is the ratio of the rates of a sample up to which its gaps count as equal. Where only some are stretched,
-// those between them are of any length.
-const sameGap = 1.3
-
 // speed returns the speed that a sample shows, and how much that says.
 func (o *observed) speed(u *ServiceSpeeds) (float64, strength) {
 	usual := [...]Rate{FirstEvent: u.Prefill, Gap: u.Events, Call: u.Calls}[o.Kind]
@@ -156,10 +154,11 @@
 		v = least
 	case o.Kind == FirstEvent && v >= 1:
 		return 0, none // how much of the prompt was cached is not known
-	case o.Kind == Gap && v >= 1:
+	case o.Kind == Gap && o.Rate > o.Least:
+		if v*Different < 1 {
+			return 0, none
+		}
 		v = 1
-	case o.Kind == Gap && o.Rate > sameGap*o.Least:
-		return 0, none
 	case o.Kind == Gap && v*stretchedFrom <= 1:
 		// A much slower engine that prefills nothing has such gaps too, so they never show that one is not slow.
 		if v = float64(o.Rate / max(u.stretched, o.Rate)); v*Different > 1 {
--- a/cost/sample.go
+++ b/cost/sample.go
@@ -31,7 +31,7 @@
 	// Rate is the prompt tokens, events or calls a second that the server handled for one request.
 	Rate Rate
 	// Least is the rate that is certain. It is less than Rate where a part of the prompt may have been cached, and
-	// where only some gaps of an answer were as short.
+	// where gaps between events were of different lengths, which shows only that the engine is not slow.
 	Least Rate
 	Count int   // measurements that the sample stands for
 	AgeMs int64 // time in milliseconds since the measurement
--- a/relay/meter.go
+++ b/relay/meter.go
@@ -16,10 +16,12 @@
 const (
 	// tokensPerEvent is the number of tokens in an event of an answer.
 	tokensPerEvent = 5
-	// gapsPerSample is the number of gaps between events that make a sample; 8 take a quarter of a second at usual
-	// speed. Their lower quartile counts, since prompts that the engine prefills now and then stretch the others; their
-	// median is certain, since an entry VM that pauses for some tens of milliseconds shortens a few.
-	gapsPerSample = 8
+	// gapsPerSample is the number of gaps between events that make a sample; 12 take 0.4 s at usual speed. Their median
+	// counts, which pauses of the entry VM and the network do not move.
+	gapsPerSample = 12
+	// evenGaps is the ratio of the quartiles of gaps up to which they count as equal. Jitter of 15 ms makes them differ
+	// by half; a prompt that the engine prefills stretches gaps about five times.
+	evenGaps = 2
 	// minGap is the shortest gap that counts. Events that were read later than they came are closer together.
 	minGap = time.Millisecond
 )
@@ -87,8 +89,13 @@
 		return
 	}
 	slices.Sort(m.gaps)
-	if gap := m.gaps[gapsPerSample/4]; gap >= minGap {
-		m.observe(now, cost.Gap, 1/gap.Seconds(), 1/m.gaps[gapsPerSample/2].Seconds())
+	short, median, long := m.gaps[gapsPerSample/4].Seconds(), m.gaps[gapsPerSample/2].Seconds(), m.gaps[gapsPerSample*3/4].Seconds()
+	switch {
+	case short < minGap.Seconds():
+	case long <= evenGaps*short:
+		m.observe(now, cost.Gap, 1/median, 1/median)
+	default:
+		m.observe(now, cost.Gap, 1/short, 1/long)
 	}
 	m.gaps = m.gaps[:0]
 }
