cost: calls count in proportion to their number

Times of calls scatter: with a deviation of a half, medians of a few made equal servers uneven. The test plays two minutes of 40 calls a second to six equal servers.

--- a/cost/learner.go
+++ b/cost/learner.go
@@ -20,10 +20,13 @@
 	evidenceWindow = 1500 * time.Millisecond
 	// maxEvidence is the number of samples that are kept for each server.
 	maxEvidence = 16
-	// fewSamples and fewCalls are the measurements needed for full confidence; fewer count half. Of 12 streams
-	// about one waits for a prompt that no report showed, and then looks like that of a slow server.
+	// callWindow is the same for calls, which say less each.
+	callWindow = 4 * time.Second
+	// fewSamples is the number of measurements of streams needed for full confidence; fewer count half.
 	fewSamples = 2
-	fewCalls   = 4
+	// fewCalls is the same for calls; fewer count in proportion. The times of calls may scatter by half, and the
+	// median of 24 then by an eighth.
+	fewCalls = 24
 	// slowestByFirst is the lowest speed that times to first events alone can show: it does not make a service
 	// uneven. Under load the reports of several placements may all lack the same prompts.
 	slowestByFirst = 1 / 1.4
@@ -193,7 +196,11 @@
 	for i := range e.samples {
 		o := &e.samples[i]
 		v, says := o.speed(u)
-		if says < best || newest.Sub(o.at) > evidenceWindow {
+		window := evidenceWindow
+		if o.Kind == Call {
+			window = callWindow
+		}
+		if says < best || newest.Sub(o.at) > window {
 			continue
 		}
 		if says > best {
@@ -208,22 +215,22 @@
 		count += o.Count
 	}
 	var v float64
-	need := fewSamples
+	weight := Faded(max(0, now.Sub(newest)))
 	switch {
 	case len(streams) > 0:
 		if v = slices.Max(streams); !gaps {
 			v = max(v, slowestByFirst)
 		}
+		if count < fewSamples {
+			weight /= 2
+		}
 	case len(calls) > 0:
 		slices.Sort(calls)
-		v, need = calls[len(calls)/2], fewCalls
+		v = calls[len(calls)/2]
+		weight *= min(1, float64(count)/fewCalls)
 	default:
 		return 0, false
 	}
-	weight := Faded(max(0, now.Sub(newest)))
-	if count < need {
-		weight /= 2
-	}
 	return Speed(math.Pow(v, weight)), true
 }
 
--- a/cost/learner_test.go
+++ b/cost/learner_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"math"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -134,13 +136,43 @@
 		})
 		Convey("of a plain server is the median of its calls", func() {
 			for _, rate := range []cost.Rate{8, 8, 25, 8, 9} {
-				add(0, sample("p", cost.Call, rate))
+				s := sample("p", cost.Call, rate)
+				s.Count = 5
+				add(0, s)
 			}
 			So(speedOf(l, now, "p"), ShouldAlmostEqual, 0.32, 0.01)
 		})
 	})
 }
 
+// TestScatteredCalls guards against plain servers that are taken for uneven because the times of their calls scatter.
+func TestScatteredCalls(t *testing.T) {
+	Convey("Servers whose calls scatter by half are even, and one that is three times slower shows within 4 s", t, func() {
+		var l cost.Learner
+		r := rand.New(rand.NewPCG(1, 1))
+		now := start
+		play := func(d time.Duration, slow engine.ServerID) (uneven int) {
+			for until := now.Add(d); now.Before(until); now = now.Add(25 * time.Millisecond) {
+				s := sample(fmt.Sprint("p", r.IntN(6)), cost.Call, cost.Rate(16*math.Exp(0.5*r.NormFloat64())))
+				if s.Server == slow {
+					s.Rate /= 3
+				}
+				s.Least = s.Rate
+				l.Add(now, s)
+				for i := range 6 {
+					if f := speedOf(&l, now, engine.ServerID(fmt.Sprint("p", i))); f*cost.Uneven <= 1 || f >= cost.Uneven {
+						uneven++
+					}
+				}
+			}
+			return uneven
+		}
+		So(play(2*time.Minute, ""), ShouldEqual, 0)
+		So(play(4*time.Second, "p3"), ShouldBeGreaterThan, 0)
+		So(speedOf(&l, now.Add(time.Second), "p3"), ShouldBeLessThan, 1/cost.Uneven)
+	})
+}
+
 // TestTable guards against tables and log lines without bound.
 func TestTable(t *testing.T) {
 	Convey("A table lists the most different servers, at most 256, and changes of levels are bounded", t, func() {
