--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -22,6 +22,7 @@
 	"quetzalhold/feed"
 	"quetzalhold/memnet"
 	"quetzalhold/move"
+	"quetzalhold/names"
 	"quetzalhold/quarantine"
 	"quetzalhold/routing"
 )
@@ -346,6 +347,25 @@
 		So(err, ShouldBeNil)
 		So(len(got.Samples), ShouldBeLessThan, 100)
 	})
+	Convey("go to the best-ranked entry VM of each other failure domain of the region", t, func() {
+		m := &feed.Members{Self: feed.Member{ID: "e0", Domain: "a1", LinkMbps: 10}}
+		for i, x := range []struct {
+			domain names.ID
+			link   int
+		}{{"a1", 50}, {"a2", 10}, {"a2", 100}, {"a2", 50}, {"a3", 10}, {"b1", 100}} {
+			m.Add(start, feed.Member{ID: feed.MemberID(fmt.Sprint("e", i+1)), Domain: x.domain, LinkMbps: x.link})
+		}
+		region := func(d names.ID) names.ID { return d[:1] }
+		best := func() (ids []feed.MemberID) {
+			for _, x := range m.BestNear(start, region) {
+				ids = append(ids, x.ID)
+			}
+			return ids
+		}
+		So(best(), ShouldResemble, []feed.MemberID{"e3", "e5"})
+		m.MarkFailed(start, "e3")
+		So(best(), ShouldResemble, []feed.MemberID{"e4", "e5"})
+	})
 	Convey("A table of speeds", t, func() {
 		check := func(s cost.ServiceSpeeds) error {
 			return (&feed.Response{Epoch: "e", Speeds: []cost.ServiceSpeeds{s}}).Check()
