--- a/backend/speed_sim_test.go
+++ b/backend/speed_sim_test.go
@@ -175,6 +175,16 @@
 
 // work lets an engine work for one step.
 func (f *fleet) work(e *modelEngine) {
+	if len(e.queue)+len(e.running) > 0 {
+		f.workOn(e)
+	}
+	if f.now.Sub(e.reportedAt) >= modelReportAge {
+		waiting := max(0, len(e.queue)-1)
+		e.reportedAt, e.report = f.now, backend.Report{Ready: true, Waiting: waiting, Prefilling: len(e.queue) - waiting, Generating: len(e.running), Used: e.used, Total: modelKV}
+	}
+}
+
+func (f *fleet) workOn(e *modelEngine) {
 	prefilling := len(e.queue) > 0 && e.used+e.queue[0].prompt+modelOutput <= modelKV || len(e.queue) > 0 && e.queue[0].left < e.queue[0].prompt
 	eventsMade := modelStep.Seconds() / modelGap.Seconds() * e.speed
 	if prefilling {
@@ -202,10 +212,6 @@
 		s.vm.pool.End(e.ID, backend.Load{Requests: 1, Tokens: s.prompt + modelOutput})
 		return true
 	})
-	if f.now.Sub(e.reportedAt) >= modelReportAge {
-		waiting := max(0, len(e.queue)-1)
-		e.reportedAt, e.report = f.now, backend.Report{Ready: true, Waiting: waiting, Prefilling: len(e.queue) - waiting, Generating: len(e.running), Used: e.used, Total: modelKV}
-	}
 }
 
 func (f *fleet) started(s *modelStream) {
@@ -218,13 +224,29 @@
 }
 
 func (f *fleet) event(s *modelStream) {
-	s.gaps = append(s.gaps, f.now.Sub(s.lastAt))
-	s.lastAt = f.now
-	if len(s.gaps) < 8 {
+	// Networks jitter, and entry VMs with a fraction of a core pause.
+	at := f.now.Add(time.Duration(f.choices.IntN(15)) * time.Millisecond)
+	if f.choices.IntN(20) == 0 {
+		at = at.Add(80 * time.Millisecond)
+	}
+	if at.Before(s.lastAt) {
+		at = s.lastAt
+	}
+	s.gaps = append(s.gaps, at.Sub(s.lastAt))
+	s.lastAt = at
+	if len(s.gaps) < 12 {
 		return
 	}
 	slices.Sort(s.gaps)
-	f.observe(s, cost.Gap, cost.Rate(1/s.gaps[2].Seconds()), cost.Rate(1/s.gaps[4].Seconds()))
+	// As relay.meter does.
+	short, median, long := s.gaps[3].Seconds(), s.gaps[6].Seconds(), s.gaps[9].Seconds()
+	switch {
+	case short < 0.001:
+	case long <= 2*short:
+		f.observe(s, cost.Gap, cost.Rate(1/median), cost.Rate(1/median))
+	default:
+		f.observe(s, cost.Gap, cost.Rate(1/short), cost.Rate(1/long))
+	}
 	s.gaps = s.gaps[:0]
 }
 
@@ -262,14 +284,6 @@
 	return t
 }
 
-func (t *tally) add(o tally) {
-	t.streams += o.streams
-	t.late += o.late
-	t.long += o.long
-	t.longLate += o.longLate
-	t.onSlow += o.onSlow
-}
-
 func (t tally) String() string {
 	return fmt.Sprintf("%d of %d late, %d of %d with long prompts; %d at slow engines", t.late, t.streams, t.longLate, t.long, t.onSlow)
 }
--- a/cost/book.go
+++ b/cost/book.go
@@ -79,8 +79,8 @@
 		// The mean of several calls: one of them may be of a kind that takes long.
 		p.Rate += (o.Rate - p.Rate) * Rate(o.Count) / Rate(p.Count+o.Count)
 		p.Least = p.Rate
-	} else {
-		p.Rate, p.Least = max(p.Rate, o.Rate), max(p.Least, o.Least)
+	} else if o.Rate > p.Rate {
+		p.Rate, p.Least = o.Rate, o.Least
 	}
 	p.Count = min(p.Count+o.Count, maxCount)
 	if o.at.After(p.at) {
@@ -368,7 +368,7 @@
 )
 
 // ObserveReport records the events that an engine's load report states of each of its runs. What its runs have made
-// since the last report shows its speed, unless it had prompts to prefill.
+// since the last report shows its speed, unless it had prompts to prefill at either time or has begun a run between.
 func (b *Book) ObserveReport(now time.Time, of Sample, quiet bool, events map[engine.RequestID]int64) {
 	b.mu.Lock()
 	last, ok := b.reported[of.Server]
@@ -387,9 +387,11 @@
 	}
 	var made int64
 	for id, n := range events {
-		if before, ok := last.events[id]; ok {
-			made = max(made, n-before)
+		before, ok := last.events[id]
+		if !ok {
+			return // whose prompt was prefilled meanwhile
 		}
+		made = max(made, n-before)
 	}
 	of.Kind, of.Count = Gap, 1
 	of.Rate = Rate(float64(made) / span.Seconds())
--- a/relay/meter.go
+++ b/relay/meter.go
@@ -16,10 +16,12 @@
 const (
 	// tokensPerEvent is the number of tokens in an event of an answer.
 	tokensPerEvent = 5
-	// gapsPerSample is the number of gaps between events that make a sample; 8 take a quarter of a second at usual
-	// speed. Their lower quartile counts, since prompts that the engine prefills now and then stretch the others; their
-	// median is certain, since an entry VM that pauses for some tens of milliseconds shortens a few.
-	gapsPerSample = 8
+	// gapsPerSample is the number of gaps between events that make a sample; 12 take 0.4 s at usual speed. Their median
+	// counts, which pauses of the entry VM and the network do not move.
+	gapsPerSample = 12
+	// evenGaps is the ratio of the quartiles of gaps up to which they count as equal. Jitter of 15 ms makes them differ
+	// by half; a prompt that the engine prefills stretches gaps about five times.
+	evenGaps = 2
 	// minGap is the shortest gap that counts. Events that were read later than they came are closer together.
 	minGap = time.Millisecond
 )
@@ -60,11 +62,19 @@
 	return m
 }
 
-// event records that an event was read. A nil meter measures nothing.
-func (m *meter) event(now time.Time, e *event) {
+// maxBehind is how many parts of a run may wait for its caller while gaps count. More show that the reader waits for the
+// caller and not for the engine.
+const maxBehind = 2
+
+// event records that an event was read while so many parts wait for the caller. A nil meter measures nothing.
+func (m *meter) event(now time.Time, e *event, behind int) {
 	if m == nil || e.isComment() || e.id != 0 && e.id <= m.after {
 		return
 	}
+	if behind > maxBehind && !m.lastAt.IsZero() {
+		m.lastAt, m.gaps = now, m.gaps[:0]
+		return
+	}
 	if m.lastAt.IsZero() {
 		m.lastAt = now
 		if took := now.Sub(m.sentAt); m.certain > 0 {
@@ -79,8 +89,13 @@
 		return
 	}
 	slices.Sort(m.gaps)
-	if gap := m.gaps[gapsPerSample/4]; gap >= minGap {
-		m.observe(now, cost.Gap, 1/gap.Seconds(), 1/m.gaps[gapsPerSample/2].Seconds())
+	short, median, long := m.gaps[gapsPerSample/4].Seconds(), m.gaps[gapsPerSample/2].Seconds(), m.gaps[gapsPerSample*3/4].Seconds()
+	switch {
+	case short < minGap.Seconds():
+	case long <= evenGaps*short:
+		m.observe(now, cost.Gap, 1/median, 1/median)
+	default:
+		m.observe(now, cost.Gap, 1/short, 1/long)
 	}
 	m.gaps = m.gaps[:0]
 }
@@ -91,10 +106,10 @@
 	m.costs.Observe(now, s)
 }
 
-// observeCall records how long a server took for a call. The time of a call that waits for others of this entry VM at
-// the same server counts too: it is what further calls have to expect there.
+// observeCall records how long a server took for a call, unless it had to wait for others of this entry VM there.
 func (p *plainRequest) observeCall(rep *reply) {
-	if rep.server.Peer || rep.status >= http.StatusInternalServerError || rep.took <= 0 {
+	waited := rep.server.Load.Requests >= max(1, rep.server.Slots)
+	if rep.server.Peer || waited || rep.status >= http.StatusInternalServerError || rep.took <= 0 {
 		return
 	}
 	rate := cost.Rate(1 / rep.took.Seconds())
