--- a/relay/admission.go
+++ b/relay/admission.go
@@ -9,7 +9,6 @@
 
 	"quetzalhold/admit"
 	"quetzalhold/backend"
-	"quetzalhold/cost"
 	"quetzalhold/engine"
 	"quetzalhold/platform"
 	"quetzalhold/result"
@@ -21,7 +20,6 @@
 type admission struct {
 	mu    sync.Mutex
 	lines map[routing.ServiceName]*line
-	rates cost.Rates
 }
 
 // line is the queue of a service, with the callers that wait for its decisions.
@@ -140,7 +138,7 @@
 	}
 	l.measuredAt = now
 	window, entryVMs := engine.Tokens(0), 1
-	if rate, ok := l.relay.admission.rates.Prefill(l.service); ok && l.relay.line(l.service) != nil {
+	if rate, ok := l.relay.Costs.Rates().Prefill(l.service); ok && l.relay.line(l.service) != nil {
 		window = admit.Window(l.relay.Pool.Usable(l.service, now), rate, l.queue.Usual())
 	}
 	if l.relay.Pool.EntryVMs != nil {
@@ -422,8 +420,7 @@
 
 // beginPending counts the stream as pending while its current run has sent no event. A run that starts from a
 // copy has no prompt to prefill.
-func (s *streamRun) beginPending(p *backend.Placement, memory *platform.KVCopy) {
-	s.cur.alone = memory == nil && !p.Run.Peer && p.Run.Report != nil && p.Run.Report.Waiting+p.Run.Report.Prefilling == 0
+func (s *streamRun) beginPending(memory *platform.KVCopy) {
 	if s.turn.pending {
 		return
 	}
@@ -441,9 +438,6 @@
 
 // endPending records that the current run has sent an event.
 func (s *streamRun) endPending(now time.Time) {
-	if s.cur.alone && !s.cur.started {
-		s.relay.admission.rates.Observe(s.service, cost.Work{Prefill: s.msg.params.PromptTokens}, now.Sub(s.cur.sentAt))
-	}
 	if s.turn.pending {
 		s.turn.pending = false
 		s.turn.line.first(now, s.turn.ticket)
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -46,7 +46,6 @@
 	// resumes is set if it is to go on with a stream that has begun.
 	resumes   bool
 	proceeded bool // it has sent an event that no run before has sent
-	alone     bool // the report of its engine showed no waiting and prefilling request
 	noCopies  bool // it got no replica because of pressure
 
 	repeatedID int64 // id of the last event that it has sent again; 0 for none
@@ -376,7 +375,7 @@
 		send.Server = ""
 		ctx, s.cur.handed = s.admitted(ctx, s.cur.lent, s.handedCopy)
 	}
-	s.beginPending(&p, memory)
+	s.beginPending(memory)
 	s.cur.meter = s.newMeter(now, &p.Run, memory != nil)
 	s.addAttempt(s.cur)
 	s.relay.Pool.Begin(to.ID, s.cur.work)
