--- a/connlimit/process_test.go
+++ b/connlimit/process_test.go
@@ -89,15 +89,19 @@
 	path, host string
 }
 
-// freeAddress returns an address with a free port. Its loopback address is used by this test only, so no outgoing
-// connection takes the port.
-func freeAddress() string {
-	l, err := net.Listen("tcp", "127.78.0.1:0")
-	if err != nil {
-		panic(err)
+// freeAddresses returns n different addresses with free ports. Their loopback address is used by this test only, so no
+// outgoing connection takes the ports.
+func freeAddresses(n int) []string {
+	var all []string
+	for range n {
+		l, err := net.Listen("tcp", "127.78.0.1:0")
+		if err != nil {
+			panic(err)
+		}
+		defer l.Close() // after the last one is chosen: the system may give a port again
+		all = append(all, l.Addr().String())
 	}
-	defer l.Close()
-	return l.Addr().String()
+	return all
 }
 
 // serve serves h at a new address until close is called.
@@ -260,11 +264,12 @@
 	server.Address = serverAt
 	store.Put("servers", server.ID, server.Entry("ready"))
 	store.Put("config", "main", gatewayConfiguration())
+	free := freeAddresses(4)
 	addresses := map[string]address{
-		"callers":   {at: freeAddress(), ask: call, path: "/status/1", host: "h.example"},
-		"readiness": {at: freeAddress(), ask: get("/ready", http.StatusOK), path: "/ready", host: "h.example"},
-		"peers":     {at: freeAddress(), ask: get("/feed?id=x&address=127.78.0.3:1&domain=cn-a&seq=0&config=0&waitMs=0&link=0", http.StatusOK), path: "/feed", host: "h.example"},
-		"metrics":   {at: freeAddress(), ask: get("/metrics", http.StatusOK), path: "/metrics", host: "h.example"},
+		"callers":   {at: free[0], ask: call, path: "/status/1", host: "h.example"},
+		"readiness": {at: free[1], ask: get("/ready", http.StatusOK), path: "/ready", host: "h.example"},
+		"peers":     {at: free[2], ask: get("/feed?id=x&address=127.78.0.3:1&domain=cn-a&seq=0&config=0&waitMs=0&link=0", http.StatusOK), path: "/feed", host: "h.example"},
+		"metrics":   {at: free[3], ask: get("/metrics", http.StatusOK), path: "/metrics", host: "h.example"},
 	}
 	p, err := start(dir, "gateway", map[string]any{
 		"id": "e", "domain": "cn-a", "regions": map[string]string{"cn-a": "c"},
@@ -287,7 +292,7 @@
 func startEntry(dir string) (*process, error) {
 	platformAt, closePlatform := serve(standin.NewPlatform(0))
 	addresses := map[string]address{
-		"callers": {at: freeAddress(), ask: get("/healthz", http.StatusNoContent), path: "/v1/completions", host: "h.example"},
+		"callers": {at: freeAddresses(1)[0], ask: get("/healthz", http.StatusNoContent), path: "/v1/completions", host: "h.example"},
 	}
 	names := map[string]string{"code": "cn-a", "title": "Cascadia North A", "legacy": "COAST-01"}
 	region := map[string]string{"code": "cascadia-north", "title": "Cascadia North", "legacy": "COAST-0"}
