memnet: links with a bandwidth, and lost packets

Links of 10 Mbit/s and lost packets could not be played. Connections share a host's link in packets of 4 KB; a lost packet arrives 200 ms later, a lost SYN after a second. Without the two functions set, nothing changes.

--- a/memnet/conn.go
+++ b/memnet/conn.go
@@ -13,9 +13,19 @@
 // connection. A larger write is accepted only while nothing is in flight.
 const maxBuffered = 64 << 10
 
+// slowWindow replaces maxBuffered where links have a bandwidth: about as much as TCP sends before the
+// first acknowledgement, so that connections share a link instead of filling it one after the other.
+// packetBytes is the size of the segments that are then sent.
+const (
+	slowWindow  = 16 << 10
+	packetBytes = 4 << 10
+)
+
 // half is one direction of a connection.
 type half struct {
-	delay time.Duration
+	// arrival returns the instant at which data that is written now arrives.
+	arrival func(bytes int) time.Time
+	window  int // maximum number of bytes in flight
 
 	mu            sync.Mutex
 	cond          *sync.Cond
@@ -33,9 +43,9 @@
 	data []byte
 }
 
-// newHalf returns a direction whose data arrives after delay.
-func newHalf(delay time.Duration) *half {
-	h := &half{delay: delay}
+// newHalf returns a direction whose data arrives at the instants that arrival returns.
+func newHalf(arrival func(bytes int) time.Time) *half {
+	h := &half{arrival: arrival, window: maxBuffered}
 	h.cond = sync.NewCond(&h.mu)
 	return h
 }
@@ -96,8 +106,23 @@
 	return n
 }
 
-// write waits until the direction has room for p and appends it.
+// write writes p, in packets if the direction is slow.
 func (h *half) write(p []byte) (int, error) {
+	if h.window == maxBuffered {
+		return h.writePacket(p)
+	}
+	sent := 0
+	for {
+		n, err := h.writePacket(p[sent:min(len(p), sent+packetBytes)])
+		sent += n
+		if err != nil || sent == len(p) {
+			return sent, err
+		}
+	}
+}
+
+// writePacket waits until the direction has room for p and appends it.
+func (h *half) writePacket(p []byte) (int, error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for {
@@ -108,9 +133,8 @@
 			return 0, syscall.EPIPE
 		case passed(h.writeDeadline):
 			return 0, os.ErrDeadlineExceeded
-		case h.size == 0 || h.size+len(p) <= maxBuffered:
-			at := time.Now().Add(h.delay)
-			h.segments = append(h.segments, segment{at, append([]byte(nil), p...)})
+		case h.size == 0 || h.size+len(p) <= h.window:
+			h.segments = append(h.segments, segment{h.arrival(len(p)), append([]byte(nil), p...)})
 			h.size += len(p)
 			h.cond.Broadcast()
 			return len(p), nil
--- a/memnet/memnet.go
+++ b/memnet/memnet.go
@@ -23,6 +23,12 @@
 type Network struct {
 	// Latency returns the one-way latency between two hosts; nil for no latency.
 	Latency func(a, b Host) time.Duration
+	// Bandwidth returns what a host's network link carries in each direction, in bytes per second; nil
+	// for links without limit.
+	Bandwidth func(Host) float64
+	// Lost reports whether the next packet from a host to another is lost at first, so that it arrives
+	// when it has been sent again; nil for no loss.
+	Lost func(from, to Host) bool
 
 	mu           sync.Mutex
 	listeners    map[string]*listener
@@ -32,6 +38,50 @@
 	disconnected map[Host]bool // set by Disconnect
 	traffic      map[Host]Traffic
 	ports        int // port of the newest client end
+	// sentUntil and receivedUntil are the instants at which the links of hosts are free again.
+	sentUntil, receivedUntil map[Host]time.Time
+}
+
+// The waits after which TCP sends a lost segment again, and a lost SYN.
+const (
+	resendAfter    = 200 * time.Millisecond
+	resendSYNAfter = time.Second
+)
+
+// arrival returns the instant at which data that is sent now arrives, and occupies the links until then.
+func (n *Network) arrival(from, to Host, bytes int) time.Time {
+	at := time.Now()
+	if n.Bandwidth != nil {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		if n.sentUntil == nil {
+			n.sentUntil, n.receivedUntil = make(map[Host]time.Time), make(map[Host]time.Time)
+		}
+		at = occupy(n.sentUntil, from, at, transferTime(bytes, n.Bandwidth(from)))
+	}
+	at = at.Add(n.latency(from, to))
+	if n.Lost != nil && n.Lost(from, to) {
+		at = at.Add(resendAfter)
+	}
+	if n.Bandwidth != nil {
+		took := transferTime(bytes, n.Bandwidth(to))
+		at = occupy(n.receivedUntil, to, at.Add(-took), took)
+	}
+	return at
+}
+
+// occupy occupies a host's link for some time from an instant on, or from when it is free. It returns the
+// end of that time.
+func occupy(until map[Host]time.Time, h Host, from time.Time, took time.Duration) time.Time {
+	if busy := until[h]; busy.After(from) {
+		from = busy
+	}
+	until[h] = from.Add(took)
+	return until[h]
+}
+
+func transferTime(bytes int, perSecond float64) time.Duration {
+	return time.Duration(float64(bytes) / perSecond * float64(time.Second))
 }
 
 // Traffic is the amount of data that a host has exchanged with others.
@@ -131,9 +181,8 @@
 	if err := clock.Sleep(ctx, 2*n.latency(from, to)); err != nil {
 		return nil, err
 	}
-	for n.unreachable(from, to) {
-		// TCP retransmits a lost SYN after a second.
-		if err := clock.Sleep(ctx, time.Second); err != nil {
+	for n.unreachable(from, to) || n.Lost != nil && n.Lost(from, to) {
+		if err := clock.Sleep(ctx, resendSYNAfter); err != nil {
 			return nil, err
 		}
 	}
@@ -176,8 +225,11 @@
 	n.ports++
 	local := addr(fmt.Sprintf("%s:%d", from, n.ports))
 	l := &link{pair: pairOf(from, to)}
-	delay := n.latency(from, to)
-	toServer, toClient := newHalf(delay), newHalf(delay)
+	toServer := newHalf(func(bytes int) time.Time { return n.arrival(from, to, bytes) })
+	toClient := newHalf(func(bytes int) time.Time { return n.arrival(to, from, bytes) })
+	if n.Bandwidth != nil {
+		toServer.window, toClient.window = slowWindow, slowWindow
+	}
 	c := &conn{link: l, network: n, in: toClient, out: toServer, local: local, remote: addr(address)}
 	s := &conn{link: l, network: n, in: toServer, out: toClient, local: addr(address), remote: local}
 	l.ends = [2]*conn{c, s}
