gateway, feed: entry VMs that start at once don't send each other lists without state

All entry VMs of a failure domain poll the best-ranked one. While it was starting, it answered each poll with the list of all servers, every 30 ms: with 50 entry VMs of a failure domain, 320 servers and links of 10 Mbit/s, the last one served 4.99 s after its start.

--- a/feed/feed.go
+++ b/feed/feed.go
@@ -234,6 +234,9 @@
 // store.
 func (a *Response) Age() time.Duration { return time.Duration(a.AgeMs) * time.Millisecond }
 
+// NeverFresh reports whether the responding entry VM has not been up to date since its start.
+func (a *Response) NeverFresh() bool { return a.Age() >= neverFreshAge }
+
 // Request requests the changes since a position in a log.
 type Request struct {
 	From     Member
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -224,6 +224,40 @@
 	})
 }
 
+// TestCompressed guards against lists of servers that are sent uncompressed to entry VMs which take them compressed,
+// and against compressed ones that can't be read.
+func TestCompressed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("A full list arrives as a fraction of its size, also twice, and uncompressed where the requester asks so", t, func() {
+			n := &memnet.Network{}
+			l, err := n.Listen("10.0.0.1:1")
+			So(err, ShouldBeNil)
+			a := feed.Response{Epoch: "e", Full: true}
+			for i := range 300 {
+				a.Updates = append(a.Updates, update(i))
+			}
+			plain, err := json.Marshal(&a)
+			So(err, ShouldBeNil)
+			h := &feed.Server{Members: &feed.Members{Self: feed.Member{ID: "m"}}, Log: &feed.Log{}, Respond: func(feed.Request) feed.Response { return a }}
+			s := &http.Server{Handler: h}
+			go func() { _ = s.Serve(l) }()
+			defer s.Close()
+			c := feed.NewClient(n.Dialer("10.0.0.2"))
+			defer c.CloseIdle()
+			for range 2 {
+				got, err := c.Fetch(context.Background(), feed.Member{ID: "m", Address: "10.0.0.1:1"}, feed.Request{})
+				So(err, ShouldBeNil)
+				So(got.Updates, ShouldResemble, a.Updates)
+			}
+			So(n.Traffic("10.0.0.1").Sent, ShouldBeLessThan, len(plain)/2)
+			q := feed.Request{}
+			rec := httptest.NewRecorder()
+			h.ServeHTTP(rec, httptest.NewRequest(http.MethodGet, feed.Path+"?"+q.Query().Encode(), http.NoBody))
+			So(rec.Body.Len(), ShouldBeGreaterThan, len(plain))
+		})
+	})
+}
+
 func TestMembers(t *testing.T) {
 	Convey("Members of a failure domain", t, func() {
 		all := make([]feed.Member, 6)
--- a/feed/http.go
+++ b/feed/http.go
@@ -1,6 +1,8 @@
 package feed
 
 import (
+	"bytes"
+	"compress/gzip"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -11,6 +13,7 @@
 	"net/url"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"quetzalhold/backend"
@@ -267,6 +270,8 @@
 	OnCrashes func(observed []quarantine.Crash, cleared []quarantine.Name)
 	// Respond returns the changes for a request.
 	Respond func(Request) Response
+
+	compressor compressor
 }
 
 // ServeHTTP implements http.Handler.
@@ -317,8 +322,44 @@
 		a.Members = s.Members.List()
 	}
 	w.Header().Set("Content-Type", "application/json")
-	// The requester may have disconnected; the error cannot be reported to it.
-	_ = json.NewEncoder(w).Encode(&a)
+	if (a.Full || len(a.Members) > 0) && strings.Contains(r.Header.Get("Accept-Encoding"), "gzip") {
+		if b, err := s.compressor.encode(&a); err == nil {
+			w.Header().Set("Content-Encoding", "gzip")
+			// The requester may have disconnected; the error cannot be reported to it.
+			_, _ = w.Write(b)
+			return
+		}
+	}
+	_ = json.NewEncoder(w).Encode(&a) // as above
+}
+
+// compressor encodes long responses. Many entry VMs may ask for a list of all servers at once, over
+// the one link of this one. A writer of package gzip takes up about a megabyte, so that there is one
+// for all responses. The zero value is ready to use.
+type compressor struct {
+	mu sync.Mutex
+	w  *gzip.Writer
+}
+
+func (c *compressor) encode(a *Response) ([]byte, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var b bytes.Buffer
+	if c.w == nil {
+		w, err := gzip.NewWriterLevel(&b, gzip.BestSpeed)
+		if err != nil {
+			return nil, fmt.Errorf("compress feed response: %w", err)
+		}
+		c.w = w
+	}
+	c.w.Reset(&b)
+	if err := json.NewEncoder(c.w).Encode(a); err != nil {
+		return nil, fmt.Errorf("encode feed response: %w", err)
+	}
+	if err := c.w.Close(); err != nil {
+		return nil, fmt.Errorf("compress feed response: %w", err)
+	}
+	return b.Bytes(), nil
 }
 
 // Client requests changes from other entry VMs. It is created by [NewClient].
--- a/gateway/upstream.go
+++ b/gateway/upstream.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"math/rand/v2"
 	"time"
 
 	"go.uber.org/zap"
@@ -14,6 +15,7 @@
 	"quetzalhold/feed"
 	"quetzalhold/platform"
 	"quetzalhold/result"
+	"quetzalhold/routing"
 )
 
 // Timing of the polls among entry VMs.
@@ -34,8 +36,12 @@
 	// itself: all may have started at once, within startSkew.
 	joinTimeout       = 700 * time.Millisecond
 	startupGrace      = time.Second
-	startupRetryDelay = 30 * time.Millisecond
+	startupRetryDelay = 100 * time.Millisecond
 	startSkew         = 350 * time.Millisecond
+	// firstPollLimit is how long an entry VM that knows nothing waits for another one's list of
+	// servers before it watches the store beside: the other one's link may be slow, and many may
+	// wait for it.
+	firstPollLimit = time.Second
 )
 
 // errStale means that another entry VM has no fresh state: what it has is too old, or
@@ -55,7 +61,7 @@
 	case <-ctx.Done():
 	}
 	var stop context.CancelFunc
-	var q feed.Request
+	var p position
 	for ctx.Err() == nil {
 		now := time.Now()
 		upstream, ok := d.members.Upstream(now)
@@ -65,7 +71,11 @@
 			if stop != nil {
 				wait = 0 // the answer only shows whether the watch is still needed
 			}
-			if d.poll(ctx, upstream, &q, wait) {
+			fresh, stopWatch := d.pollOrWatch(ctx, upstream, &p, wait, stop != nil)
+			if stopWatch != nil {
+				stop = stopWatch
+			}
+			if fresh {
 				if stop != nil {
 					stop()
 					stop = nil
@@ -77,7 +87,8 @@
 			if time.Since(start) < startupGrace {
 				// It may have started at the same moment: poll it again.
 				d.members.MarkFresh(now, upstream)
-				_ = clock.Sleep(ctx, startupRetryDelay) // the loop condition checks ctx
+				// The loop condition checks ctx.
+				_ = clock.Sleep(ctx, startupRetryDelay/2+rand.N(startupRetryDelay))
 				continue
 			}
 			if stop == nil && time.Since(d.changes.FreshAt()) > maxAge {
@@ -106,47 +117,53 @@
 	return stop
 }
 
-// poll asks member m for the changes since q and applies them. It reports whether m's
-// state is fresh; q advances only then.
-func (d *Daemon) poll(ctx context.Context, m feed.Member, q *feed.Request, wait time.Duration) bool {
-	q.From, q.Config = d.members.Self, 0
-	if t := d.table.Load(); t != nil {
-		q.Config = t.Version
+// position is a request for the changes since a position in the log of an entry VM.
+type position struct {
+	feed.Request
+	of feed.MemberID // empty for none
+}
+
+// pollOrWatch is like poll. If this entry VM knows nothing yet, does not watch the store and m takes long
+// to answer, pollOrWatch starts to watch the store and returns the function that ends that.
+func (d *Daemon) pollOrWatch(ctx context.Context, m feed.Member, p *position, wait time.Duration, watching bool) (fresh bool, stop context.CancelFunc) {
+	if watching || d.isLoaded() {
+		return d.poll(ctx, m, p, wait), nil
+	}
+	started := make(chan context.CancelFunc, 1)
+	late := time.AfterFunc(firstPollLimit, func() { started <- d.startWatching(ctx) })
+	fresh = d.poll(ctx, m, p, wait)
+	if late.Stop() {
+		return fresh, nil
 	}
+	return fresh, <-started
+}
+
+// poll asks member m for the changes since p and applies them. It reports whether m's
+// state is fresh; p advances only then.
+func (d *Daemon) poll(ctx context.Context, m feed.Member, p *position, wait time.Duration) bool {
+	if p.of != m.ID && !d.probe(ctx, m) {
+		return false
+	}
+	q := &p.Request
+	q.From, q.Config = d.members.Self, d.configVersion()
 	q.Wait, q.Counts = wait, d.drainCounts()
 	reports := d.drainReports()
 	q.Hung, q.Leaving, q.ServerLimits = reports.hung, reports.leaving, feed.ServerLimits(time.Now(), reports.limits)
 	q.NewCrashes, q.ClearedCrashes = d.quarantine.Report(maxCrashReports)
 	a, err := d.client.Fetch(ctx, m, *q)
 	now := time.Now()
-	if err == nil && (a.Disconnected || a.Age() > maxAge || a.Revision.Era < d.changes.Revision().Era) {
+	if err == nil && !d.isFresh(&a) {
 		err = errStale
 	}
 	if ctx.Err() != nil {
 		return false
 	}
-	switch {
-	case errors.Is(err, errStale):
-		d.members.MarkStale(now, m.ID)
-		// A newer configuration and what is known of version moves are valid even if
-		// m has lost the store.
-		if a.Config != nil {
-			d.applyConfig(*a.Config, string(a.Self.ID))
-		}
-		d.applyMoves(now, a.Moves, false, string(a.Self.ID))
-		d.applyCrashes(a.Crashes, false, a.Self)
-		d.members.Add(now, a.Members...)
-		if !d.isLoaded() && a.Full {
-			// Servers that may have left meanwhile are better than none.
-			d.guard("update from "+string(m.ID), func() { d.applyUpdate(now, &a) })
-		}
-	case err != nil:
-		d.members.MarkFailed(now, m.ID)
-		d.requeueCounts(q.Counts)
-		d.requeueReports(reports)
-	}
 	if err != nil {
-		d.log.Info("no fresh state from entry VM", zap.String("from", string(m.ID)), zap.Int64("ageMs", a.AgeMs), zap.Bool("away", a.Disconnected), zap.Error(err))
+		if !errors.Is(err, errStale) {
+			d.requeueCounts(q.Counts)
+			d.requeueReports(reports)
+		}
+		d.pollFailed(now, m, &a, err)
 		return false
 	}
 	d.members.MarkFresh(now, a.Self)
@@ -154,10 +171,67 @@
 	d.guard("update from "+string(m.ID), func() { d.applyUpdate(now, &a) })
 	d.moves.setListed(now)
 	d.changes.SetFreshAt(now.Add(-a.Age()))
-	*q = q.Next(&a)
+	*p = position{q.Next(&a), m.ID}
 	return true
 }
 
+// probe asks member m briefly for its state before it is asked for the list of all servers. It reports
+// whether to ask for that. Of several dozen entry VMs that start together, one has to tell all others
+// that it has no fresh state yet; with a list each time, that takes seconds on a slow link, and delays
+// its own calls.
+func (d *Daemon) probe(ctx context.Context, m feed.Member) bool {
+	a, err := d.client.Fetch(ctx, m, feed.Request{From: d.members.Self, Config: d.configVersion(), Brief: true})
+	switch {
+	case ctx.Err() != nil:
+		return false
+	case err != nil:
+	case d.isFresh(&a):
+		return true
+	case d.isLoaded() || a.NeverFresh() && !d.health.isDown():
+		err = errStale
+	default:
+		return true // its list is better than none
+	}
+	d.pollFailed(time.Now(), m, &a, err)
+	return false
+}
+
+// isFresh reports whether another entry VM's state is up to date.
+func (d *Daemon) isFresh(a *feed.Response) bool {
+	return !a.Disconnected && a.Age() <= maxAge && a.Revision.Era >= d.changes.Revision().Era
+}
+
+// pollFailed records that member m has not answered, or that its state is not fresh as err says, and
+// applies what is valid of its answer.
+func (d *Daemon) pollFailed(now time.Time, m feed.Member, a *feed.Response, err error) {
+	d.log.Info("no fresh state from entry VM", zap.String("from", string(m.ID)), zap.Int64("ageMs", a.AgeMs), zap.Bool("away", a.Disconnected), zap.Error(err))
+	if !errors.Is(err, errStale) {
+		d.members.MarkFailed(now, m.ID)
+		return
+	}
+	d.members.MarkStale(now, m.ID)
+	// A newer configuration and what is known of version moves are valid even if
+	// m has lost the store.
+	if a.Config != nil {
+		d.applyConfig(*a.Config, string(a.Self.ID))
+	}
+	d.applyMoves(now, a.Moves, false, string(a.Self.ID))
+	d.applyCrashes(a.Crashes, false, a.Self)
+	d.members.Add(now, a.Members...)
+	if !d.isLoaded() && a.Full {
+		// Servers that may have left meanwhile are better than none.
+		d.guard("update from "+string(m.ID), func() { d.applyUpdate(now, a) })
+	}
+}
+
+// configVersion returns the version of the configuration in force; 0 for none.
+func (d *Daemon) configVersion() routing.Version {
+	if t := d.table.Load(); t != nil {
+		return t.Version
+	}
+	return 0
+}
+
 // applyUpdate applies another entry VM's answer.
 func (d *Daemon) applyUpdate(now time.Time, a *feed.Response) {
 	if a.Config != nil {
@@ -306,11 +380,7 @@
 	}
 	go func() {
 		defer d.fetchingConfig.Store(false)
-		q := feed.Request{From: d.members.Self, Brief: true}
-		if t := d.table.Load(); t != nil {
-			q.Config = t.Version
-		}
-		a, err := d.client.Fetch(context.Background(), from, q)
+		a, err := d.client.Fetch(context.Background(), from, feed.Request{From: d.members.Self, Config: d.configVersion(), Brief: true})
 		if err != nil {
 			d.log.Info("newer configuration not fetched", zap.String("from", string(from.ID)), zap.Error(err))
 			return
@@ -338,8 +408,7 @@
 		return
 	}
 	if m, ok := d.members.Random(time.Now()); ok {
-		var q feed.Request
-		d.poll(ctx, m, &q, 0)
+		d.poll(ctx, m, &position{}, 0)
 	}
 }
 
@@ -356,8 +425,7 @@
 		}
 		d.log.Info("not registered in the store yet", zap.Error(err))
 		for _, s := range d.settings.Load().Seeds {
-			q := feed.Request{}
-			d.poll(ctx, feed.Member{ID: feed.MemberID(s), Address: s}, &q, 0)
+			d.poll(ctx, feed.Member{ID: feed.MemberID(s), Address: s}, &position{}, 0)
 		}
 		_ = clock.Sleep(ctx, backoff) // the loop condition checks ctx
 		backoff = min(2*backoff, maxBackoff)
