--- a/admit/issuer.go
+++ b/admit/issuer.go
@@ -99,6 +99,40 @@
 	return list
 }
 
+// pressedShare is the part of a failure domain's part of the window from which on it counts as pressed. Without
+// pressure all streams start at once, whatever the sums of other domains are.
+const pressedShare = 0.5
+
+// Pressed reports whether this failure domain, or one that has sent its sums, needs so much of the window of a
+// service that the sums must be up to date.
+func (i *Issuer) Pressed(now time.Time) bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	members := i.Members()
+	total := 0
+	for _, n := range members {
+		total += n
+	}
+	pressed := func(s Sum, domain names.ID) bool {
+		var n needs
+		n.add(s.Ranks)
+		part := float64(s.Window) * float64(members[domain]) / float64(max(1, total))
+		return s.Window > 0 && n.total() > pressedShare*part
+	}
+	for _, l := range i.services {
+		l.expire(now)
+		if pressed(l.sum(now, members[i.Domain]), i.Domain) {
+			return true
+		}
+		for d, s := range l.domains {
+			if pressed(s.Sum, d) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // maxServices bounds the services of which demands are kept: messages may name any.
 const maxServices = 256
 
--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -20,6 +20,10 @@
 // than half a second.
 const sumInterval = 400 * time.Millisecond
 
+// calmSumInterval is the same while no failure domain is pressed. It is below the time that sums count, so that a
+// burst finds those of all domains; the exchange costs bytes between regions.
+const calmSumInterval = 1500 * time.Millisecond
+
 // initAdmission sets up what the relay and the issuer need to let streams wait.
 func (d *Daemon) initAdmission() {
 	d.issuer.Domain, d.issuer.Members = d.members.Self.Domain, d.members.Domains
@@ -89,12 +93,14 @@
 // issuer has sums.
 func (d *Daemon) exchangeSums(ctx context.Context) {
 	x := &sumExchange{busy: make(map[names.ID]bool), failed: make(map[feed.MemberID]time.Time)}
+	var sentAt time.Time
 	for clock.Sleep(ctx, sumInterval) == nil {
 		now := time.Now()
 		sums := d.issuer.Sums(now)
-		if len(sums) == 0 {
+		if len(sums) == 0 || now.Sub(sentAt) < calmSumInterval-sumInterval && !d.issuer.Pressed(now) {
 			continue
 		}
+		sentAt = now
 		for _, m := range x.begin(now, &d.members) {
 			go func() {
 				x.end(m, telemetry.Guard(d.log, "exchange of sums", func() error { return d.sendSums(ctx, m, sums) }))
