--- a/admit/admit.go
+++ b/admit/admit.go
@@ -215,16 +215,11 @@
 	return true
 }
 
-// Policy is what a configuration says of the order of a service's streams.
-type Policy struct {
-	MostUrgent routing.Priority // of the service's routes
-}
-
-// PolicyOf returns the policy of a service. It returns false if the service has no engines or its routes
-// don't differ in priority: all its streams are then sent at once.
-func PolicyOf(t *routing.Table, n routing.ServiceName) (Policy, bool) {
+// InForce reports whether streams of a service wait in order: whether it has engines, and routes that differ in
+// priority. All streams of other services are sent at once.
+func InForce(t *routing.Table, n routing.ServiceName) bool {
 	if s, ok := t.Service(n); !ok || s.Model == nil {
-		return Policy{}, false
+		return false
 	}
 	var first, last routing.Priority
 	found := false
@@ -238,7 +233,7 @@
 		}
 		first, last = min(first, r.Priority), max(last, r.Priority)
 	}
-	return Policy{MostUrgent: first}, first < last
+	return first < last
 }
 
 func leadsTo(r *routing.Route, n routing.ServiceName) bool {
--- a/relay/admission.go
+++ b/relay/admission.go
@@ -46,7 +46,7 @@
 	if t == nil {
 		return nil
 	}
-	if _, ok := admit.PolicyOf(t, n); !ok {
+	if !admit.InForce(t, n) {
 		return nil
 	}
 	r.admission.mu.Lock()
@@ -385,27 +385,23 @@
 // room that replicas take is missing for streams.
 const replicaRoom = 3
 
-// limitReplica removes the replica of a placement at an engine without room. Under pressure only the most urgent
-// streams get one, where a report shows room: it takes as much room as the stream itself. It reports
-// whether the stream gets none because of pressure.
+// limitReplica removes the replica of a placement at an engine without room: it takes as much room as the stream
+// itself. Under pressure a report has to show room for several. It reports whether the stream gets no replica
+// because of pressure.
 func (s *streamRun) limitReplica(p *backend.Placement) bool {
-	t := s.relay.Table()
 	l := s.relay.line(s.service)
-	if t == nil || l == nil {
+	if l == nil || p.Replica == nil {
 		return false
 	}
-	policy, _ := admit.PolicyOf(t, s.service)
-	pressure := l.underPressure(time.Now())
-	urgent := s.priority <= policy.MostUrgent
-	room := 1
+	pressure, room := l.underPressure(time.Now()), 1
 	if pressure {
 		room = replicaRoom
 	}
-	if p.Replica != nil && (pressure && (!urgent || p.Replica.Report == nil) || !hasRoom(p.Replica, s.tokens, room, pressure)) {
+	if pressure && p.Replica.Report == nil || !hasRoom(p.Replica, s.tokens, room, pressure) {
 		p.Replica = nil
 		return pressure
 	}
-	return pressure && !urgent
+	return false
 }
 
 // withoutCopies reports whether no copies of a run's KV cache are ordered now.
