--- a/connlimit/process_test.go
+++ b/connlimit/process_test.go
@@ -92,14 +92,19 @@
 // freeAddresses returns n different addresses with free ports. Their loopback address is used by this test only, so no
 // outgoing connection takes the ports.
 func freeAddresses(n int) []string {
-	var all []string
+	var listeners []net.Listener
 	for range n {
 		l, err := net.Listen("tcp", "127.78.0.1:0")
 		if err != nil {
 			panic(err)
 		}
-		defer l.Close() // after the last one is chosen: the system may give a port again
+		listeners = append(listeners, l)
+	}
+	// Only now are they closed: the system may give a port that is free again.
+	var all []string
+	for _, l := range listeners {
 		all = append(all, l.Addr().String())
+		_ = l.Close()
 	}
 	return all
 }
