--- a/gateway/upstream.go
+++ b/gateway/upstream.go
@@ -163,6 +163,7 @@
 			d.requeueCounts(q.Counts)
 			d.requeueReports(reports)
 		}
+		p.of = "" // it may have started again
 		d.pollFailed(now, m, &a, err)
 		return false
 	}
@@ -176,7 +177,7 @@
 }
 
 // probe asks member m briefly for its state before it is asked for the list of all servers. It reports
-// whether to ask for that. Of several dozen entry VMs that start together, one has to tell all others
+// whether to ask for that, which is not so while m is starting. Of several dozen entry VMs that start together, one has to tell all others
 // that it has no fresh state yet; with a list each time, that takes seconds on a slow link, and delays
 // its own calls.
 func (d *Daemon) probe(ctx context.Context, m feed.Member) bool {
@@ -185,12 +186,10 @@
 	case ctx.Err() != nil:
 		return false
 	case err != nil:
-	case d.isFresh(&a):
-		return true
-	case d.isLoaded() || a.NeverFresh() && !d.health.isDown():
+	case a.NeverFresh() && !d.health.isDown():
 		err = errStale
 	default:
-		return true // its list is better than none
+		return true // what it knows is of use even if it has lost the store
 	}
 	d.pollFailed(time.Now(), m, &a, err)
 	return false
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -357,7 +357,7 @@
 	to := p.Run.Choice
 	noCopies := s.limitReplica(&p)
 	s.cur = &run{to: to, ctx: ctx, cancel: cancel, sentAt: now, noCopies: noCopies, parts: make(chan part, maxBufferedParts), checkpoints: make(chan checkpoint, 1), work: backend.Load{Requests: 1, Pending: 1, Tokens: s.tokens, Prefill: s.prefillTokens(memory)}}
-	s.cur.state = StreamState{SentAt: now, Peer: to.Peer, FromCopy: memory != nil, FirstEventBy: now.Add(s.firstEventTimeout(p.Run.Report))}
+	s.cur.state = StreamState{SentAt: now, Peer: to.Peer, FromCopy: memory != nil, FirstEventBy: now.Add(s.firstEventTimeout(&p.Run))}
 	send := &platform.ServerRequest{Server: to.ID, Organisation: s.organisation, TimeLeft: time.Until(s.deadline), Urgency: s.urgency(), ResumeFrom: memory}
 	if s.lastID > 0 {
 		send.LastEvent, s.cur.resumes = strconv.FormatInt(s.lastID, 10), true
@@ -399,16 +399,17 @@
 	maxDoublings = 3
 )
 
-// firstEventTimeout returns how long to wait for the first event of an engine with the given
-// load report.
-func (s *streamRun) firstEventTimeout(rep *backend.Report) time.Duration {
+// firstEventTimeout returns how long to wait for the first event of an engine, by its load report and its speed.
+// One that is known to be slow is not given up for that: another one would read the whole prompt again.
+func (s *streamRun) firstEventTimeout(at *backend.Engine) time.Duration {
 	limit := time.Duration(firstWaitShare * float64(s.route.LatencyTarget))
 	if usual, ok := s.relay.stats.FirstEventTime(s.route.Name, s.msg.params.PromptTokens); ok {
 		limit = firstWaitFactor * usual
-		if rep != nil {
-			limit += time.Duration(rep.Waiting+rep.Prefilling) * usual
+		if at.Report != nil {
+			limit += time.Duration(at.Report.Waiting+at.Report.Prefilling) * usual
 		}
 	}
+	limit = time.Duration(float64(limit) / min(1, at.Speed.Factor()))
 	return limit << min(s.emptyRuns, maxDoublings)
 }
 
