--- a/relay/meter.go
+++ b/relay/meter.go
@@ -106,13 +106,18 @@
 	m.costs.Observe(now, s)
 }
 
+// minWorkShare is the least part of the time of a call that counts as the server's work: one in so many.
+const minWorkShare = 4
+
 // observeCall records how long a server took for a call, unless it had to wait for others of this entry VM there.
 func (p *plainRequest) observeCall(rep *reply) {
 	waited := rep.server.Load.Requests >= max(1, rep.server.Slots)
 	if rep.server.Peer || waited || rep.status >= http.StatusInternalServerError || rep.took <= 0 {
 		return
 	}
-	rate := cost.Rate(1 / rep.took.Seconds())
+	// Opening the connection and the call itself take a round trip each. A server in another region is not slow for that.
+	took := max(rep.took-2*p.relay.dialTime(&rep.server), rep.took/minWorkShare)
+	rate := cost.Rate(1 / took.Seconds())
 	p.relay.Costs.Observe(time.Now(), cost.Sample{
 		Service: p.service, Server: rep.server.ID, Start: rep.server.Start, Kind: cost.Call, Rate: rate, Least: rate, Count: 1,
 	})
--- a/relay/meter_test.go
+++ b/relay/meter_test.go
@@ -17,8 +17,8 @@
 	"quetzalhold/engine"
 )
 
-// TestMeter guards against samples that do not show the speed of the server: of prompts that wait for others, and of
-// streams that resume.
+// TestMeter guards against samples that do not show the speed of the server: of prompts that wait for others, of
+// streams that resume, and of calls that take long because the server is far away.
 func TestMeter(t *testing.T) {
 	kinds := func(list []cost.Sample) map[cost.Kind]cost.Sample {
 		all := make(map[cost.Kind]cost.Sample)
@@ -42,6 +42,11 @@
 		So(w.request(context.Background(), http.MethodGet, "/status/1", "").status, ShouldEqual, http.StatusOK)
 		So(kinds(w.relay.Costs.Drain(time.Now()))[cost.Call].Rate, ShouldBeBetween, 15, 21)
 	})
+	withHarness(t, "A call to a server of another region shows the time of the work, not of the way", func(w *harness) {
+		w.add("a0", "app", 2, 50*time.Millisecond)
+		So(w.request(context.Background(), http.MethodGet, "/status/1", "").status, ShouldEqual, http.StatusOK)
+		So(kinds(w.relay.Costs.Drain(time.Now()))[cost.Call].Rate, ShouldBeBetween, 15, 21)
+	})
 	withHarness(t, "The first event of a stream that resumes, or waits for another prompt, is no sample", func(w *harness) {
 		w.add("e0", "models", 0, 30*time.Millisecond)
 		So(w.resumableStream(context.Background(), "Last-Event-Id", "20").err, ShouldBeNil)
