--- a/backend/choice.go
+++ b/backend/choice.go
@@ -43,6 +43,8 @@
 	Model  *routing.Model // nil for plain services
 	// Cost is set while servers of the service are known to differ in speed. Without it all count as equal.
 	Cost *cost.Basis
+	// DryRun says that no request follows the choice: it does not count as one that lacked a permit.
+	DryRun bool
 }
 
 // Nearby returns the criteria restricted to near servers.
@@ -108,7 +110,9 @@
 			continue
 		}
 		if !g.hasRoom(n.Now, st) {
-			p.lack(st)
+			if !n.DryRun {
+				p.lack(st)
+			}
 			continue
 		}
 		if atOnce != nil && st.load.Requests >= atOnce(st.Slots) {
@@ -250,20 +254,8 @@
 // choosePlain picks the server with the shortest expected wait. Entry VMs with different seeds choose
 // differently among equal ones.
 func choosePlain(all []candidate, seed string) Choice {
-	wait := func(c *candidate) time.Duration {
-		slots := max(1, c.Slots)
-		queued := max(0, c.Load.Requests+1-slots)
-		// Part of the load counts even before all slots are taken, because other entry VMs use
-		// the slots too.
-		cost := c.distance
-		if c.Limited {
-			cost += limitedCost
-		}
-		return cost + time.Duration(queued)*plainCallTime/time.Duration(slots) +
-			time.Duration(c.Load.Requests)*plainCallTime/time.Duration(4*slots)
-	}
 	best := slices.MinFunc(all, func(a, b candidate) int {
-		if c := cmp.Compare(wait(&a), wait(&b)); c != 0 || seed == "" {
+		if c := cmp.Compare(a.plainWait(), b.plainWait()); c != 0 || seed == "" {
 			return cmp.Or(c, cmp.Compare(a.ID, b.ID))
 		}
 		return cmp.Compare(xxhash.Sum64String(seed+"/"+string(a.ID)), xxhash.Sum64String(seed+"/"+string(b.ID)))
@@ -271,6 +263,20 @@
 	return best.Choice
 }
 
+// plainWait returns the expected wait of a call at the server.
+func (c *candidate) plainWait() time.Duration {
+	slots := max(1, c.Slots)
+	queued := max(0, c.Load.Requests+1-slots)
+	// Part of the load counts even before all slots are taken, because other entry VMs use
+	// the slots too.
+	cost := c.distance
+	if c.Limited {
+		cost += limitedCost
+	}
+	return cost + time.Duration(queued)*plainCallTime/time.Duration(slots) +
+		time.Duration(c.Load.Requests)*plainCallTime/time.Duration(4*slots)
+}
+
 // An engine whose load exceeds loadFactor times the mean plus loadSlack is passed over even if
 // the prompt hashes to it.
 const (
--- a/backend/speed.go
+++ b/backend/speed.go
@@ -140,15 +140,7 @@
 func choosePlainByCost(n *Criteria, all []candidate) Choice {
 	times := make([]time.Duration, len(all))
 	for i := range all {
-		c := &all[i]
-		slots := max(1, c.Slots)
-		call := n.Cost.Call * 1000 / speedMillis(c.Speed)
-		// As in choosePlain, a part of the load counts before all slots are taken.
-		times[i] = c.distance + call + time.Duration(max(0, c.Load.Requests+1-slots))*call/time.Duration(slots) +
-			time.Duration(c.Load.Requests)*call/time.Duration(4*slots)
-		if c.Limited {
-			times[i] += limitedCost
-		}
+		times[i] = all[i].callTime(n)
 	}
 	// Less than the cost of leaving the failure domain, so that equal servers outside of it are no choice.
 	limit := slices.Min(times) + crossDomainCost/2
@@ -160,3 +152,16 @@
 	}
 	return all[equal[n.Cost.Random(len(equal))]].Choice
 }
+
+// callTime returns the expected time of a call at the server.
+func (c *candidate) callTime(n *Criteria) time.Duration {
+	slots := max(1, c.Slots)
+	call := n.Cost.Call * 1000 / speedMillis(c.Speed)
+	// As in plainWait, a part of the load counts before all slots are taken.
+	took := c.distance + call + time.Duration(max(0, c.Load.Requests+1-slots))*call/time.Duration(slots) +
+		time.Duration(c.Load.Requests)*call/time.Duration(4*slots)
+	if c.Limited {
+		took += limitedCost
+	}
+	return took
+}
