gateway: quetzalhold where tells where a request would go

A gateway answers GET /where on its address for entry VMs from the relay's and the pool's decision code. Load reports are requested without the records that a placement keeps, so that nothing changes. The stand-alone daemon does not answer yet.

--- a/cmd/quetzalhold/commands.go
+++ b/cmd/quetzalhold/commands.go
@@ -23,6 +23,7 @@
 		{"use-preset", "put a preset in force", "Exactly one preset is in force at a time.", &usePresetCommand{remoteOptions: remote}},
 		{"status", "show the entry VMs", "Shows for each entry VM its domain, preset, engines and object versions.", &statusCommand{remoteOptions: remote}},
 		{"explain", "tell what happened to a request", "Asks every entry VM and shows the steps in order.", &explainCommand{remoteOptions: remote}},
+		{"where", "tell where a request would go", "Asks a running gateway, which sends nothing but requests for load reports.", &whereCommand{ctx: ctx}},
 		{"call", "ask for an answer", "Takes the answer up again at another entry VM when one is lost.", &callCommand{ctx: ctx}},
 		{"demo", "run the demonstration", "Runs entry VMs and stand-ins in this process and kills some of them.", &demoCommand{ctx: ctx}},
 		{"move", "move a deployment between versions", "The system ends each move as finished or taken back, and says why.", &moveCommand{
--- a/cmd/quetzalhold/main_test.go
+++ b/cmd/quetzalhold/main_test.go
@@ -54,6 +54,7 @@
 			{[]string{"check", "no-such-file"}, exitFailure, "5000 SettingsUnreadable"},
 			{[]string{"status", "--entry", "127.0.0.1:1", "--operator-key", "k"}, exitOK, "refused"},
 			{[]string{"get", "preset", "--entry", "127.0.0.1:1", "--operator-key", "k"}, exitFailure, "refused"},
+			{[]string{"where", "--at", "127.0.0.1:1", "--key", "k-1"}, exitFailure, "refused"},
 			{[]string{"entry", "--settings", "../../settings/testdata/bad-clash.json"}, exitFailure, "5007 NameClash"},
 		}
 		for _, tt := range tests {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -488,6 +488,7 @@
 			return a
 		},
 	})
+	mux.HandleFunc("GET "+WherePath, d.serveWhere)
 	return mux
 }
 
--- a/relay/place.go
+++ b/relay/place.go
@@ -120,6 +120,9 @@
 func (r *Relay) queryReports(ctx context.Context, choices []backend.Choice, rank int, now time.Time) []backend.Engine {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
+	if x := pollRecordOf(ctx); x != nil {
+		return x.query(ctx, choices, rank)
+	}
 	answers := queryAll(r.Log, choices, func(c backend.Choice) (backend.Report, error) {
 		if c.Limited {
 			return backend.Report{}, errNoRoom
--- a/relay/plain.go
+++ b/relay/plain.go
@@ -349,7 +349,7 @@
 func (r *Relay) need(j *job, now time.Time, exclude []engine.ServerID, avoid engine.ServerID) backend.Criteria {
 	n := backend.Criteria{
 		Now: now, Service: j.service, Domain: r.Domain, Region: r.Region, Exclude: exclude, Only: j.only,
-		AffinityKey: j.msg.params.AffinityKey(), Tokens: j.tokens, Model: j.model, Once: !j.route.Repeatable(), Cost: j.basis(now),
+		AffinityKey: j.msg.params.AffinityKey(), Tokens: j.tokens, Model: j.model, Once: !j.route.Repeatable(), Cost: j.basis(now), DryRun: j.dryRun,
 	}
 	if r.Allowed != nil {
 		again := (j.sends > 0 || len(j.tried) > 0) && j.route.Kind != routing.Stream
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -216,6 +216,7 @@
 	copy         *AdmittedCopy     // of the run that a request taken from another entry VM continues
 	helpers      []engine.ServerID // entry VMs to which it was handed
 	tried        []engine.ServerID // servers not to be tried again, as far as there are others
+	dryRun       bool              // it is only explained, and never sent
 	statesSpent  bool              // the answer states the attempts spent, to the entry VM from which it was taken
 	spent        func() Spent      // returns the attempts spent so far; nil before the first
 }
