entry: quetzalhold where, answered on the operator's address

The stand-alone daemon tells where an answer would start or a call would go, from its chooser, the order of a service's servers and its queue, without a turn taken. The cases in which its queue refuses are a method now, used by both.

--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -252,6 +252,7 @@
 		History: d.History,
 	}
 	api.Register(mux)
+	mux.HandleFunc("GET "+operator.PathWhere, d.serveWhere)
 	peerServer := &peer.Server{Token: peer.NewToken(d.settings.CursorKey), Gossip: d.gossip, Quota: d.quota, Evidence: d.addEvidence, ApplyBooking: d.bookingWriter.Apply}
 	peerServer.Register(mux)
 	mux.Handle("GET /metrics", d.telemetry.Handler())
--- a/limit/gate.go
+++ b/limit/gate.go
@@ -209,16 +209,8 @@
 		g.admit(a, w)
 		return w, nil
 	}
-	wait := g.predictWaitLocked(a)
-	switch {
-	case g.policy.MaxAnswers <= 0:
-		return nil, overloaded(now, time.Second, "no new answers are taken")
-	case g.waiting >= g.policy.MaxQueue && !g.canAdmit(now, a):
-		return nil, overloaded(now, wait, "%d requests wait", g.waiting)
-	case !r.Deadline.IsZero() && now.Add(wait).After(r.Deadline):
-		return nil, overloaded(now, wait, "the queue takes %s, longer than the deadline", wait.Round(time.Millisecond))
-	case wait > g.policy.MaxWait:
-		return nil, overloaded(now, wait, "the queue takes %s", wait.Round(time.Millisecond))
+	if err := g.refusal(now, a, &r, g.predictWaitLocked(a)); err != nil {
+		return nil, err
 	}
 	if len(a.queue) == 0 {
 		// An organisation accumulates no priority while it is idle.
--- a/relay/where.go
+++ b/relay/where.go
@@ -29,6 +29,7 @@
 	Request    engine.RequestID // decides between the services of a route, and between versions
 	Tokens     string           // of the prompt and at most of the answer, as in X-Token-Count
 	Prompt     string           // its parts, as in X-Prompt-Prefix
+	Model      string           // asked of the stand-alone daemon; a gateway ignores it
 }
 
 // Values returns the query as parameters of a URL.
@@ -36,6 +37,7 @@
 	v := url.Values{}
 	for name, value := range map[string]string{
 		"host": q.Host, "path": q.Path, "key": string(q.Key), "request": string(q.Request), "tokens": q.Tokens, "prompt": q.Prompt,
+		"model": q.Model,
 	} {
 		if value != "" {
 			v.Set(name, value)
@@ -48,7 +50,7 @@
 func ReadWhereQuery(v url.Values) (WhereQuery, error) {
 	q := WhereQuery{
 		Host: v.Get("host"), Path: v.Get("path"), Key: routing.Key(v.Get("key")), Request: engine.RequestID(v.Get("request")),
-		Tokens: v.Get("tokens"), Prompt: v.Get("prompt"),
+		Tokens: v.Get("tokens"), Prompt: v.Get("prompt"), Model: v.Get("model"),
 	}
 	if !strings.HasPrefix(q.Path, "/") {
 		return q, result.New(result.BadRequest, "path %q does not begin with a slash", q.Path).WithField("path").AsNotRun()
@@ -70,7 +72,9 @@
 	// Refusal is the error with which the request would be refused; nil if it would not.
 	Refusal *result.Error `json:"refusal,omitempty"`
 	// Admission is set if streams may have to wait before they are sent.
-	Admission  *WhereAdmission  `json:"admission,omitempty"`
+	Admission *WhereAdmission `json:"admission,omitempty"`
+	// Queue is set by the stand-alone daemon, for answers.
+	Queue      *WhereQueue      `json:"queue,omitempty"`
 	Candidates []WhereCandidate `json:"candidates,omitempty"`
 	LeftOut    []WhereLeftOut   `json:"leftOut,omitempty"`
 	// Chosen is the server, or with Helper the other entry VM, that would get the request; empty if none would.
@@ -103,6 +107,13 @@
 	Window         engine.Tokens `json:"window"` // 0 if it is unknown
 }
 
+// WhereQueue is what the queue of the stand-alone daemon would do with a request for an answer.
+type WhereQueue struct {
+	Waits          bool  `json:"waits,omitempty"`
+	Position       int   `json:"position"` // among those of its organisation
+	ExpectedWaitMs int64 `json:"expectedWaitMs"`
+}
+
 // WhereCandidate is a server that is considered.
 type WhereCandidate struct {
 	Server   engine.ServerID `json:"server"`
--- a/relay/where_text.go
+++ b/relay/where_text.go
@@ -12,7 +12,11 @@
 // WriteText writes the answer as text.
 func (a *WhereAnswer) WriteText(to io.Writer) error {
 	w := tabwriter.NewWriter(to, 0, 0, 2, ' ', 0)
-	fmt.Fprintf(w, "entry VM\t%s (%s) at %s, configuration %d\n", a.Entry, a.Domain, a.At.UTC().Format(time.RFC3339Nano), a.Configuration)
+	version := ""
+	if a.Configuration > 0 {
+		version = fmt.Sprintf(", configuration %d", a.Configuration)
+	}
+	fmt.Fprintf(w, "entry VM\t%s (%s) at %s%s\n", a.Entry, a.Domain, a.At.UTC().Format(time.RFC3339Nano), version)
 	if a.Route != "" {
 		fmt.Fprintf(w, "route\t%s (%s)\n", a.Route, a.Kind)
 	}
@@ -20,6 +24,11 @@
 		fmt.Fprintf(w, "service\t%s\n", a.Service)
 		fmt.Fprintf(w, "organisation\t%s, priority %d\n", cmp.Or(a.Organisation, "none"), a.Priority)
 	}
+	if q := a.Queue; q != nil && q.Waits {
+		fmt.Fprintf(w, "queue\twaits at position %d of its organisation, expected for %v\n", q.Position, time.Duration(q.ExpectedWaitMs)*time.Millisecond)
+	} else if q != nil {
+		fmt.Fprint(w, "queue\tadmitted at once\n")
+	}
 	if a.Admission != nil {
 		fmt.Fprintf(w, "admission\t%s\n", a.Admission.text())
 	}
@@ -30,6 +39,7 @@
 		fmt.Fprintf(w, "handed to\tentry VM %s: %s\n", a.Chosen, a.Why)
 	case a.Admission != nil && a.Admission.Waits:
 		fmt.Fprintf(w, "then sent to\t%s, as of now: %s\n", a.Chosen, a.Why)
+	case a.Chosen == "":
 	default:
 		fmt.Fprintf(w, "sent to\t%s: %s\n", a.Chosen, a.Why)
 	}
