--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -32,9 +32,9 @@
 	"quetzalhold/relay"
 	"quetzalhold/result"
 	"quetzalhold/routing"
+	"quetzalhold/serverconn"
 	"quetzalhold/settings"
 	"quetzalhold/telemetry"
-	"quetzalhold/upstream"
 )
 
 // Daemon is the process of an entry VM. Use [New].
@@ -215,7 +215,7 @@
 		return err
 	}
 	d.relay.StreamSent = m.StreamSent
-	d.relay.Connection = func(p upstream.Purpose, reused bool) { m.Connection(p.String(), reused) }
+	d.relay.Connection = func(p serverconn.Purpose, reused bool) { m.Connection(p.String(), reused) }
 	d.observeAdmission(m)
 	d.relay.Ended = func(n routing.ServiceName, c result.Code, took time.Duration, attempts int) {
 		m.RequestEnded(string(n), c, took, attempts)
--- a/relay/connections.go
+++ b/relay/connections.go
@@ -10,8 +10,8 @@
 	"quetzalhold/backend"
 	"quetzalhold/engine"
 	"quetzalhold/platform"
+	"quetzalhold/serverconn"
 	"quetzalhold/telemetry"
-	"quetzalhold/upstream"
 )
 
 // keptShare is the part of the permitted descriptors that kept connections take up: one in so many.
@@ -24,7 +24,7 @@
 	if maxFDs > 0 {
 		limit = max(1, maxFDs/keptShare)
 	}
-	r.kept = &upstream.Pool{Dial: limitDial(r.dial), Limit: limit}
+	r.kept = &serverconn.Pool{Dial: limitDial(r.dial), Limit: limit}
 }
 
 // dropKept closes the kept connections to an address.
@@ -37,19 +37,19 @@
 type purposeKey struct{}
 
 // withPurpose returns a context in which a request is sent for a purpose.
-func withPurpose(ctx context.Context, p upstream.Purpose) context.Context {
+func withPurpose(ctx context.Context, p serverconn.Purpose) context.Context {
 	return context.WithValue(ctx, purposeKey{}, p)
 }
 
 // purposeOf returns the purpose for which a caller's request is sent.
-func purposeOf(ctx context.Context) upstream.Purpose {
-	if p, ok := ctx.Value(purposeKey{}).(upstream.Purpose); ok {
+func purposeOf(ctx context.Context) serverconn.Purpose {
+	if p, ok := ctx.Value(purposeKey{}).(serverconn.Purpose); ok {
 		return p
 	}
-	return upstream.Stream
+	return serverconn.Stream
 }
 
-func (r *Relay) countConnection(p upstream.Purpose, reused bool) {
+func (r *Relay) countConnection(p serverconn.Purpose, reused bool) {
 	if r.Connection != nil {
 		r.Connection(p, reused)
 	}
@@ -58,19 +58,19 @@
 // via is how a control call reaches its server.
 type via struct {
 	send    func(*http.Request) (*http.Response, error)
-	purpose upstream.Purpose
+	purpose serverconn.Purpose
 }
 
 // onNew returns a way to a server by a new connection.
-func (r *Relay) onNew() via { return via{send: r.transport.RoundTrip, purpose: upstream.Control} }
+func (r *Relay) onNew() via { return via{send: r.transport.RoundTrip, purpose: serverconn.Control} }
 
 // onKept returns a way to a server by a kept connection, if one is idle. Only calls that may be repeated and have
 // no body go there: a call that fails on a kept connection is sent again on a new one.
-func (r *Relay) onKept(at *backend.Choice, p upstream.Purpose, o upstream.Options) via {
+func (r *Relay) onKept(at *backend.Choice, p serverconn.Purpose, o serverconn.Options) via {
 	if r.kept == nil {
 		return via{send: r.controlTransport.RoundTrip, purpose: p}
 	}
-	o.Server, o.Class = upstream.Server{Address: at.Address, Start: at.Start}, upstream.Reports
+	o.Server, o.Class = serverconn.Server{Address: at.Address, Start: at.Start}, serverconn.Reports
 	return via{purpose: p, send: func(req *http.Request) (*http.Response, error) {
 		resp, err := r.kept.Do(req, o)
 		if o.KeptOnly || !failedOnKept(err) {
@@ -85,7 +85,7 @@
 // failedOnKept reports whether a request failed on a kept connection before the first byte of an answer. That
 // says nothing about the server, which may have closed the connection before.
 func failedOnKept(err error) bool {
-	var kept *upstream.KeptError
+	var kept *serverconn.KeptError
 	return errors.As(err, &kept)
 }
 
@@ -119,9 +119,9 @@
 	if !ok {
 		return r.transport.RoundTrip(m.outgoing(ctx, to, send))
 	}
-	o := upstream.Options{Server: upstream.Server{Address: to.Address, Start: to.Start}, Class: upstream.Calls, Fresh: fresh, Recent: true}
+	o := serverconn.Options{Server: serverconn.Server{Address: to.Address, Start: to.Start}, Class: serverconn.Calls, Fresh: fresh, Recent: true}
 	resp, err := r.kept.Do(m.outgoing(ctx, to, send), o)
-	var kept *upstream.KeptError
+	var kept *serverconn.KeptError
 	if errors.As(err, &kept) && !kept.Sent {
 		o.Fresh = true // nothing was sent, so that this is the first time
 		return r.kept.Do(m.outgoing(ctx, to, send), o)
@@ -146,7 +146,7 @@
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
 	err := telemetry.Guard(r.Log, "probe", func() error {
-		_, _, err := r.control(ctx, r.onKept(&to, upstream.Probe, upstream.Options{KeptOnly: true}), to, http.MethodGet, platform.ReportPath, nil)
+		_, _, err := r.control(ctx, r.onKept(&to, serverconn.Probe, serverconn.Options{KeptOnly: true}), to, http.MethodGet, platform.ReportPath, nil)
 		return err
 	})
 	var status statusError
--- a/relay/connections_test.go
+++ b/relay/connections_test.go
@@ -16,16 +16,16 @@
 	"quetzalhold/platform/platformtest"
 	"quetzalhold/result"
 	"quetzalhold/routing"
-	"quetzalhold/upstream"
+	"quetzalhold/serverconn"
 )
 
 // connectionCounts counts connections by purpose.
 type connectionCounts struct {
 	mu             sync.Mutex
-	opened, reused map[upstream.Purpose]int
+	opened, reused map[serverconn.Purpose]int
 }
 
-func (c *connectionCounts) of(p upstream.Purpose) (opened, reused int) {
+func (c *connectionCounts) of(p serverconn.Purpose) (opened, reused int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.opened[p], c.reused[p]
@@ -36,8 +36,8 @@
 	if keep {
 		w.relay.KeepConnections(0)
 	}
-	c := &connectionCounts{opened: make(map[upstream.Purpose]int), reused: make(map[upstream.Purpose]int)}
-	w.relay.Connection = func(p upstream.Purpose, reused bool) {
+	c := &connectionCounts{opened: make(map[serverconn.Purpose]int), reused: make(map[serverconn.Purpose]int)}
+	w.relay.Connection = func(p serverconn.Purpose, reused bool) {
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		if reused {
@@ -76,7 +76,7 @@
 				So(a.body, ShouldEqual, fmt.Sprintf("answer to r%d", i))
 				time.Sleep(500 * time.Millisecond)
 			}
-			opened, reused := c.of(upstream.Call)
+			opened, reused := c.of(serverconn.Call)
 			So(opened, ShouldEqual, x.opened)
 			So(reused, ShouldEqual, 20-x.opened)
 		})
@@ -104,7 +104,7 @@
 			So(a.status, ShouldEqual, http.StatusOK)
 		}
 		So(n.Load(), ShouldEqual, 3)
-		opened, reused := c.of(upstream.Call)
+		opened, reused := c.of(serverconn.Call)
 		So(opened, ShouldEqual, 2)
 		So(reused, ShouldEqual, 1)
 		v, _ := w.pool.View(engine.ServerID(s.ID), time.Now())
@@ -120,7 +120,7 @@
 		for range 3 {
 			So(w.request(context.Background(), http.MethodPost, "/status/1", "body").status, ShouldEqual, http.StatusOK)
 		}
-		opened, _ := c.of(upstream.Call)
+		opened, _ := c.of(serverconn.Call)
 		So(opened, ShouldEqual, 3)
 	})
 	withHarness(t, "foreign answer", func(w *harness) {
@@ -131,7 +131,7 @@
 		So(w.request(context.Background(), http.MethodPost, "/status/1", "body").status, ShouldEqual, http.StatusBadGateway)
 		s.SetFault(platformtest.Fault{})
 		So(w.request(context.Background(), http.MethodPost, "/status/1", "body").status, ShouldEqual, http.StatusOK)
-		opened, reused := c.of(upstream.Call)
+		opened, reused := c.of(serverconn.Call)
 		So(reused, ShouldEqual, 1)
 		So(opened, ShouldBeGreaterThan, 1)
 	})
@@ -155,10 +155,10 @@
 			c := w.countConnections(keep)
 			w.addEngines()
 			So(w.resumableStream(context.Background()).body, ShouldEqual, events(1, numEvent))
-			opened, reused := c.of(upstream.Probe)
+			opened, reused := c.of(serverconn.Probe)
 			So(opened == 0, ShouldEqual, keep)
 			So(reused > 0, ShouldEqual, keep)
-			opened, reused = c.of(upstream.Stream)
+			opened, reused = c.of(serverconn.Stream)
 			So(opened, ShouldEqual, 1)
 			So(reused, ShouldEqual, 0)
 		})
@@ -212,7 +212,7 @@
 			for _, s := range w.servers {
 				asked += s.Reports()
 			}
-			opened, reused := c.of(upstream.Report)
+			opened, reused := c.of(serverconn.Report)
 			t.Logf("kept %v: %d reports, %d connections opened for them, %d reused", keep, asked, opened, reused)
 			if keep {
 				So(opened, ShouldBeLessThanOrEqualTo, 2*len(w.servers))
@@ -249,7 +249,7 @@
 		begun := time.Now()
 		So(w.request(context.Background(), http.MethodPost, "/status/1", "body").status, ShouldEqual, http.StatusOK)
 		So(time.Since(begun), ShouldBeLessThan, 100*time.Millisecond)
-		_, reused := c.of(upstream.Call)
+		_, reused := c.of(serverconn.Call)
 		So(reused, ShouldEqual, 0)
 	})
 }
--- a/relay/place.go
+++ b/relay/place.go
@@ -12,8 +12,8 @@
 	"quetzalhold/backend"
 	"quetzalhold/engine"
 	"quetzalhold/platform"
+	"quetzalhold/serverconn"
 	"quetzalhold/telemetry"
-	"quetzalhold/upstream"
 )
 
 // The limits of querying engines for load reports before a generation is placed.
@@ -200,7 +200,7 @@
 	if c.Limited {
 		return 0, errNoRoom
 	}
-	_, body, err := r.control(ctx, r.onKept(&c, upstream.Report, upstream.Options{}), c, http.MethodGet, platform.CachePath, nil)
+	_, body, err := r.control(ctx, r.onKept(&c, serverconn.Report, serverconn.Options{}), c, http.MethodGet, platform.CachePath, nil)
 	if err != nil {
 		return 0, err
 	}
@@ -210,7 +210,7 @@
 
 // Identify queries the address of a server for the id of the server that answers there.
 func (r *Relay) Identify(ctx context.Context, c backend.Choice, healthPath string) (engine.ServerID, error) {
-	h, _, err := r.control(ctx, r.onKept(&c, upstream.Control, upstream.Options{Recent: true}), c, http.MethodGet, healthPath, nil)
+	h, _, err := r.control(ctx, r.onKept(&c, serverconn.Control, serverconn.Options{Recent: true}), c, http.MethodGet, healthPath, nil)
 	if err != nil {
 		return "", err
 	}
@@ -219,7 +219,7 @@
 
 // Report queries an engine for its load.
 func (r *Relay) Report(ctx context.Context, c backend.Choice) (backend.Report, error) {
-	_, body, err := r.control(ctx, r.onKept(&c, upstream.Report, upstream.Options{}), c, http.MethodGet, platform.ReportPath, nil)
+	_, body, err := r.control(ctx, r.onKept(&c, serverconn.Report, serverconn.Options{}), c, http.MethodGet, platform.ReportPath, nil)
 	if err != nil {
 		return backend.Report{}, err
 	}
--- a/relay/reach.go
+++ b/relay/reach.go
@@ -10,7 +10,7 @@
 	"quetzalhold/backend"
 	"quetzalhold/engine"
 	"quetzalhold/routing"
-	"quetzalhold/upstream"
+	"quetzalhold/serverconn"
 )
 
 // Reach decides whether this entry VM is cut off from all servers of a service, or of all services. It does
@@ -276,7 +276,7 @@
 	defer cancel()
 	c, err := r.dial(ctx, "tcp", to.Address)
 	if err == nil {
-		r.countConnection(upstream.Probe, false)
+		r.countConnection(serverconn.Probe, false)
 		_ = c.Close() // nothing was sent on it
 	}
 	return err
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -32,7 +32,7 @@
 	"quetzalhold/quarantine"
 	"quetzalhold/result"
 	"quetzalhold/routing"
-	"quetzalhold/upstream"
+	"quetzalhold/serverconn"
 )
 
 // Relay is the HTTP handler that forwards callers' requests. Create it with [New]; the
@@ -100,7 +100,7 @@
 	// StreamSent is called for each stream sent to an engine, with the reason; may be nil.
 	StreamSent func(why string)
 	// Connection is called for each connection to a server that was opened, or used again; may be nil.
-	Connection func(p upstream.Purpose, reused bool)
+	Connection func(p serverconn.Purpose, reused bool)
 	// StreamWaits is called when a stream begins to wait before it is sent. May be nil.
 	StreamWaits func()
 	// StreamWaited is called for each stream that has waited, and StreamRejected for each that was rejected
@@ -139,7 +139,7 @@
 	dial             engine.Dialer
 	transport        *http.Transport // for requests
 	controlTransport *http.Transport // for control calls, such as load reports
-	kept             *upstream.Pool  // nil if connections are not kept
+	kept             *serverconn.Pool  // nil if connections are not kept
 	recent           recentReports
 	logMalformed     sync.Once
 }
--- a/relay/send.go
+++ b/relay/send.go
@@ -17,7 +17,7 @@
 	"quetzalhold/engine"
 	"quetzalhold/platform"
 	"quetzalhold/routing"
-	"quetzalhold/upstream"
+	"quetzalhold/serverconn"
 )
 
 //go:generate go tool -modfile=../tools/go.mod stringer -type=Outcome,Action -linecomment -output=relay_string.go
@@ -323,7 +323,7 @@
 	defer r.Pool.End(to.ID, work)
 	rep.server = to
 	begun := time.Now()
-	resp, err := r.roundTrip(withPurpose(ctx, upstream.Call), m, to, send)
+	resp, err := r.roundTrip(withPurpose(ctx, serverconn.Call), m, to, send)
 	defer func() {
 		if resp != nil && rep.rest == nil {
 			_ = resp.Body.Close() // its end was read, or it is not needed
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -19,8 +19,8 @@
 	"quetzalhold/platform"
 	"quetzalhold/quarantine"
 	"quetzalhold/result"
+	"quetzalhold/serverconn"
 	"quetzalhold/telemetry"
-	"quetzalhold/upstream"
 )
 
 // run is one attempt at a stream: one connection to one engine.
@@ -945,7 +945,7 @@
 	connect := func() {
 		c, err := r.dial(dialCtx, "tcp", to.Address)
 		if err == nil {
-			r.countConnection(upstream.Probe, false)
+			r.countConnection(serverconn.Probe, false)
 			_ = c.Close() // nothing was sent on it
 		}
 		connections <- probeResult{err: err}
--- a/upstream/conn.go
+++ b/serverconn/conn.go
@@ -1,4 +1,4 @@
-package upstream
+package serverconn
 
 import (
 	"container/list"
--- a/upstream/upstream.go
+++ b/serverconn/serverconn.go
@@ -1,7 +1,7 @@
-// Package upstream keeps connections to servers for more than one request. Which requests may use a kept
+// Package serverconn keeps connections to servers for more than one request. Which requests may use a kept
 // connection is decided by its user; the package sees to it that none is repeated on its own, and that nothing
 // that a connection carries is taken for the answer to another request.
-package upstream
+package serverconn
 
 import (
 	"container/list"
@@ -16,7 +16,7 @@
 	"quetzalhold/engine"
 )
 
-//go:generate go tool -modfile=../tools/go.mod stringer -type=Purpose,Class -linecomment -output=upstream_string.go
+//go:generate go tool -modfile=../tools/go.mod stringer -type=Purpose,Class -linecomment -output=serverconn_string.go
 
 // Purpose is what a connection is used for.
 type Purpose int
--- a/upstream/upstream_test.go
+++ b/serverconn/serverconn_test.go
@@ -1,4 +1,4 @@
-package upstream_test
+package serverconn_test
 
 import (
 	"bufio"
@@ -17,7 +17,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"quetzalhold/memnet"
-	"quetzalhold/upstream"
+	"quetzalhold/serverconn"
 )
 
 const (
@@ -88,12 +88,12 @@
 // bench is a pool with fake servers on an in-memory network.
 type bench struct {
 	net  memnet.Network
-	pool *upstream.Pool
+	pool *serverconn.Pool
 	stop []io.Closer
 	mu   sync.Mutex
 }
 
-func (b *bench) add(host string, answer func(io.Writer, request) bool) (*server, upstream.Server) {
+func (b *bench) add(host string, answer func(io.Writer, request) bool) (*server, serverconn.Server) {
 	s := &server{answer: answer}
 	l, err := b.net.Listen(host + ":80")
 	if err != nil {
@@ -112,11 +112,11 @@
 			go s.serve(c)
 		}
 	}()
-	return s, upstream.Server{Address: host + ":80", Start: 1}
+	return s, serverconn.Server{Address: host + ":80", Start: 1}
 }
 
 // send sends a request and returns the body of its answer.
-func (b *bench) send(ctx context.Context, o upstream.Options, path string) (string, error) {
+func (b *bench) send(ctx context.Context, o serverconn.Options, path string) (string, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+o.Server.Address+path, io.NopCloser(strings.NewReader("x")))
 	if err != nil {
 		panic(err)
@@ -131,7 +131,7 @@
 }
 
 // get is send for a request that has to succeed with its own answer.
-func (b *bench) get(o upstream.Options, path string) {
+func (b *bench) get(o serverconn.Options, path string) {
 	body, err := b.send(context.Background(), o, path)
 	So(err, ShouldBeNil)
 	So(body, ShouldEqual, path)
@@ -143,7 +143,7 @@
 		synctest.Test(t, func(t *testing.T) {
 			Convey(name, t, func() {
 				b := &bench{net: memnet.Network{Latency: func(_, _ memnet.Host) time.Duration { return latency }}}
-				b.pool = &upstream.Pool{Dial: b.net.Dialer(entryHost)}
+				b.pool = &serverconn.Pool{Dial: b.net.Dialer(entryHost)}
 				defer time.Sleep(time.Minute)
 				defer func() {
 					b.pool.CloseIdle()
@@ -162,24 +162,24 @@
 func TestKeptTooLong(t *testing.T) {
 	for _, x := range []struct {
 		name, headers string
-		o             upstream.Options
+		o             serverconn.Options
 		idle          time.Duration
 		opened        int
 	}{
-		{"a report, server says nothing", "", upstream.Options{}, 2900 * time.Millisecond, 1},
-		{"a report, server says nothing, too long", "", upstream.Options{}, 3100 * time.Millisecond, 2},
-		{"a report, five seconds stated", "Keep-Alive: max=9, Timeout=5\r\n", upstream.Options{}, 3900 * time.Millisecond, 1},
-		{"a report, five seconds stated, too long", "Keep-Alive: timeout=5\r\n", upstream.Options{}, 4100 * time.Millisecond, 2},
-		{"a report, no time at all", "Keep-Alive: timeout=0\r\n", upstream.Options{}, 0, 2},
-		{"a report, malformed time", "Keep-Alive: timeout=-5\r\n", upstream.Options{}, 2900 * time.Millisecond, 1},
-		{"a health check", "Keep-Alive: timeout=60\r\n", upstream.Options{Recent: true}, 1900 * time.Millisecond, 1},
-		{"a health check, too long", "Keep-Alive: timeout=60\r\n", upstream.Options{Recent: true}, 2100 * time.Millisecond, 2},
-		{"a call", "", upstream.Options{Class: upstream.Calls}, 1900 * time.Millisecond, 1},
-		{"a call, too long", "Keep-Alive: timeout=60\r\n", upstream.Options{Class: upstream.Calls}, 2100 * time.Millisecond, 2},
-		{"a call, half of the time stated", "Keep-Alive: timeout=2\r\n", upstream.Options{Class: upstream.Calls}, 900 * time.Millisecond, 1},
-		{"a call, more than half of it", "Keep-Alive: timeout=2\r\n", upstream.Options{Class: upstream.Calls}, 1100 * time.Millisecond, 2},
-		{"a call that needs a new one", "", upstream.Options{Class: upstream.Calls, Fresh: true}, 0, 2},
-		{"the server closes it", "Connection: close\r\n", upstream.Options{}, 0, 2},
+		{"a report, server says nothing", "", serverconn.Options{}, 2900 * time.Millisecond, 1},
+		{"a report, server says nothing, too long", "", serverconn.Options{}, 3100 * time.Millisecond, 2},
+		{"a report, five seconds stated", "Keep-Alive: max=9, Timeout=5\r\n", serverconn.Options{}, 3900 * time.Millisecond, 1},
+		{"a report, five seconds stated, too long", "Keep-Alive: timeout=5\r\n", serverconn.Options{}, 4100 * time.Millisecond, 2},
+		{"a report, no time at all", "Keep-Alive: timeout=0\r\n", serverconn.Options{}, 0, 2},
+		{"a report, malformed time", "Keep-Alive: timeout=-5\r\n", serverconn.Options{}, 2900 * time.Millisecond, 1},
+		{"a health check", "Keep-Alive: timeout=60\r\n", serverconn.Options{Recent: true}, 1900 * time.Millisecond, 1},
+		{"a health check, too long", "Keep-Alive: timeout=60\r\n", serverconn.Options{Recent: true}, 2100 * time.Millisecond, 2},
+		{"a call", "", serverconn.Options{Class: serverconn.Calls}, 1900 * time.Millisecond, 1},
+		{"a call, too long", "Keep-Alive: timeout=60\r\n", serverconn.Options{Class: serverconn.Calls}, 2100 * time.Millisecond, 2},
+		{"a call, half of the time stated", "Keep-Alive: timeout=2\r\n", serverconn.Options{Class: serverconn.Calls}, 900 * time.Millisecond, 1},
+		{"a call, more than half of it", "Keep-Alive: timeout=2\r\n", serverconn.Options{Class: serverconn.Calls}, 1100 * time.Millisecond, 2},
+		{"a call that needs a new one", "", serverconn.Options{Class: serverconn.Calls, Fresh: true}, 0, 2},
+		{"the server closes it", "Connection: close\r\n", serverconn.Options{}, 0, 2},
 	} {
 		withBench(t, x.name, func(b *bench) {
 			s, at := b.add("10.1.64.1", plain(x.headers))
@@ -194,7 +194,7 @@
 	withBench(t, "a series of calls", func(b *bench) {
 		s, at := b.add("10.1.64.1", plain(""))
 		for i := range 50 {
-			b.get(upstream.Options{Server: at, Class: upstream.Calls}, fmt.Sprintf("/%d", i))
+			b.get(serverconn.Options{Server: at, Class: serverconn.Calls}, fmt.Sprintf("/%d", i))
 			time.Sleep(time.Second)
 		}
 		opened, _, requests := s.counts()
@@ -228,7 +228,7 @@
 				}
 				return true
 			}
-			o := upstream.Options{Server: at, Class: upstream.Calls}
+			o := serverconn.Options{Server: at, Class: serverconn.Calls}
 			b.get(o, "/1")
 			time.Sleep(50 * time.Millisecond)
 			So(b.pool.Idle(), ShouldEqual, 0)
@@ -246,7 +246,7 @@
 		})
 		for i := range 500 {
 			path := fmt.Sprintf("/%d", i)
-			body, err := b.send(context.Background(), upstream.Options{Server: at, Class: upstream.Calls}, path)
+			body, err := b.send(context.Background(), serverconn.Options{Server: at, Class: serverconn.Calls}, path)
 			if err != nil || body != path {
 				t.Fatalf("request %d: %q, %v", i, body, err)
 			}
@@ -261,7 +261,7 @@
 			}
 			return plain("")(w, r)
 		}
-		o := upstream.Options{Server: at, Class: upstream.Calls}
+		o := serverconn.Options{Server: at, Class: serverconn.Calls}
 		b.get(o, "/1")
 		ctx, cancel := context.WithCancel(context.Background())
 		time.AfterFunc(50*time.Millisecond, cancel)
@@ -277,7 +277,7 @@
 		s, at := b.add("10.1.64.1", plain(""))
 		req, err := http.NewRequest(http.MethodGet, "http://"+at.Address+"/1", http.NoBody)
 		So(err, ShouldBeNil)
-		resp, err := b.pool.Do(req, upstream.Options{Server: at})
+		resp, err := b.pool.Do(req, serverconn.Options{Server: at})
 		So(err, ShouldBeNil)
 		So(resp.Body.Close(), ShouldBeNil)
 		time.Sleep(10 * time.Millisecond)
@@ -289,7 +289,7 @@
 // TestDroppedByServer guards against a request that runs twice because a kept connection has ended, and against
 // an end that is noticed only by a request.
 func TestDroppedByServer(t *testing.T) {
-	o := upstream.Options{Class: upstream.Calls}
+	o := serverconn.Options{Class: serverconn.Calls}
 	withBench(t, "before a request", func(b *bench) {
 		var s *server
 		s, o.Server = b.add("10.1.64.1", plain(""))
@@ -307,7 +307,7 @@
 		s.answer = func(w io.Writer, r request) bool { return r.path != "/2" && plain("")(w, r) }
 		b.get(o, "/1")
 		_, err := b.send(context.Background(), o, "/2")
-		var kept *upstream.KeptError
+		var kept *serverconn.KeptError
 		So(errors.As(err, &kept), ShouldBeTrue)
 		So(kept.Sent, ShouldBeTrue)
 		opened, _, requests := s.counts()
@@ -323,7 +323,7 @@
 		req, err := http.NewRequest(http.MethodGet, "http://"+o.Server.Address+"/2", http.NoBody)
 		So(err, ShouldBeNil)
 		_, err = b.pool.Do(req, o)
-		var kept *upstream.KeptError
+		var kept *serverconn.KeptError
 		So(errors.As(err, &kept), ShouldBeTrue)
 		time.Sleep(10 * time.Millisecond)
 		opened, _, requests := s.counts()
@@ -333,7 +333,7 @@
 	withBench(t, "on a new connection", func(b *bench) {
 		_, o.Server = b.add("10.1.64.1", func(io.Writer, request) bool { return false })
 		_, err := b.send(context.Background(), o, "/1")
-		var kept *upstream.KeptError
+		var kept *serverconn.KeptError
 		So(err, ShouldNotBeNil)
 		So(errors.As(err, &kept), ShouldBeFalse)
 	})
@@ -349,7 +349,7 @@
 		}
 		b.get(o, "/1")
 		_, err := b.send(context.Background(), o, "/2")
-		var kept *upstream.KeptError
+		var kept *serverconn.KeptError
 		So(err, ShouldNotBeNil)
 		So(errors.As(err, &kept), ShouldBeFalse)
 	})
@@ -360,28 +360,28 @@
 	withBench(t, "a path gone silent", func(b *bench) {
 		_, at := b.add("10.1.64.1", plain(""))
 		_, other := b.add("10.1.64.2", plain(""))
-		b.get(upstream.Options{Server: at, Class: upstream.Calls}, "/1")
-		b.get(upstream.Options{Server: at}, "/1")
-		b.get(upstream.Options{Server: other}, "/1")
+		b.get(serverconn.Options{Server: at, Class: serverconn.Calls}, "/1")
+		b.get(serverconn.Options{Server: at}, "/1")
+		b.get(serverconn.Options{Server: other}, "/1")
 		b.net.Blackhole(entryHost, "10.1.64.1")
 		ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
 		defer cancel()
-		_, err := b.send(ctx, upstream.Options{Server: at, KeptOnly: true}, "/2")
+		_, err := b.send(ctx, serverconn.Options{Server: at, KeptOnly: true}, "/2")
 		So(errors.Is(err, context.DeadlineExceeded), ShouldBeTrue)
 		So(b.pool.Idle(), ShouldEqual, 1)
-		_, err = b.send(context.Background(), upstream.Options{Server: at, KeptOnly: true}, "/2")
-		So(errors.Is(err, upstream.ErrNone), ShouldBeTrue)
-		b.get(upstream.Options{Server: at}, "/3")
+		_, err = b.send(context.Background(), serverconn.Options{Server: at, KeptOnly: true}, "/2")
+		So(errors.Is(err, serverconn.ErrNone), ShouldBeTrue)
+		b.get(serverconn.Options{Server: at}, "/3")
 	})
 	withBench(t, "connections opened since are kept", func(b *bench) {
 		_, at := b.add("10.1.64.1", plain(""))
-		b.get(upstream.Options{Server: at}, "/1")
+		b.get(serverconn.Options{Server: at}, "/1")
 		b.net.Blackhole(entryHost, "10.1.64.1")
 		ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
 		defer cancel()
-		go func() { _, _ = b.send(ctx, upstream.Options{Server: at}, "/2") }()
+		go func() { _, _ = b.send(ctx, serverconn.Options{Server: at}, "/2") }()
 		time.Sleep(50 * time.Millisecond)
-		b.get(upstream.Options{Server: at}, "/3")
+		b.get(serverconn.Options{Server: at}, "/3")
 		time.Sleep(100 * time.Millisecond)
 		So(b.pool.Idle(), ShouldEqual, 1)
 	})
@@ -391,20 +391,20 @@
 func TestRestartedServer(t *testing.T) {
 	withBench(t, "a later start", func(b *bench) {
 		s, at := b.add("10.1.64.1", plain(""))
-		b.get(upstream.Options{Server: at, Class: upstream.Calls}, "/1")
-		b.get(upstream.Options{Server: at}, "/1")
+		b.get(serverconn.Options{Server: at, Class: serverconn.Calls}, "/1")
+		b.get(serverconn.Options{Server: at}, "/1")
 		at.Start++
-		b.get(upstream.Options{Server: at}, "/2")
+		b.get(serverconn.Options{Server: at}, "/2")
 		opened, open, _ := s.counts()
 		So(opened, ShouldEqual, 3)
 		So(open, ShouldEqual, 1)
 		at.Start--
-		_, err := b.send(context.Background(), upstream.Options{Server: at, KeptOnly: true}, "/3")
-		So(errors.Is(err, upstream.ErrNone), ShouldBeTrue)
+		_, err := b.send(context.Background(), serverconn.Options{Server: at, KeptOnly: true}, "/3")
+		So(errors.Is(err, serverconn.ErrNone), ShouldBeTrue)
 	})
 	withBench(t, "a server known to have restarted", func(b *bench) {
 		_, at := b.add("10.1.64.1", plain(""))
-		b.get(upstream.Options{Server: at}, "/1")
+		b.get(serverconn.Options{Server: at}, "/1")
 		b.pool.Drop(at.Address)
 		So(b.pool.Idle(), ShouldEqual, 0)
 	})
@@ -415,11 +415,11 @@
 	withBench(t, "many servers", func(b *bench) {
 		b.pool.Limit = 5
 		var all []*server
-		var at []upstream.Server
+		var at []serverconn.Server
 		for i := range 20 {
 			s, a := b.add(fmt.Sprintf("10.1.64.%d", i+1), plain(""))
 			all, at = append(all, s), append(at, a)
-			b.get(upstream.Options{Server: a}, "/1")
+			b.get(serverconn.Options{Server: a}, "/1")
 			time.Sleep(10 * time.Millisecond)
 			So(b.pool.Idle(), ShouldBeLessThanOrEqualTo, 5)
 		}
@@ -427,8 +427,8 @@
 			_, open, _ := s.counts()
 			So(open == 1, ShouldEqual, i >= 15) // the longest idle are closed
 		}
-		b.get(upstream.Options{Server: at[15]}, "/2")
-		b.get(upstream.Options{Server: at[0]}, "/2")
+		b.get(serverconn.Options{Server: at[15]}, "/2")
+		b.get(serverconn.Options{Server: at[0]}, "/2")
 		_, open, _ := all[15].counts()
 		So(open, ShouldEqual, 1)
 	})
@@ -440,9 +440,9 @@
 		}
 		var wg sync.WaitGroup
 		for i := range 5 {
-			for _, c := range []upstream.Class{upstream.Calls, upstream.Reports} {
+			for _, c := range []serverconn.Class{serverconn.Calls, serverconn.Reports} {
 				wg.Go(func() {
-					_, _ = b.send(context.Background(), upstream.Options{Server: at, Class: c}, fmt.Sprintf("/%d", i))
+					_, _ = b.send(context.Background(), serverconn.Options{Server: at, Class: c}, fmt.Sprintf("/%d", i))
 				})
 			}
 		}
@@ -460,7 +460,7 @@
 		}
 		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Millisecond)
 		defer cancel()
-		_, err := b.send(ctx, upstream.Options{Server: at}, "/1")
+		_, err := b.send(ctx, serverconn.Options{Server: at}, "/1")
 		So(err, ShouldNotBeNil)
 		time.Sleep(100 * time.Millisecond)
 		opened, open, _ := s.counts()
