--- a/relay/relay.go
+++ b/relay/relay.go
@@ -137,9 +137,9 @@
 	trying           chan struct{} // full while servers are tried for cutOffSince
 	taken            atomic.Int64  // requests of other entry VMs in flight
 	dial             engine.Dialer
-	transport        *http.Transport // for requests
-	controlTransport *http.Transport // for control calls, such as load reports
-	kept             *serverconn.Pool  // nil if connections are not kept
+	transport        *http.Transport  // for requests
+	controlTransport *http.Transport  // for control calls, such as load reports
+	kept             *serverconn.Pool // nil if connections are not kept
 	recent           recentReports
 	logMalformed     sync.Once
 }
