--- a/relay/relay.go
+++ b/relay/relay.go
@@ -341,31 +341,40 @@
 	}
 	j.msg.params = params
 	r.awaitReady(j.msg.Context(), readyWait(params.TimeLeft))
-	t := r.Table()
+	t, err := j.resolve()
+	if err != nil {
+		return err
+	}
+	if err := j.readBody(w, t.Limits); err != nil {
+		return err
+	}
+	j.parts = quarantine.Parts(params.SharedParts())
+	j.fingerprint = quarantine.NewFingerprint(j.organisation, j.msg.Method, j.msg.URL.RequestURI(), j.msg.body)
+	return nil
+}
+
+// resolve finds the request's route, caller and service in the configuration in force, which it returns.
+func (j *job) resolve() (*routing.Table, error) {
+	t := j.relay.Table()
 	if t == nil {
-		return result.New(result.NoConfiguration, "no configuration yet").AsNotRun().WithRetryAt(time.Now().Add(retryDelay))
+		return nil, result.New(result.NoConfiguration, "no configuration yet").AsNotRun().WithRetryAt(time.Now().Add(retryDelay))
 	}
 	j.version = t.Version
 	route, ok := t.Route(hostName(j.msg.Host), j.msg.URL.Path)
 	if !ok {
-		return result.New(result.UnknownPath, "no route").AsNotRun()
+		return nil, result.New(result.UnknownPath, "no route").AsNotRun()
 	}
 	j.route, j.msg.route = route, route.Name
 	if err := j.identify(t); err != nil {
-		return err
+		return nil, err
 	}
-	j.service = route.Service(params.ID)
+	j.service = route.Service(j.msg.params.ID)
 	if s, ok := t.Service(j.service); ok {
 		j.model, j.healthPath = s.Model, s.HealthPath
 	}
-	j.tokens = params.PromptTokens + params.AnswerTokens
+	j.tokens = j.msg.params.PromptTokens + j.msg.params.AnswerTokens
 	j.setDeadline()
-	if err := j.readBody(w, t.Limits); err != nil {
-		return err
-	}
-	j.parts = quarantine.Parts(params.SharedParts())
-	j.fingerprint = quarantine.NewFingerprint(j.organisation, j.msg.Method, j.msg.URL.RequestURI(), j.msg.body)
-	return nil
+	return t, nil
 }
 
 // isOver reports whether the caller has left or the request's time is over: an answer that is missing then says nothing
--- a/relay/where.go
+++ b/relay/where.go
@@ -176,25 +176,10 @@
 // describe does what admit does with a request that has come, as far as it does not concern its body.
 func (j *job) describe() error {
 	r := j.relay
-	t := r.Table()
-	if t == nil {
-		return result.New(result.NoConfiguration, "no configuration yet").AsNotRun().WithRetryAt(j.startedAt.Add(retryDelay))
-	}
-	j.version = t.Version
-	route, ok := t.Route(hostName(j.msg.Host), j.msg.URL.Path)
-	if !ok {
-		return result.New(result.UnknownPath, "no route").AsNotRun()
-	}
-	j.route, j.msg.route = route, route.Name
-	if err := j.identify(t); err != nil {
+	if _, err := j.resolve(); err != nil {
 		return err
 	}
-	j.service = route.Service(j.msg.params.ID)
-	if s, ok := t.Service(j.service); ok {
-		j.model, j.healthPath = s.Model, s.HealthPath
-	}
-	j.tokens = j.msg.params.PromptTokens + j.msg.params.AnswerTokens
-	j.setDeadline()
+	route := j.route
 	j.parts = quarantine.Parts(j.msg.params.SharedParts())
 	if route.Kind == routing.Stream && r.Draining != nil && r.Draining() {
 		return result.New(result.Stopping, "no time for a new stream").AsNotRun().WithRetryAt(j.startedAt.Add(retryDelay))
