--- a/soak/check.go
+++ b/soak/check.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"time"
 
 	"quetzalhold/platform/platformtest"
 )
@@ -18,6 +19,7 @@
 	vm         int // index of the gateway
 	process    int // number of the gateway process that the request was sent to
 	key        string
+	pause      time.Duration // after each of the first events of a stream that is read slowly
 }
 
 // outcome is the response that the caller received.
--- a/soak/inject.go
+++ b/soak/inject.go
@@ -10,18 +10,21 @@
 )
 
 // injectAll injects faults, some of which overlap, until Options.FaultTime has passed. It
-// returns the number of faults.
-func (w *harness) injectAll(ctx context.Context) int {
+// returns the number of faults, and that of the crowds of clients beside them.
+func (w *harness) injectAll(ctx context.Context) (n, crowds int) {
 	until := time.Now().Add(w.opts.FaultTime)
 	var wg sync.WaitGroup
-	n := 0
 	for ; time.Now().Before(until) && ctx.Err() == nil; n++ {
 		f := w.drawFault()
 		wg.Go(f)
+		if w.crowdRnd.IntN(crowdOneIn) == 0 {
+			wg.Go(w.drawCrowd(crowds))
+			crowds++
+		}
 		time.Sleep(time.Duration(100+w.rnd.IntN(600)) * time.Millisecond)
 	}
 	wg.Wait()
-	return n
+	return n, crowds
 }
 
 // drawFault returns a function that injects a random fault. All random numbers are
@@ -81,7 +84,7 @@
 func (w *harness) restart(g *gateway, s syscall.Signal, pause time.Duration) {
 	g.restartMu.Lock()
 	defer g.restartMu.Unlock()
-	g.stop(s)
+	w.stop(g, s)
 	time.Sleep(pause)
 	if err := g.startProcess(w.opts.Binary); err != nil {
 		w.checker.mu.Lock()
@@ -115,6 +118,7 @@
 // clearFaults removes all faults from the store, the proxies and the servers, and
 // resumes paused gateways.
 func (w *harness) clearFaults() {
+	w.faultsOver.Store(true)
 	w.store.SetFault(platformtest.StoreFault{})
 	w.storeProxy.SetMode(Mode{})
 	w.setAllProxies(Mode{})
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -18,9 +18,11 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
+	"quetzalhold/platform"
 	"quetzalhold/platform/platformtest"
 )
 
@@ -43,6 +45,9 @@
 	Served          int      // requests answered with status 200
 	CompleteStreams int      // streams of which a caller received the end
 	Injected        int      // faults injected
+	Crowds          int      // crowds of clients without limits
+	Priorities      bool     // the routes of streams differ in priority
+	Pressure        bool     // the gateways have the agreement pressure
 	Violations      []string // violations found
 }
 
@@ -67,13 +72,18 @@
 
 	mu     sync.Mutex
 	cmd    *exec.Cmd
-	starts int // number of processes started so far
+	ended  chan struct{} // closed once the process has ended
+	starts int           // number of processes started so far
 }
 
 // harness holds the gateways, stand-ins and proxies of a run.
 type harness struct {
 	opts       Options
 	rnd        *rand.Rand
+	crowdRnd   *rand.Rand
+	priorities bool        // the routes of streams differ in priority
+	pressure   bool        // the agreement pressure is in the gateways' settings
+	faultsOver atomic.Bool // callers no longer read slowly
 	recorder   *platformtest.Recorder
 	store      *platformtest.Store
 	storeProxy *Proxy
@@ -90,6 +100,8 @@
 // are in the report.
 func Run(ctx context.Context, o Options) (Report, error) {
 	w := &harness{opts: o, rnd: rand.New(rand.NewPCG(o.Seed, 1)), recorder: &platformtest.Recorder{}, store: &platformtest.Store{}}
+	w.crowdRnd = rand.New(rand.NewPCG(o.Seed, 2))
+	w.priorities, w.pressure = w.crowdRnd.IntN(2) == 0, w.crowdRnd.IntN(2) == 0
 	w.checker = &checker{recorder: w.recorder, newestEpoch: make(map[string]int)}
 	if err := w.start(); err != nil {
 		return Report{}, err
@@ -107,7 +119,7 @@
 	if o.Stops {
 		stops.Go(func() { w.stopInSeries(ctx) })
 	}
-	injected := w.injectAll(ctx)
+	injected, crowds := w.injectAll(ctx)
 	stops.Wait()
 	w.clearFaults()
 	recovered := w.awaitReady(ctx, recovery)
@@ -118,12 +130,15 @@
 	}
 	stop()
 	wg.Wait()
+	for _, g := range w.gateways {
+		w.checkRunning(g)
+	}
 	w.checker.finish()
 	if !recovered {
 		w.checker.violations = append(w.checker.violations, "not recovered after the faults ended")
 	}
 	j := w.checker
-	return Report{Requests: j.requests, Served: j.served, CompleteStreams: j.streams, Injected: injected, Violations: j.violations}, nil
+	return Report{Requests: j.requests, Served: j.served, CompleteStreams: j.streams, Injected: injected, Crowds: crowds, Priorities: w.priorities, Pressure: w.pressure, Violations: j.violations}, nil
 }
 
 // servedCount returns the number of requests that were answered with status 200.
@@ -196,15 +211,19 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	next := w.epoch + 1
-	route := func(name, kind, service string, attempts int) map[string]any {
+	route := func(name, kind, service string, attempts, priority int) map[string]any {
 		return map[string]any{
 			"name": name, "host": "h.example", "path_prefix": "/" + name + "/", "kind": kind, "timeout_ms": 8000, "target_latency_ms": 2000,
-			"target_gap_ms": 700, "priority": 1, "service": service, "max_attempts": attempts, "stream_resume": true,
+			"target_gap_ms": 700, "priority": priority, "service": service, "max_attempts": attempts, "stream_resume": true,
 		}
 	}
+	routes := []any{route("book", "non_idempotent", "app", 1, 1), route("status", "idempotent", "app", 2, 1), route("brief", "streaming", "models", 5, 1)}
+	if w.priorities {
+		routes = append(routes, route("urgent", "streaming", "models", 5, 0), route("batch", "streaming", "models", 5, 2))
+	}
 	w.store.Put("config", "main", map[string]any{
 		"version": next,
-		"routes":  []any{route("book", "non_idempotent", "app", 1), route("status", "idempotent", "app", 2), route("brief", "streaming", "models", 5)},
+		"routes":  routes,
 		"services": []any{
 			map[string]any{"name": "app", "health_path": "/health"},
 			map[string]any{"name": "models", "health_path": "/health", "engine": map[string]any{"slots": 48, "kv_token_capacity": 88000, "backups": true, "moves": true}},
@@ -242,11 +261,15 @@
 func (w *harness) newGateway(n int) (*gateway, error) {
 	g := &gateway{index: n, file: filepath.Join(w.opts.Dir, fmt.Sprintf("gateway-%d.json", n)), log: filepath.Join(w.opts.Dir, fmt.Sprintf("gateway-%d.log", n))}
 	g.listen, g.readiness = w.loopback(n, portListen), w.loopback(n, portReadiness)
-	raw, err := json.Marshal(map[string]any{
+	values := map[string]any{
 		"id": fmt.Sprintf("g%d", n), "domain": []string{"cn-a", "wv-a"}[n%2], "regions": map[string]string{"cn-a": "c", "wv-a": "w"},
 		"listen": g.listen, "readiness": g.readiness, "peers": w.loopback(n, portPeers), "metrics": w.loopback(n, portMetrics), "store": w.storeProxy.Address(), "heartbeatMs": 1200,
 		"bounds": map[string]any{"drainMs": 3000, "graceS": graceS, "configMs": 3000, "repeatRatio": 0.8, "repeatSlack": 150, "repeatWindowS": 10},
-	})
+	}
+	if w.pressure {
+		values["agreements"] = []string{platform.Pressure}
+	}
+	raw, err := json.Marshal(values)
 	if err != nil {
 		return nil, err
 	}
@@ -265,7 +288,15 @@
 	g.cmd.Stdout, g.cmd.Stderr = out, out
 	g.starts++
 	// The child process has its own descriptor of the log file.
-	return errors.Join(g.cmd.Start(), out.Close())
+	if err := errors.Join(g.cmd.Start(), out.Close()); err != nil {
+		return err
+	}
+	g.ended = make(chan struct{})
+	go func(cmd *exec.Cmd, ended chan<- struct{}) {
+		_ = cmd.Wait() // a process ended by a signal returns an error; cmd.ProcessState has the result
+		close(ended)
+	}(g.cmd, g.ended)
+	return nil
 }
 
 // signal sends a signal to the gateway's process.
@@ -275,19 +306,35 @@
 	_ = g.cmd.Process.Signal(s) // fails if the process has already ended
 }
 
-// stop sends a signal to the process and waits until it ends. The process is killed if
+// checkRunning reports whether the gateway's process is running. One that has ended by itself is a violation.
+func (w *harness) checkRunning(g *gateway) bool {
+	select {
+	case <-g.ended:
+		w.checker.mu.Lock()
+		defer w.checker.mu.Unlock()
+		w.checker.violation("gateway %d ended by itself: %v", g.index, g.cmd.ProcessState)
+		return false
+	default:
+		return true
+	}
+}
+
+// stop sends a signal to a gateway's process and waits until it ends. The process is killed if
 // it takes a second longer than its grace time.
-func (g *gateway) stop(s syscall.Signal) {
+func (w *harness) stop(g *gateway, s syscall.Signal) {
+	if !w.checkRunning(g) {
+		return
+	}
 	g.signal(s)
 	g.signal(syscall.SIGCONT)
 	killTimer := time.AfterFunc((graceS+1)*time.Second, func() { g.signal(syscall.SIGKILL) })
-	_ = g.cmd.Wait() // a process ended by a signal returns an error
+	<-g.ended
 	killTimer.Stop()
 }
 
 func (w *harness) stopAll() {
 	for _, g := range w.gateways {
-		g.stop(syscall.SIGKILL)
+		w.stop(g, syscall.SIGKILL)
 	}
 }
 
@@ -340,17 +387,22 @@
 	rnd := rand.New(rand.NewPCG(w.opts.Seed, uint64(1000+n)))
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2}}
 	defer client.CloseIdleConnections()
+	streamRnd := rand.New(rand.NewPCG(w.opts.Seed, uint64(1<<20+n))) // for the streams' paths and pauses
+	streamPath := ""
 	after := 0 // last event received of a stream that broke off; 0 for none
 	for i := 0; ctx.Err() == nil; i++ {
 		g := w.gateways[rnd.IntN(len(w.gateways))]
 		g.mu.Lock()
 		r := request{vm: g.index, process: g.starts}
 		g.mu.Unlock()
+		if after == 0 { // a stream that is resumed keeps its path
+			streamPath = w.drawPath(streamRnd)
+		}
 		path := "/status/1"
 		switch kind := rnd.IntN(3); {
 		case after > 0 || kind == 0:
-			r.stream, r.lastEvent, path = true, after, "/brief/1"
-			r.id = fmt.Sprintf("%s-%d-%d", idempotentPrefix, n, i)
+			r.stream, r.lastEvent, path = true, after, streamPath
+			r.id, r.pause = fmt.Sprintf("%s-%d-%d", idempotentPrefix, n, i), w.drawPause(streamRnd)
 		case kind == 1:
 			r.atMostOnce, path = true, "/book/1"
 			r.id = fmt.Sprintf("b-%d-%d", n, i)
@@ -362,7 +414,7 @@
 			k.own-- // the key of the previous configuration, which is revoked
 		}
 		r.key = epochKey(k.own)
-		o := send(ctx, client, g.listen, path, r)
+		o := w.send(ctx, client, g.listen, path, r)
 		g.mu.Lock()
 		k.sameProcess = g.starts == r.process
 		g.mu.Unlock()
@@ -386,7 +438,7 @@
 
 // send sends a request to the gateway at front. The outcome is empty if there is no
 // response.
-func send(ctx context.Context, client *http.Client, front, path string, r request) outcome {
+func (w *harness) send(ctx context.Context, client *http.Client, front, path string, r request) outcome {
 	ctx, cancel := context.WithTimeout(ctx, 10*time.Second)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+front+path, strings.NewReader("body"))
@@ -409,6 +461,6 @@
 		return outcome{}
 	}
 	defer resp.Body.Close()
-	b, err := io.ReadAll(resp.Body)
+	b, err := io.ReadAll(&slowBody{Reader: resp.Body, over: &w.faultsOver, pause: r.pause, events: slowEvents})
 	return outcome{status: resp.StatusCode, body: string(b), complete: err == nil}
 }
