--- a/admit/admit.go
+++ b/admit/admit.go
@@ -218,29 +218,6 @@
 // InForce reports whether streams of a service wait in order: whether it has engines, and routes that differ in
 // priority. All streams of other services are sent at once.
 func InForce(t *routing.Table, n routing.ServiceName) bool {
-	if s, ok := t.Service(n); !ok || s.Model == nil {
-		return false
-	}
-	var first, last routing.Priority
-	found := false
-	for i := range t.Routes {
-		r := &t.Routes[i]
-		if r.Kind != routing.Stream || !leadsTo(r, n) {
-			continue
-		}
-		if !found {
-			first, last, found = r.Priority, r.Priority, true
-		}
-		first, last = min(first, r.Priority), max(last, r.Priority)
-	}
-	return first < last
-}
-
-func leadsTo(r *routing.Route, n routing.ServiceName) bool {
-	for _, s := range r.Splits {
-		if s.Service == n {
-			return true
-		}
-	}
-	return false
+	s, ok := t.Service(n)
+	return ok && s.Model != nil && t.PrioritiesDiffer(n)
 }
--- a/backend/speed.go
+++ b/backend/speed.go
@@ -62,8 +62,6 @@
 	// kvWeight is the weight of the time for which the request occupies KV cache at an engine that is full: other
 	// requests wait for it. It falls with the square of the share in use.
 	kvWeight = 0.05
-	// tokensPerEvent is the number of tokens in an event of an answer.
-	tokensPerEvent = 5
 )
 
 // nearMargin is by how much the cost of a near engine may exceed the time to prefill the prompt at the usual speed
@@ -84,7 +82,7 @@
 	own := x.Prefill.Time(x.Work.Prefill) * 1000 / speed
 	c += time.Duration(imposedShare * float64(r.Report.Generating) * float64(own))
 	if used := float64(r.Report.Used+n.Tokens) / float64(max(1, r.Report.Total)); used <= 1 {
-		lifetime := own + x.Gap*time.Duration(x.Work.Output)/tokensPerEvent*1000/speed
+		lifetime := own + x.Gap*time.Duration(x.Work.Output)/cost.TokensPerEvent*1000/speed
 		c += time.Duration(kvWeight * used * used * float64(lifetime))
 	} else {
 		c += weightFull
--- a/connlimit/connlimit.go
+++ b/connlimit/connlimit.go
@@ -73,6 +73,11 @@
 	return l
 }
 
+// Or returns the limits with those that are 0 taken from others.
+func (l Limits) Or(others Limits) Limits {
+	return Limits{HeadMemory: cmp.Or(l.HeadMemory, others.HeadMemory), Connections: cmp.Or(l.Connections, others.Connections)}
+}
+
 // Limits of single heads.
 const (
 	// CallerHead is the default for callers, which is that of net/http.
--- a/cost/cost.go
+++ b/cost/cost.go
@@ -17,6 +17,9 @@
 	Output  engine.Tokens // tokens that the answer is expected to have
 }
 
+// TokensPerEvent is the number of tokens in an event of an answer.
+const TokensPerEvent = 5
+
 // Rate is a number of tokens a second.
 type Rate float64
 
--- a/relay/admission.go
+++ b/relay/admission.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"slices"
 	"sync"
 	"time"
 
@@ -43,10 +42,7 @@
 // line returns the queue of a service; nil if admission is not in force for it.
 func (r *Relay) line(n routing.ServiceName) *line {
 	t := r.Table()
-	if t == nil {
-		return nil
-	}
-	if !admit.InForce(t, n) {
+	if t == nil || !admit.InForce(t, n) {
 		return nil
 	}
 	r.admission.mu.Lock()
@@ -266,7 +262,7 @@
 	least := time.Duration(0)
 	for i := range t.Routes {
 		x := &t.Routes[i]
-		if !slices.ContainsFunc(x.Splits, func(s routing.Split) bool { return s.Service == n }) {
+		if !x.LeadsTo(n) {
 			continue
 		}
 		if need, ok := r.stats.MinTime(x.Name, last); ok && (least == 0 || need < least) {
@@ -409,8 +405,7 @@
 	if !r.noCopies {
 		return false
 	}
-	l := s.relay.line(s.service)
-	r.noCopies = l != nil && l.underPressure(time.Now())
+	r.noCopies = s.relay.underPressure(s.service, time.Now())
 	return r.noCopies
 }
 
--- a/relay/meter.go
+++ b/relay/meter.go
@@ -14,8 +14,6 @@
 )
 
 const (
-	// tokensPerEvent is the number of tokens in an event of an answer.
-	tokensPerEvent = 5
 	// gapsPerSample is the number of gaps between events that make a sample; 12 take 0.4 s at usual speed. Their median
 	// counts, which pauses of the entry VM and the network do not move.
 	gapsPerSample = 12
@@ -40,8 +38,8 @@
 	gaps            []time.Duration
 }
 
-// newMeter returns the meter of a run; nil for one that is sent to another entry VM. The time to its first event counts only if nothing was known to be before it at
-// the engine.
+// newMeter returns the meter of a run; nil for one that is sent to another entry VM. The time to its first event
+// counts only if nothing was known to be before it at the engine.
 func (s *streamRun) newMeter(now time.Time, at *backend.Engine, fromCopy bool) *meter {
 	if at.Peer {
 		return nil
@@ -131,7 +129,7 @@
 
 // observeOutput records the length of a complete answer.
 func (s *streamRun) observeOutput() {
-	s.relay.Costs.ObserveOutput(s.route.Name, s.msg.params.AnswerTokens, engine.Tokens(s.lastID*tokensPerEvent))
+	s.relay.Costs.ObserveOutput(s.route.Name, s.msg.params.AnswerTokens, engine.Tokens(s.lastID*cost.TokensPerEvent))
 }
 
 // basis returns what the choice of a server for the request is based on; nil while the servers of its service are not
@@ -153,7 +151,7 @@
 	if from != nil {
 		return 0
 	}
-	return s.msg.params.PromptTokens + engine.Tokens(s.lastID*tokensPerEvent)
+	return s.msg.params.PromptTokens + engine.Tokens(s.lastID*cost.TokensPerEvent)
 }
 
 // speedFields returns the inputs of a placement that are known only while the engines differ in speed.
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -98,6 +98,11 @@
 	return ""
 }
 
+// LeadsTo reports whether requests of the route may go to a service.
+func (r *Route) LeadsTo(n ServiceName) bool {
+	return slices.ContainsFunc(r.Splits, func(s Split) bool { return s.Service == n })
+}
+
 // Model describes the engines of a service.
 type Model struct {
 	Slots    int           `json:"slots"`  // maximum number of concurrent answers
@@ -167,6 +172,8 @@
 	byHost   map[string][]*Route // longest prefix first
 	services map[ServiceName]*Service
 	byKey    map[Key]*OrganisationConfig
+	// differ holds the services whose stream routes differ in priority.
+	differ map[ServiceName]bool
 }
 
 // NewTable returns the lookup table of a configuration.
@@ -176,9 +183,21 @@
 		byHost:   make(map[string][]*Route),
 		services: make(map[ServiceName]*Service, len(c.Services)),
 		byKey:    make(map[Key]*OrganisationConfig),
+		differ:   make(map[ServiceName]bool),
 	}
+	first := make(map[ServiceName]Priority)
 	for i := range c.Routes {
 		r := &c.Routes[i]
+		for _, s := range r.Splits {
+			if r.Kind != Stream {
+				continue
+			}
+			if p, ok := first[s.Service]; !ok {
+				first[s.Service] = r.Priority
+			} else if p != r.Priority {
+				t.differ[s.Service] = true
+			}
+		}
 		host := strings.ToLower(r.Host)
 		t.byHost[host] = append(t.byHost[host], r)
 	}
@@ -213,6 +232,9 @@
 	return s, ok
 }
 
+// PrioritiesDiffer reports whether the stream routes that lead to a service differ in priority.
+func (t *Table) PrioritiesDiffer(n ServiceName) bool { return t.differ[n] }
+
 // Organisation returns the organisation that a key belongs to.
 func (t *Table) Organisation(k Key) (*OrganisationConfig, bool) {
 	o, ok := t.byKey[k]
