--- a/review/scenario2/cases.go
+++ b/review/scenario2/cases.go
@@ -96,7 +96,7 @@
 
 func (x *sound) book(g *gateway, i int) {
 	at := time.Now()
-	status, _ := exchange(g, call{path: "/book/1", body: fmt.Sprintf("booking %d", i)}, fmt.Sprintf("sound%d", i))
+	status := exchange(g, call{path: "/book/1", body: fmt.Sprintf("booking %d", i)}, fmt.Sprintf("sound%d", i)).status
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.sent = append(x.sent, at)
--- a/review/scenario2/client.go
+++ b/review/scenario2/client.go
@@ -16,42 +16,55 @@
 	path, body, prompt, tokens string
 }
 
-// send sends a request to a gateway on a new channel, and returns the status of its answer; 0 for none. An answer that
-// ends early counts as none.
+// reply is an answer. Its status is 0 if there is none, or if it ended early.
+type reply struct {
+	status      int
+	stamp, text string
+}
+
+// send sends a request to a gateway on a new channel, and returns the status of its answer.
 func (s *site) send(g *gateway, c call) int {
 	id := fmt.Sprintf("r%06d", lastRequest.Add(1))
-	status, text := exchange(g, c, id)
-	s.rec.printf("%s to %s %s %s %q: status %d %s", id, g.name, c.path, c.prompt, c.body, status, text)
-	return status
+	a := exchange(g, c, id)
+	s.rec.printf("%s to %s %s %s %q: status %d %s", id, g.name, c.path, c.prompt, c.body, a.status, a.text)
+	return a.status
 }
 
-func exchange(g *gateway, c call, id string) (status int, text string) {
-	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 25 * time.Second}
+func exchange(g *gateway, c call, id string) reply {
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: patience}
 	req, err := http.NewRequest(http.MethodPost, "http://"+g.listen+c.path, strings.NewReader(c.body))
 	if err != nil {
-		return 0, err.Error()
+		return reply{text: err.Error()}
 	}
 	req.Host = "h.example"
 	req.Header.Set("X-Request-Id", id)
 	req.Header.Set("X-Api-Key", "key-1")
-	req.Header.Set("X-Deadline-Ms", "25000")
+	req.Header.Set("X-Deadline-Ms", "2500")
 	if c.prompt != "" {
+		req.Header.Set("X-Deadline-Ms", "25000")
 		req.Header.Set("X-Model", "m")
 		req.Header.Set("X-Prompt-Prefix", c.prompt)
 		req.Header.Set("X-Token-Count", c.tokens)
 	}
 	resp, err := client.Do(req)
 	if err != nil {
-		return 0, err.Error()
+		return reply{text: err.Error()}
 	}
 	defer resp.Body.Close()
 	b, err := io.ReadAll(resp.Body)
 	if err != nil {
-		return 0, fmt.Sprintf("ended early, status %d: %v", resp.StatusCode, err)
+		return reply{text: fmt.Sprintf("ended early, status %d: %v", resp.StatusCode, err)}
 	}
-	text = string(b)
-	if len(text) > 160 {
-		text = text[:160] + "..."
+	text := string(b)
+	if len(text) > maxText {
+		text = text[:maxText] + "..."
 	}
-	return resp.StatusCode, strings.ReplaceAll(text, "\n", " ")
+	return reply{status: resp.StatusCode, stamp: resp.Header.Get("X-Server-Stamp"), text: strings.ReplaceAll(text, "\n", " ")}
 }
+
+const (
+	// patience is how long a requester waits at most.
+	patience = 26 * time.Second
+	// maxText is how much of an answer is recorded.
+	maxText = 160
+)
--- a/review/scenario2/runner.go
+++ b/review/scenario2/runner.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"net"
@@ -35,6 +36,7 @@
 	service string
 	zone    string
 	address string
+	version string // "v1" if empty
 
 	mu     sync.Mutex
 	starts int
@@ -57,7 +59,7 @@
 	if err != nil {
 		return err
 	}
-	work := callTime
+	work, version := callTime, cmp.Or(r.version, "v1")
 	if r.engine {
 		work = eventTime
 	}
@@ -66,7 +68,7 @@
 	r.starts++
 	r.address = l.Addr().String()
 	r.sim = &platformtest.Server{
-		ID: r.id(), Address: r.address, Service: r.service, Domain: r.zone, Version: "v1", Born: time.Now().UnixMilli(),
+		ID: r.id(), Address: r.address, Service: r.service, Domain: r.zone, Version: version, Born: time.Now().UnixMilli(),
 		Engine: r.engine, Work: work, Recorder: r.site.recorder,
 	}
 	r.sim.SetFault(r.fault)
@@ -121,3 +123,20 @@
 	defer r.mu.Unlock()
 	return append([]*platformtest.Server(nil), r.all...)
 }
+
+// leave ends the runner for good, and removes its entry.
+func (r *runner) leave() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	_ = r.server.Close() // as in crashed
+	r.site.store.Remove("servers", r.id())
+	r.site.rec.printf("runner %s stops", r.id())
+}
+
+// drain writes that the runner is about to leave.
+func (r *runner) drain() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.sim.Heartbeats++
+	r.site.store.Put("servers", r.id(), r.sim.Entry("draining"))
+}
--- a/review/scenario2/site.go
+++ b/review/scenario2/site.go
@@ -109,15 +109,18 @@
 
 // configure writes the configuration.
 func (s *site) configure() {
-	route := func(name, kind, service string, attempts int) map[string]any {
+	route := func(name, kind, service string, attempts, target, timeout int) map[string]any {
 		return map[string]any{
-			"name": name, "host": "h.example", "path_prefix": "/" + name + "/", "kind": kind, "timeout_ms": 25000, "target_latency_ms": 4500,
+			"name": name, "host": "h.example", "path_prefix": "/" + name + "/", "kind": kind, "timeout_ms": timeout, "target_latency_ms": target,
 			"target_gap_ms": 700, "priority": 1, "service": service, "max_attempts": attempts, "stream_resume": kind == "streaming",
 		}
 	}
 	s.store.Put("config", "main", map[string]any{
 		"version": 7,
-		"routes":  []any{route("book", "non_idempotent", "app", 2), route("status", "idempotent", "app", 3), route("brief", "streaming", "models", 5)},
+		"routes": []any{
+			route("book", "non_idempotent", "app", 2, 400, 2500), route("status", "idempotent", "app", 3, 400, 2500),
+			route("brief", "streaming", "models", 5, 4500, 25000),
+		},
 		"services": []any{
 			map[string]any{"name": "app", "health_path": "/health", "max_connections": 100},
 			map[string]any{"name": "models", "health_path": "/health", "max_connections": 300, "engine": map[string]any{"slots": 48, "kv_token_capacity": 88000, "backups": true, "moves": true}},
