Review: order of the cases of part one, two more

Tried: the scenarios broken and deep. Run: deep five times at once, broken once, both once with TROUBLE=0; all five cases are run five times next.

--- a/review/scenario2/cases.go
+++ b/review/scenario2/cases.go
@@ -195,11 +195,10 @@
 	}
 	wg.Wait()
 	time.Sleep(2 * time.Second)
-	late := s.judge("BUDGET", bound, s.reached(reachedWithPart))
 	if !trouble {
 		return held, nil // no part crashes runners, so that the rule permits all requests
 	}
-	return late, nil
+	return s.judge("BUDGET", bound, s.reached(reachedWithPart)), nil
 }
 
 // reconnectTime is the time in which the gateways have noticed that other channels to the store are silent.
@@ -230,3 +229,68 @@
 	sound.end(bound)
 	return s.judge("BUDGET", bound, s.reached(reachedWithBody)), nil
 }
+
+// deepParts is the number of sound parts before the one that crashes runners: the turns of a long conversation, or a list of
+// documents.
+const deepParts = 40
+
+// deepPrompt returns the prompt of request n, with the part that crashes runners after many sound ones, or without it.
+func deepPrompt(n int, poisonous bool) string {
+	prompt := "5e1f:200"
+	for i := range deepParts {
+		prompt += fmt.Sprintf(",d%02d:100", i)
+	}
+	if poisonous {
+		prompt += "," + poisonPart + ":300"
+	}
+	return prompt + fmt.Sprintf(",0e%05d:3500", n)
+}
+
+// playDeep sends requests now and then whose prompts have a part that crashes runners after many sound ones, beside sound
+// requests that share all other parts.
+func playDeep(s *site, trouble bool) (int, error) {
+	if trouble {
+		s.setFaults("models", platformtest.Fault{CrashPart: poisonPart})
+	}
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	statuses := make(map[int]int)
+	stop := make(chan struct{})
+	wg.Go(func() {
+		for n := 0; ; n++ {
+			select {
+			case <-stop:
+				return
+			case <-time.After(streamInterval):
+			}
+			wg.Go(func() {
+				c := call{path: "/brief/1", body: fmt.Sprintf("sound %d", n), tokens: "7700,130", prompt: deepPrompt(n, false)}
+				status := exchange(s.gateways[n%len(s.gateways)], c, fmt.Sprintf("sound%d", n)).status
+				mu.Lock()
+				defer mu.Unlock()
+				statuses[status]++
+			})
+		}
+	})
+	for n := range 12 {
+		time.Sleep(3 * time.Second)
+		wg.Go(func() {
+			s.send(s.gateways[n%len(s.gateways)], call{path: "/brief/1", body: fmt.Sprintf("prompt %d", n), tokens: "8000,130", prompt: deepPrompt(10000+n, true)})
+		})
+	}
+	time.Sleep(5 * time.Second)
+	close(stop)
+	wg.Wait()
+	s.rec.printf("sound streams by status: %v", statuses)
+	fifth, ok := s.crashAt(5)
+	if trouble && !ok {
+		return invalid, errNoCrash
+	}
+	if !trouble {
+		return held, nil // no part crashes runners, so that the rule permits all requests
+	}
+	return s.judge("BUDGET", fifth.Add(contact), s.reached(reachedWithPart)), nil
+}
+
+// streamInterval is the time between two streams: nine a second, as on the sheet.
+const streamInterval = 107 * time.Millisecond
--- a/review/scenario2/main.go
+++ b/review/scenario2/main.go
@@ -25,7 +25,9 @@
 	"drill":  {sizes{gateways: 6, engines: 3, apps: 6}, playDrill},
 	"burst":  {sizes{gateways: 6, engines: 30, apps: 3}, playBurst},
 	"limit":  {sizes{gateways: 6, engines: 3, apps: 3}, playLimit},
-	"move":   {sizes{gateways: 6, engines: 3, apps: 3}, playMove},
+	"late":   {sizes{gateways: 6, engines: 3, apps: 3}, slowFailures.play},
+	"broken": {sizes{gateways: 6, engines: 3, apps: 3}, brokenOff.play},
+	"deep":   {sizes{gateways: 6, engines: 30, apps: 3}, playDeep},
 	"silent": {sizes{gateways: 6, engines: 3, apps: 9}, playSilent},
 }
 
--- a/review/scenario2/move.go
+++ b/review/scenario2/move.go
@@ -13,7 +13,7 @@
 	"quetzalhold/platform/platformtest"
 )
 
-// A move of the application to a version of which half of the answers on one route are failures.
+// A move of the application to a version of which half of the answers on one route are bad.
 const (
 	newVersion   = "v2"
 	moveTime     = 30 * time.Second
@@ -26,9 +26,23 @@
 	drainTime    = 3 * time.Second        // drain_ms
 )
 
+// badness is how the answers of a bad version fail.
+type badness struct {
+	path string
+	// breaksOff is set if they break off, as those of a process that ends a request by an internal error. Else they are
+	// answers with status 500, which take long.
+	breaksOff bool
+}
+
+var (
+	slowFailures = badness{path: "/status/1"}
+	brokenOff    = badness{path: "/book/1", breaksOff: true}
+)
+
 // mover is the operator's side of the move.
 type mover struct {
 	site *site
+	bad  badness
 	old  []*runner
 	new  []*runner
 
@@ -37,9 +51,9 @@
 	statuses map[int]int
 }
 
-// playMove orders the move, and sends bookings and status checks meanwhile and afterwards.
-func playMove(s *site, trouble bool) (int, error) {
-	m := &mover{site: s, statuses: make(map[int]int)}
+// play orders the move, and sends bookings and status checks meanwhile and afterwards.
+func (b badness) play(s *site, trouble bool) (int, error) {
+	m := &mover{site: s, bad: b, statuses: make(map[int]int)}
 	for _, r := range s.runners {
 		if r.service == "app" {
 			m.old = append(m.old, r)
@@ -65,11 +79,14 @@
 func (m *mover) startNew(trouble bool) error {
 	for i, z := range zones {
 		r := &runner{site: m.site, name: fmt.Sprintf("n%02d", i), service: "app", zone: z, version: newVersion}
+		if trouble && m.bad.breaksOff {
+			r.breaksOff = m.isBad
+		}
 		if err := r.begin(); err != nil {
 			return err
 		}
-		if trouble {
-			r.setFault(platformtest.Fault{FailsCall: failsStatus})
+		if trouble && !m.bad.breaksOff {
+			r.setFault(platformtest.Fault{FailsCall: m.failsLate})
 		}
 		m.new = append(m.new, r)
 	}
@@ -77,9 +94,14 @@
 	return nil
 }
 
-// failsStatus reports whether the new version fails a call, which then takes longer.
-func failsStatus(path string) bool {
-	if !strings.HasPrefix(path, "/status/") || rand.Intn(100) >= badPortion {
+// isBad reports whether the new version's answer to a call is bad.
+func (m *mover) isBad(path string) bool {
+	return path == m.bad.path && rand.Intn(100) < badPortion
+}
+
+// failsLate reports whether the new version fails a call, which then takes longer.
+func (m *mover) failsLate(path string) bool {
+	if !m.isBad(path) {
 		return false
 	}
 	time.Sleep(badTime)
@@ -137,17 +159,31 @@
 		return
 	}
 	m.site.rec.printf("%s to %s %s: status %d, stamp %q", id, g.name, c.path, a.status, a.stamp)
-	if a.status >= http.StatusInternalServerError && strings.HasPrefix(a.stamp, "stamp.n") {
+	if m.isFailure(id, a) {
 		m.failures = append(m.failures, time.Now())
 	}
 }
 
+// isFailure reports whether a requester got no success because of a bad answer of the new version: its failure, or that
+// of the system after a bad answer to the request.
+func (m *mover) isFailure(id string, a reply) bool {
+	if strings.HasPrefix(a.stamp, "stamp.n") {
+		return a.status >= http.StatusInternalServerError
+	}
+	for _, r := range m.new {
+		if r.brokeOff(id) {
+			return true
+		}
+	}
+	return false
+}
+
 // judge counts the requests that reached the new version too late.
 func (m *mover) judge(ordered time.Time) int {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	sort.Slice(m.failures, func(i, j int) bool { return m.failures[i].Before(m.failures[j]) })
-	text := fmt.Sprintf("%s; answers by status %v, failures of the new version that requesters got %d", m.state(), m.statuses, len(m.failures))
+	text := fmt.Sprintf("%s; answers by status %v, requests that failed by a bad answer of the new version %d", m.state(), m.statuses, len(m.failures))
 	m.site.rec.printf("%s", text)
 	if len(m.failures) < badTolerated {
 		fmt.Println(text)
--- a/review/scenario2/runner.go
+++ b/review/scenario2/runner.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -37,8 +38,11 @@
 	zone    string
 	address string
 	version string // "v1" if empty
+	// breaksOff reports whether the answer to a call breaks off; nil for never. It is set before the start.
+	breaksOff func(path string) bool
 
 	mu     sync.Mutex
+	broken map[string]bool // requests of which the answer broke off
 	starts int
 	sim    *platformtest.Server
 	server *http.Server
@@ -74,7 +78,7 @@
 	r.sim.SetFault(r.fault)
 	r.sim.Crashed = r.crashed
 	r.all = append(r.all, r.sim)
-	r.server = &http.Server{Handler: r.sim}
+	r.server = &http.Server{Handler: r.handler(r.sim)}
 	go func(s *http.Server) {
 		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 			r.site.rec.printf("runner %s: %v", r.name, err)
@@ -140,3 +144,36 @@
 	r.sim.Heartbeats++
 	r.site.store.Put("servers", r.id(), r.sim.Entry("draining"))
 }
+
+// handler returns what answers requests: the simulated server, or a part of an answer if it breaks off.
+func (r *runner) handler(sim *platformtest.Server) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		id := req.Header.Get("X-Request-Id")
+		if r.breaksOff == nil || id == "" || req.Header.Get("X-Expect-Instance") != sim.ID || !r.breaksOff(req.URL.Path) {
+			sim.ServeHTTP(w, req)
+			return
+		}
+		r.mu.Lock()
+		if r.broken == nil {
+			r.broken = make(map[string]bool)
+		}
+		r.broken[id] = true
+		r.mu.Unlock()
+		r.site.rec.printf("%s at %s: the answer breaks off", id, sim.ID)
+		time.Sleep(callTime)
+		h := w.Header()
+		h.Set("X-Request-Id", id)
+		h.Set("X-Server-Stamp", "stamp."+sim.ID)
+		h.Set("Content-Length", "800")
+		_, _ = io.WriteString(w, "the beginning of an answer") // the connection is closed next
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	})
+}
+
+// brokeOff reports whether the answer to a request broke off.
+func (r *runner) brokeOff(id string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.broken[id]
+}
