--- a/review/scenario2/client.go
+++ b/review/scenario2/client.go
@@ -20,6 +20,7 @@
 type reply struct {
 	status      int
 	stamp, text string
+	events      int // complete events of a stream
 }
 
 // send sends a request to a gateway on a new channel, and returns the status of its answer.
@@ -55,11 +56,11 @@
 	if err != nil {
 		return reply{text: fmt.Sprintf("ended early, status %d: %v", resp.StatusCode, err)}
 	}
-	text := string(b)
+	text, events := string(b), countEvents(string(b))
 	if len(text) > maxText {
 		text = text[:maxText] + "..."
 	}
-	return reply{status: resp.StatusCode, stamp: resp.Header.Get("X-Server-Stamp"), text: strings.ReplaceAll(text, "\n", " ")}
+	return reply{status: resp.StatusCode, stamp: resp.Header.Get("X-Server-Stamp"), events: events, text: strings.ReplaceAll(text, "\n", " ")}
 }
 
 const (
--- a/review/scenario2/main.go
+++ b/review/scenario2/main.go
@@ -22,13 +22,15 @@
 }
 
 var scenarios = map[string]scenario{
-	"drill":  {sizes{gateways: 6, engines: 3, apps: 6}, playDrill},
-	"burst":  {sizes{gateways: 6, engines: 30, apps: 3}, playBurst},
-	"limit":  {sizes{gateways: 6, engines: 3, apps: 3}, playLimit},
-	"late":   {sizes{gateways: 6, engines: 3, apps: 3}, slowFailures.play},
-	"broken": {sizes{gateways: 6, engines: 3, apps: 3}, brokenOff.play},
-	"deep":   {sizes{gateways: 6, engines: 30, apps: 3}, playDeep},
-	"silent": {sizes{gateways: 6, engines: 3, apps: 9}, playSilent},
+	"drill":    {sizes{gateways: 6, engines: 3, apps: 6}, playDrill},
+	"burst":    {sizes{gateways: 6, engines: 30, apps: 3}, playBurst},
+	"limit":    {sizes{gateways: 6, engines: 3, apps: 3}, playLimit},
+	"late":     {sizes{gateways: 6, engines: 3, apps: 3}, slowFailures.play},
+	"broken":   {sizes{gateways: 6, engines: 3, apps: 3}, brokenOff.play},
+	"deep":     {sizes{gateways: 6, engines: 30, apps: 3}, playDeep},
+	"unframed": {sizes{gateways: 6, engines: 12, apps: 3}, playUnframed},
+	"early":    {sizes{gateways: 6, engines: 30, apps: 3}, playEarly},
+	"silent":   {sizes{gateways: 6, engines: 3, apps: 9}, playSilent},
 }
 
 func main() {
--- a/review/scenario2/runner.go
+++ b/review/scenario2/runner.go
@@ -149,6 +149,10 @@
 func (r *runner) handler(sim *platformtest.Server) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
 		id := req.Header.Get("X-Request-Id")
+		if id == unframedStream {
+			w.Header().Set("Connection", "close")
+			w.Header().Set("Transfer-Encoding", "identity") // net/http sends neither a length nor chunks then
+		}
 		if r.breaksOff == nil || id == "" || req.Header.Get("X-Expect-Instance") != sim.ID || !r.breaksOff(req.URL.Path) {
 			sim.ServeHTTP(w, req)
 			return
