Second review: Retry-After above 30 s as a scenario

Cause: platform.maxRetryAfter cuts what a runner asks for to 30 s. Tried: the scenario retry, with Retry-After: 45 from one of three runners.

--- a/review/scenario2/entries.go
+++ b/review/scenario2/entries.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -103,3 +104,51 @@
 		return prompt + fmt.Sprintf(",0e%05d:7200", n)
 	})
 }
+
+const (
+	// refusedFor is the Retry-After of a refusal, in seconds, and laterThan the time after it from which the rule counts.
+	refusedFor = 45
+	laterThan  = 500 * time.Millisecond
+	// refusalTime is how long the runner refuses what it is sent; it serves what comes later.
+	refusalTime = 3 * time.Second
+	// permittedEach is how many requests of a machine may reach the runner meanwhile.
+	permittedEach = 2
+)
+
+// playRetry lets a runner refuse bookings for a time that it names.
+func playRetry(s *site, trouble bool) (int, error) {
+	r := s.runners[len(s.runners)-1]
+	if trouble {
+		r.setFault(platformtest.Fault{Refuse: true, RetryAfter: strconv.Itoa(refusedFor)})
+	}
+	begun := time.Now()
+	time.AfterFunc(refusalTime, func() { r.setFault(platformtest.Fault{}) })
+	var wg sync.WaitGroup
+	for i := 0; time.Since(begun) < refusedFor*time.Second; i++ {
+		wg.Go(func() {
+			exchange(s.gateways[i%len(s.gateways)], call{path: "/book/1", body: fmt.Sprintf("booking %d", i)}, fmt.Sprintf("retry%d", i))
+		})
+		time.Sleep(soundInterval)
+	}
+	wg.Wait()
+	refused := r.sims()[0].Refused()
+	if len(refused) == 0 {
+		if trouble {
+			return invalid, errors.New("the runner has refused nothing")
+		}
+		return held, nil
+	}
+	from, end, late := refused[len(refused)-1].Add(laterThan), refused[0].Add(refusedFor*time.Second), 0
+	for _, at := range r.sims()[0].Arrived() {
+		if at.After(from) && at.Before(end) {
+			late++
+		}
+	}
+	text := fmt.Sprintf("BUDGET: %d requests reached the runner within the time of %d refusals, %d are permitted", late, len(refused), permittedEach*len(refused))
+	s.rec.printf("%s", text)
+	fmt.Println(text)
+	if late > permittedEach*len(refused) {
+		return broken, nil
+	}
+	return held, nil
+}
--- a/review/scenario2/main.go
+++ b/review/scenario2/main.go
@@ -29,6 +29,7 @@
 	"broken":   {sizes{gateways: 6, engines: 3, apps: 3}, brokenOff.play},
 	"deep":     {sizes{gateways: 6, engines: 30, apps: 3}, playDeep},
 	"unframed": {sizes{gateways: 6, engines: 12, apps: 3}, playUnframed},
+	"retry":    {sizes{gateways: 6, engines: 3, apps: 3}, playRetry},
 	"early":    {sizes{gateways: 6, engines: 30, apps: 3}, playEarly},
 	"silent":   {sizes{gateways: 6, engines: 3, apps: 9}, playSilent},
 }
