--- a/review/scenario2/cases.go
+++ b/review/scenario2/cases.go
@@ -96,13 +96,12 @@
 
 func (x *sound) book(g *gateway, i int) {
 	at := time.Now()
-	status := exchange(g, call{path: "/book/1", body: fmt.Sprintf("booking %d", i)}, fmt.Sprintf("sound%d", i)).status
+	status := x.site.exchange(g, call{path: "/book/1", body: fmt.Sprintf("booking %d", i)}, fmt.Sprintf("sound%d", i)).status
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.sent = append(x.sent, at)
 	if status != http.StatusOK && status != http.StatusServiceUnavailable {
 		x.lost = append(x.lost, at)
-		x.site.rec.printf("sound%d to %s: status %d", i, g.name, status)
 	}
 }
 
@@ -276,7 +275,7 @@
 			}
 			wg.Go(func() {
 				c := call{path: "/brief/1", body: fmt.Sprintf("sound %d", n), tokens: "7700,130", prompt: prompt(n, false)}
-				status := exchange(s.gateways[n%len(s.gateways)], c, fmt.Sprintf("sound%d", n)).status
+				status := s.exchange(s.gateways[n%len(s.gateways)], c, fmt.Sprintf("sound%d", n)).status
 				mu.Lock()
 				defer mu.Unlock()
 				statuses[status]++
--- a/review/scenario2/client.go
+++ b/review/scenario2/client.go
@@ -23,15 +23,20 @@
 	events      int // complete events of a stream
 }
 
-// send sends a request to a gateway on a new channel, and returns the status of its answer.
+// send sends a request under an id of its own, and returns the status of its answer.
 func (s *site) send(g *gateway, c call) int {
-	id := fmt.Sprintf("r%06d", lastRequest.Add(1))
-	a := exchange(g, c, id)
-	s.rec.printf("%s to %s %s %s %q: status %d %s", id, g.name, c.path, c.prompt, c.body, a.status, a.text)
-	return a.status
+	return s.exchange(g, c, fmt.Sprintf("r%06d", lastRequest.Add(1))).status
 }
 
-func exchange(g *gateway, c call, id string) reply {
+// exchange sends a request to a gateway on a new channel and returns its answer. Both are recorded.
+func (s *site) exchange(g *gateway, c call, id string) reply {
+	s.rec.printf("%s is sent to %s: POST %s %q %s", id, g.name, c.path, c.body, c.prompt)
+	a := request(g, c, id)
+	s.rec.printf("%s is answered by %s: status %d, stamp %q, %d events, %s", id, g.name, a.status, a.stamp, a.events, a.text)
+	return a
+}
+
+func request(g *gateway, c call, id string) reply {
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: patience}
 	req, err := http.NewRequest(http.MethodPost, "http://"+g.listen+c.path, strings.NewReader(c.body))
 	if err != nil {
--- a/review/scenario2/entries.go
+++ b/review/scenario2/entries.go
@@ -42,10 +42,9 @@
 				prompt: fmt.Sprintf("5e1f:200,0e%04d:7800", n),
 			}
 			id := fmt.Sprintf("u%03d", n)
-			a := exchange(s.gateways[n%len(s.gateways)], c, id)
+			a := s.exchange(s.gateways[n%len(s.gateways)], c, id)
 			mu.Lock()
 			defer mu.Unlock()
-			s.rec.printf("%s: status %d, %d events of %d, %s", id, a.status, a.events, allEvents, a.text)
 			switch {
 			case a.status != http.StatusOK:
 				failed++
@@ -126,7 +125,7 @@
 	var wg sync.WaitGroup
 	for i := 0; time.Since(begun) < refusedFor*time.Second; i++ {
 		wg.Go(func() {
-			exchange(s.gateways[i%len(s.gateways)], call{path: "/book/1", body: fmt.Sprintf("booking %d", i)}, fmt.Sprintf("retry%d", i))
+			s.exchange(s.gateways[i%len(s.gateways)], call{path: "/book/1", body: fmt.Sprintf("booking %d", i)}, fmt.Sprintf("retry%d", i))
 		})
 		time.Sleep(soundInterval)
 	}
--- a/review/scenario2/main.go
+++ b/review/scenario2/main.go
@@ -66,13 +66,11 @@
 	}
 	trouble := os.Getenv("TROUBLE") != "0"
 	rec.printf("scenario %s, trouble %v", name, trouble)
-	s, err := newSite(rec, dir, binary, x.sizes)
-	if s != nil {
-		defer s.stop()
-		go s.stopOnSignal()
-	}
+	s := newSite(rec, dir, binary)
+	s.stopOnSignal()
+	defer s.stop()
 	status := invalid
-	if err == nil {
+	if err = s.start(x.sizes); err == nil {
 		status, err = x.play(s, trouble)
 	}
 	if err != nil {
--- a/review/scenario2/move.go
+++ b/review/scenario2/move.go
@@ -151,14 +151,13 @@
 	}
 	g := m.site.gateways[rand.Intn(len(m.site.gateways))]
 	id := fmt.Sprintf("m%05d", i)
-	a := exchange(g, c, id)
+	a := m.site.exchange(g, c, id)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.statuses[a.status]++
 	if a.status == http.StatusOK {
 		return
 	}
-	m.site.rec.printf("%s to %s %s: status %d, stamp %q", id, g.name, c.path, a.status, a.stamp)
 	if m.isFailure(id, a) {
 		m.failures = append(m.failures, time.Now())
 	}
--- a/review/scenario2/runner.go
+++ b/review/scenario2/runner.go
@@ -149,6 +149,9 @@
 func (r *runner) handler(sim *platformtest.Server) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
 		id := req.Header.Get("X-Request-Id")
+		if id != "" {
+			defer r.recordRuns(id, sim, time.Now())
+		}
 		if id == unframedStream {
 			w.Header().Set("Connection", "close")
 			w.Header().Set("Transfer-Encoding", "identity") // net/http sends neither a length nor chunks then
@@ -163,7 +166,7 @@
 		}
 		r.broken[id] = true
 		r.mu.Unlock()
-		r.site.rec.printf("%s at %s: the answer breaks off", id, sim.ID)
+		r.site.rec.printf("%s is run by %s, and its answer breaks off", id, sim.ID)
 		time.Sleep(callTime)
 		h := w.Header()
 		h.Set("X-Request-Id", id)
@@ -175,6 +178,17 @@
 	})
 }
 
+// recordRuns records whether a start of the runner has run a request that reached it at an instant.
+func (r *runner) recordRuns(id string, sim *platformtest.Server, at time.Time) {
+	for _, run := range r.site.recorder.Runs(id) {
+		if run.Server == sim.ID && !run.Started.Before(at) {
+			r.site.rec.printf("%s was run by %s from %s on, %d events", id, sim.ID, r.site.rec.at(run.Started), run.Events)
+			return
+		}
+	}
+	r.site.rec.printf("%s reached %s at %s, which ran nothing or broke it off", id, sim.ID, r.site.rec.at(at))
+}
+
 // brokeOff reports whether the answer to a request broke off.
 func (r *runner) brokeOff(id string) bool {
 	r.mu.Lock()
--- a/review/scenario2/site.go
+++ b/review/scenario2/site.go
@@ -11,6 +11,7 @@
 	"os/exec"
 	"os/signal"
 	"path/filepath"
+	"runtime"
 	"sort"
 	"sync"
 	"syscall"
@@ -34,6 +35,8 @@
 	recorder *platformtest.Recorder
 	runners  []*runner
 	gateways []*gateway
+	basePort int
+	starts   chan startOrder
 
 	mu      sync.Mutex
 	stopped bool
@@ -48,7 +51,7 @@
 	listen, readiness string
 	file, log         string
 
-	mu   sync.Mutex
+	// Guarded by the lock of the site.
 	cmd  *exec.Cmd
 	gone chan struct{} // closed when the process has ended
 }
@@ -56,15 +59,24 @@
 // sizes of a site.
 type sizes struct{ gateways, engines, apps int }
 
-func newSite(rec *record, dir, binary string, n sizes) (*site, error) {
+func newSite(rec *record, dir, binary string) *site {
 	s := &site{rec: rec, dir: dir, binary: binary, store: &platformtest.Store{}, recorder: &platformtest.Recorder{}}
-	s.watches, s.ended = make(map[string]time.Time), make(map[string]int)
+	s.watches, s.ended, s.starts = make(map[string]time.Time), make(map[string]int), make(chan startOrder)
+	go s.startProcesses()
+	return s
+}
+
+// start starts the store, the runners and the gateways.
+func (s *site) start(n sizes) error {
 	behind, err := s.serveStore()
 	if err != nil {
-		return nil, err
+		return err
 	}
 	if s.proxy, err = newProxy(behind); err != nil {
-		return nil, err
+		return err
+	}
+	if s.basePort, err = freePorts(n.gateways); err != nil {
+		return err
 	}
 	s.configure()
 	for i := range n.engines + n.apps {
@@ -73,16 +85,16 @@
 			r.name, r.service = fmt.Sprintf("a%02d", i-n.engines), "app"
 		}
 		if err := r.begin(); err != nil {
-			return nil, err
+			return err
 		}
 		s.runners = append(s.runners, r)
 	}
 	for i := range n.gateways {
 		if err := s.startGateway(i); err != nil {
-			return s, err
+			return err
 		}
 	}
-	return s, s.awaitReady()
+	return s.awaitReady()
 }
 
 // serveStore serves the store on a free port.
@@ -130,19 +142,49 @@
 	})
 }
 
-// The ports of a gateway. Each has a loopback address of its own.
+// The ports of a gateway, above the lowest of its site. Each gateway has a loopback address of its own.
 const (
-	portListen = 7001 + iota
+	portListen = iota
 	portReadiness
 	portPeers
 	portMetrics
+	ports
 )
 
+// lowestPort and highestPort bound the ports that are tried for the gateways of a site.
+const lowestPort, highestPort = 7001, 9999
+
+// freePorts returns the lowest of some ports that are free at the addresses of all gateways.
+func freePorts(gateways int) (int, error) {
+	for base := lowestPort; base+ports <= highestPort; base += ports {
+		if areFree(base, gateways) {
+			return base, nil
+		}
+	}
+	return 0, errors.New("no free ports")
+}
+
+func areFree(base, gateways int) bool {
+	for n := range gateways {
+		for port := range ports {
+			l, err := net.Listen("tcp", gatewayAddress(n, base+port))
+			if err != nil {
+				return false
+			}
+			_ = l.Close() // it has accepted nothing
+		}
+	}
+	return true
+}
+
 func gatewayAddress(n, port int) string {
 	pid := os.Getpid()
 	return fmt.Sprintf("127.%d.%d.%d:%d", 1+pid%250, pid/250%250, 1+n, port)
 }
 
+// address returns the address of a port of gateway n.
+func (s *site) address(n, port int) string { return gatewayAddress(n, s.basePort+port) }
+
 // settings returns the settings file of a gateway, with the fields and bounds of deploy/gateway.json.tmpl.
 func (s *site) settings(n int) map[string]any {
 	regions := make(map[string]string)
@@ -151,12 +193,12 @@
 	}
 	var seeds []string
 	for i := range 3 {
-		seeds = append(seeds, gatewayAddress(i, portPeers))
+		seeds = append(seeds, s.address(i, portPeers))
 	}
 	return map[string]any{
 		"id": fmt.Sprintf("front-%d", n), "domain": zones[n%len(zones)], "regions": regions,
-		"listen": gatewayAddress(n, portListen), "readiness": gatewayAddress(n, portReadiness), "peers": gatewayAddress(n, portPeers),
-		"metrics": gatewayAddress(n, portMetrics), "seeds": seeds, "store": s.proxy.address(), "heartbeatMs": 1200, "memoryMB": 134,
+		"listen": s.address(n, portListen), "readiness": s.address(n, portReadiness), "peers": s.address(n, portPeers),
+		"metrics": s.address(n, portMetrics), "seeds": seeds, "store": s.proxy.address(), "heartbeatMs": 1200, "memoryMB": 134,
 		"linkMbps": 1000, "maxFds": 4100, "agreements": []string{"base", "drain", "config", "cost", "retry", "recover", "engine", "stream", "tenants", "rollout", "platform"},
 		"bounds": map[string]any{
 			"drainMs": 3000, "graceS": 8, "configMs": 3000, "repeatRatio": 0.8, "repeatSlack": 150, "repeatWindowS": 10,
@@ -177,31 +219,59 @@
 		return err
 	}
 	g := &gateway{
-		name: name, zone: zones[n%len(zones)], listen: gatewayAddress(n, portListen), readiness: gatewayAddress(n, portReadiness),
+		name: name, zone: zones[n%len(zones)], listen: s.address(n, portListen), readiness: s.address(n, portReadiness),
 		file: file, log: filepath.Join(s.dir, name+".log"),
 	}
+	s.mu.Lock()
 	s.gateways = append(s.gateways, g)
-	return g.start(s.binary)
+	s.mu.Unlock()
+	return s.startProcess(g)
+}
+
+// startOrder is an order to start a process.
+type startOrder struct {
+	cmd  *exec.Cmd
+	done chan<- error
+}
+
+// startProcesses starts processes from one thread, which ends with this program: the kernel then kills them, however this
+// program ends.
+func (s *site) startProcesses() {
+	runtime.LockOSThread()
+	for o := range s.starts {
+		o.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+		o.done <- o.cmd.Start()
+	}
 }
 
-// start starts the gateway's process, with the command of the deploy file.
-func (g *gateway) start(binary string) error {
+// errStopped reports that the site is being stopped.
+var errStopped = errors.New("the site is being stopped")
+
+// startProcess starts the process of a gateway, with the command of the deploy file.
+func (s *site) startProcess(g *gateway) error {
 	out, err := os.OpenFile(g.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
 	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.cmd = exec.Command(binary, "gateway", "--settings", g.file)
-	g.cmd.Stdout, g.cmd.Stderr = out, out
-	if err := errors.Join(g.cmd.Start(), out.Close()); err != nil {
+	defer func() { _ = out.Close() }() // the process has a descriptor of its own
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.stopped {
+		return errStopped
+	}
+	cmd := exec.Command(s.binary, "gateway", "--settings", g.file)
+	cmd.Stdout, cmd.Stderr = out, out
+	done := make(chan error)
+	s.starts <- startOrder{cmd, done}
+	if err := <-done; err != nil {
 		return err
 	}
-	g.gone = make(chan struct{})
-	go func(cmd *exec.Cmd, gone chan<- struct{}) {
+	gone := make(chan struct{})
+	g.cmd, g.gone = cmd, gone
+	go func() {
 		_ = cmd.Wait() // its state tells how the process ended
 		close(gone)
-	}(g.cmd, g.gone)
+	}()
 	return nil
 }
 
@@ -211,9 +281,9 @@
 // supervise starts the process of a gateway again whenever it ends.
 func (s *site) supervise(g *gateway) {
 	for {
-		g.mu.Lock()
-		gone := g.gone
-		g.mu.Unlock()
+		s.mu.Lock()
+		cmd, gone := g.cmd, g.gone
+		s.mu.Unlock()
 		<-gone
 		s.mu.Lock()
 		stopped := s.stopped
@@ -224,16 +294,10 @@
 		if stopped {
 			return
 		}
-		s.rec.printf("the process of %s has ended by itself: %v", g.name, g.cmd.ProcessState)
+		s.rec.printf("the process of %s has ended by itself: %v", g.name, cmd.ProcessState)
 		time.Sleep(restartDelay)
-		s.mu.Lock()
-		stopped = s.stopped
-		s.mu.Unlock()
-		if stopped {
-			return
-		}
-		if err := g.start(s.binary); err != nil {
-			s.rec.printf("%s does not start: %v", g.name, err)
+		if err := s.startProcess(g); err != nil {
+			s.rec.printf("%s is not started again: %v", g.name, err)
 			return
 		}
 	}
@@ -277,29 +341,30 @@
 	return resp.StatusCode == http.StatusOK
 }
 
-// stop ends the gateways' processes.
+// stop ends the gateways' processes. None is started afterwards.
 func (s *site) stop() {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.stopped = true
-	s.mu.Unlock()
-	time.Sleep(2 * restartDelay) // a process may be starting
 	for _, g := range s.gateways {
-		g.mu.Lock()
-		if g.cmd != nil && g.cmd.Process != nil {
+		if g.cmd != nil {
 			_ = g.cmd.Process.Kill() // it may have ended
 			<-g.gone
 		}
-		g.mu.Unlock()
 	}
 }
 
 // stopOnSignal ends the gateways and this program if it is told to end.
 func (s *site) stopOnSignal() {
+	signal.Ignore(syscall.SIGPIPE) // of the standard output
 	c := make(chan os.Signal, 1)
-	signal.Notify(c, syscall.SIGTERM, syscall.SIGINT)
-	<-c
-	s.stop()
-	os.Exit(invalid)
+	signal.Notify(c, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	go func() {
+		<-c
+		s.stop()
+		_ = os.RemoveAll(s.dir) // what remains is in the folder for temporary files
+		os.Exit(invalid)
+	}()
 }
 
 // crash records that a runner has crashed.
