A server's limit above every load is none; faults in the background no longer end the process

Cause: platform.RateLimit took any number, Permits.Grant divides by it until the time between two permits is 0 ns and rand.N(0) panics, and shareBudgets ran in a goroutine without a guard. feed.Limit.check refused whole reports because of such a limit, so that every entry VM became its own issuer.

Change: limits above backend.MaxRate are none, wherever they come from; the time between permits is bounded; reports with high limits are read. telemetry.Loop runs background loops again after a panic, telemetry.Go and GuardValue guard other goroutines.

Evidence: TestHighServerLimit failed before with 'panic: invalid argument to N' at backend/rate.go:267, and passes.

--- a/backend/crowd.go
+++ b/backend/crowd.go
@@ -62,7 +62,7 @@
 	if share == 0 || c.took == 0 {
 		return Unlimited
 	}
-	return max(MinRate, Rate(share*float64(max(1, slots))/c.took.Seconds()))
+	return max(MinRate, Rate(share*float64(max(1, slots))/c.took.Seconds())).Bounded()
 }
 
 // refused records that a server has refused a request for want of room that was sent at an instant.
--- a/backend/rate.go
+++ b/backend/rate.go
@@ -18,8 +18,30 @@
 	// MinRate is the lowest limit: a server that names a lower one must be asked now and then,
 	// because only its answers show that the limit has ended.
 	MinRate Rate = 0.05
+	// MaxRate is the highest limit. All entry VMs together send less to one server, so that a higher limit is none.
+	MaxRate Rate = 1e6
 )
 
+// Bounded returns the limit that is kept for a rate that a server has named.
+func (r Rate) Bounded() Rate {
+	if r == Unlimited || !(r <= MaxRate) { // NaN is no limit either
+		return Unlimited
+	}
+	return max(MinRate, r)
+}
+
+// maxInterval is above the time between two permits of the lowest limit, in any number of failure domains.
+const maxInterval = 24 * time.Hour
+
+// interval returns the time between two permits of one of some failure domains that share a limit. It is positive.
+func (r Rate) interval(domains int) time.Duration {
+	if !(r >= MinRate) { // NaN too
+		r = MinRate
+	}
+	seconds := float64(max(1, domains)) / float64(permitShare*min(r, MaxRate))
+	return time.Duration(min(seconds, maxInterval.Seconds()) * float64(time.Second))
+}
+
 // RateLimit is the limit that a start of a server has named in its answers.
 type RateLimit struct {
 	Server engine.ServerID
@@ -77,6 +99,7 @@
 // effect.
 func (p *Pool) SetLimit(l RateLimit) bool {
 	changed := false
+	l.Rate = l.Rate.Bounded()
 	p.withState(l.Server, func(st *state) {
 		known := &st.limit
 		if st.Start != l.Start || l.At.Before(known.heardAt) || l.Rate == Unlimited && known.rate == Unlimited {
@@ -259,7 +282,7 @@
 	}
 	var list []Permit
 	for _, d := range demands {
-		interval := time.Duration(float64(max(1, domains)) / float64(permitShare*max(d.Rate, MinRate)) * float64(time.Second))
+		interval := d.Rate.interval(domains)
 		k := serverStart{d.Server, d.Start}
 		next, ok := p.next[k]
 		if !ok {
@@ -268,7 +291,7 @@
 		}
 		next = later(next, now.Add(-permitBacklog))
 		n := 0
-		for ; n < d.Count && !next.After(now); n++ {
+		for ; n < min(d.Count, maxDemand) && !next.After(now); n++ {
 			next = next.Add(interval)
 		}
 		p.next[k] = next
--- a/backend/rate_test.go
+++ b/backend/rate_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -123,3 +124,37 @@
 		So(float64(p.LimitOf("a", start)), ShouldAlmostEqual, 50, 0.01)
 	})
 }
+
+// TestGrantAnyRate guards against limits so high that the time between two permits is zero, which ended the process.
+func TestGrantAnyRate(t *testing.T) {
+	Convey("Permits are granted for any limit, and no more than were asked for", t, func() {
+		for _, perSecond := range []float64{
+			math.NaN(), -1, 0, math.SmallestNonzeroFloat64, 1e-9, 1, 1e6, 1e9, math.MaxInt32, math.MaxUint32, 1e18, math.MaxFloat64, math.Inf(1),
+		} {
+			for _, domains := range []int{-1, 0, 1, 13, math.MaxInt} {
+				for _, count := range []int{0, 1, 10, math.MaxInt} {
+					var p backend.Permits
+					for at := range 4 {
+						list := p.Grant(rateTestStart.Add(time.Duration(at)*time.Second), domains, []backend.Demand{{Server: "a", Start: 1, Rate: backend.Rate(perSecond), Count: count}})
+						for _, x := range list {
+							So(x.Count >= 1 && x.Count <= count, ShouldBeTrue)
+						}
+					}
+				}
+			}
+		}
+	})
+	Convey("A limit that no load reaches is none", t, func() {
+		for named, kept := range map[backend.Rate]backend.Rate{
+			0: backend.Unlimited, 1e-3: backend.MinRate, 4.1: 4.1, 1e5: 1e5, math.MaxInt32: backend.Unlimited, math.MaxUint32: backend.Unlimited,
+			backend.Rate(math.Inf(1)): backend.Unlimited,
+		} {
+			p := &backend.Pool{}
+			p.Apply(backend.Server{ID: "a", Service: "app", Address: "10.0.0.1:80", Start: 1, Slots: 6, Revision: backend.Revision{Number: 1}})
+			p.SetLimit(backend.RateLimit{Server: "a", Start: 1, Rate: named, At: rateTestStart})
+			So(p.LimitOf("a", rateTestStart), ShouldEqual, kept)
+		}
+	})
+}
+
+var rateTestStart = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -320,8 +320,19 @@
 	loopCtx, stop := context.WithCancel(context.Background())
 	defer stop()
 	var wg sync.WaitGroup
-	for _, loop := range []func(context.Context){d.watchConfiguration, d.pollVMs, d.pollEngines, d.gossip.Run, d.quota.Run, d.runMoves, d.shareCrashes} {
-		wg.Go(func() { loop(loopCtx) })
+	for _, x := range []struct {
+		what string
+		run  func(context.Context)
+	}{
+		{"watch of the configuration", d.watchConfiguration},
+		{"list of VMs", d.pollVMs},
+		{"reports of engines", d.pollEngines},
+		{"gossip", d.gossip.Run},
+		{"shares of limits", d.quota.Run},
+		{"version moves", d.runMoves},
+		{"exchange of crashes", d.shareCrashes},
+	} {
+		wg.Go(func() { telemetry.Loop(loopCtx, d.telemetry.Log, x.what, x.run) })
 	}
 	failed := make(chan error, 1)
 	go func() { failed <- d.http.Serve(d.clients.Listen(l, d.headLimit)) }()
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -7,7 +7,6 @@
 
 import (
 	"errors"
-	"math"
 	"slices"
 	"sync"
 	"time"
@@ -55,7 +54,7 @@
 }
 
 func (l Limit) check() error {
-	if !(l.Rate >= 0 && l.Rate <= math.MaxInt32) || l.AgeMs < 0 || l.AgeMs > maxAge.Milliseconds() {
+	if !(l.Rate >= 0) || l.AgeMs < 0 || l.AgeMs > maxAge.Milliseconds() {
 		return result.New(result.OutOfRange, "%g a second, age %d", l.Rate, l.AgeMs).WithField("limit")
 	}
 	return nil
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -482,3 +482,20 @@
 		}
 	})
 }
+
+// TestHighLimitOnTheWire guards against reports that are refused as a whole because a server has named a high limit to an entry VM
+// of an earlier version, which passes it on.
+func TestHighLimitOnTheWire(t *testing.T) {
+	Convey("A limit that no load reaches is none to another entry VM", t, func() {
+		for _, s := range []string{"2147483647", "4294967295", "1e+300"} {
+			v := (&feed.Request{}).Query()
+			v.Set("serverLimit", "s1 7 "+s+" 0")
+			v.Set("demand", "s1 7 "+s+" 3")
+			got, err := feed.ParseRequest(v)
+			So(err, ShouldBeNil)
+			So(got.ServerLimits[0].At(time.Now(), "s1", 7).Rate.Bounded(), ShouldEqual, backend.Unlimited)
+			a := feed.Response{Epoch: "e", Updates: []feed.Update{{Removed: true, Limit: &got.ServerLimits[0].Limit}}}
+			So(a.Check(), ShouldBeNil)
+		}
+	})
+}
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -127,30 +127,34 @@
 // ends. It returns at once.
 func (d *Daemon) watch(ctx context.Context) {
 	tried := make(chan struct{}) // closed after the first call for servers
+	setTried := sync.OnceFunc(func() { close(tried) })
 	held := make(heldServers)
-	go d.watchKind(ctx, &kindWatch{
-		kind: platform.Servers,
-		list: func(p platform.Page) { d.applyServerList(ctx, p, held) }, change: func(c platform.Change) { d.applyServerChange(c, held) },
-		tried: func() { close(tried) }, applied: func() { d.guard("servers of a new version", func() { d.release(ctx, held) }) },
+	loop := func(what string, f func(context.Context)) { go telemetry.Loop(ctx, d.log, what, f) }
+	loop("watch of servers", func(ctx context.Context) {
+		d.watchKind(ctx, &kindWatch{
+			kind: platform.Servers,
+			list: func(p platform.Page) { d.applyServerList(ctx, p, held) }, change: func(c platform.Change) { d.applyServerChange(c, held) },
+			tried: setTried, applied: func() { d.guard("servers of a new version", func() { d.release(ctx, held) }) },
+		})
 	})
-	go func() {
+	loop("watch of the configuration", func(ctx context.Context) {
 		limit := d.standbyBackoff()
 		if d.table.Load() == nil {
 			limit = recoveryCheckLimit
 		}
 		d.awaitFirstCall(ctx, tried, limit)
 		d.watchKind(ctx, &kindWatch{kind: platform.Configuration, list: d.applyConfigList, change: d.applyConfigChange, tried: func() {}, applied: func() {}})
-	}()
-	go func() {
+	})
+	loop("watch of version moves", func(ctx context.Context) {
 		d.awaitFirstCall(ctx, tried, orderWatchWait)
 		d.watchMoves(ctx)
-	}()
-	go d.decideMoves(ctx)
-	go func() {
+	})
+	loop("decisions about version moves", d.decideMoves)
+	loop("watch of crashes", func(ctx context.Context) {
 		d.awaitFirstCall(ctx, tried, orderWatchWait)
 		d.watchCrashes(ctx)
-	}()
-	go d.writeCrashes(ctx)
+	})
+	loop("writes of crashes", d.writeCrashes)
 }
 
 // awaitFirstCall waits until tried is closed, and then until the store is reachable or
@@ -235,17 +239,15 @@
 
 // guard calls f. A panic of f is logged and has no further effect.
 func (d *Daemon) guard(what string, f func()) {
-	// Guard has logged the error, which can only be a panic.
-	_ = telemetry.Guard(d.log, what, func() error {
-		f()
-		return nil
-	})
+	telemetry.Run(d.log, what, f)
 }
 
 // list lists the objects of a kind. As long as this entry VM knows nothing, it cannot serve, and
 // the store may be silent: list then calls again without waiting for the earlier calls.
 func (d *Daemon) list(ctx context.Context, k platform.Kind, stale bool) (platform.Page, error) {
-	call := func(ctx context.Context) (platform.Page, error) { return d.store.List(ctx, k, stale) }
+	call := func(ctx context.Context) (platform.Page, error) {
+		return telemetry.GuardValue(d.log, "list of "+string(k), func() (platform.Page, error) { return d.store.List(ctx, k, stale) })
+	}
 	if d.isLoaded() {
 		return call(ctx)
 	}
@@ -306,7 +308,7 @@
 		d.health.recordRestore(now)
 		d.log.Warn("the store was restored from an older copy", zap.Int64("era", int64(page.Revision.Era)), zap.Int64("eraBefore", int64(known.Era)),
 			zap.Int64("revision", page.Revision.Number), zap.Int64("revisionBefore", known.Number))
-		go d.restoreEntries(ctx)
+		telemetry.Go(d.log, "entries of entry VMs", func() { d.restoreEntries(ctx) })
 	}
 	goneAt := d.health.removalTime(now)
 	applied, removed := d.replaceServers(now, goneAt, page.Revision, servers)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -317,13 +317,7 @@
 	// Until its last answer a stopping entry VM learns of changes as any other.
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
-	go d.follow(background)
-	go d.sweep(background)
-	go d.shareBudgets(background)
-	go d.exchangeSums(background)
-	go d.forwardSamples(background)
-	go d.publishCrashes(background)
-	go d.relay.WatchReach(background)
+	d.startLoops(background)
 	d.log.Info("started", zap.Duration("after", time.Since(start)), zap.String("listen", s.Listen))
 	select {
 	case err := <-failed:
@@ -334,6 +328,24 @@
 	return nil
 }
 
+// startLoops starts what runs in the background until ctx ends.
+func (d *Daemon) startLoops(ctx context.Context) {
+	for _, x := range []struct {
+		what string
+		run  func(context.Context)
+	}{
+		{"updates", d.follow},
+		{"expiry", d.sweep},
+		{"retry budgets", d.shareBudgets},
+		{"exchange of sums", d.exchangeSums},
+		{"samples of speeds", d.forwardSamples},
+		{"publication of crashes", d.publishCrashes},
+		{"checks of reach", d.relay.WatchReach},
+	} {
+		go telemetry.Loop(ctx, d.log, x.what, x.run)
+	}
+}
+
 // How an address is bound that is not free: the process before this one may be closing.
 const (
 	bindWait     = 5 * time.Second
--- a/gateway/limit_test.go
+++ b/gateway/limit_test.go
@@ -225,3 +225,22 @@
 		So(count(l.servers[0], at), ShouldBeLessThanOrEqualTo, allowed(2))
 	})
 }
+
+// TestHighServerLimit guards against limits above every load, which ended the processes of entry VMs, and against entry VMs that
+// keep no other limits afterwards.
+func TestHighServerLimit(t *testing.T) {
+	for _, high := range []string{"4294967295", "1e12", "1e999"} {
+		inWorld(t, high, func(w *world) {
+			l := newLimitTest(w, 4, 3, "app")
+			l.servers[0].SetFault(platformtest.Fault{Limit: high})
+			l.play(4*time.Second, 70, "/book/1", nil)
+			l.wg.Wait()
+			So(l.answered, ShouldEqual, l.calls)
+			l.servers[0].SetFault(platformtest.Fault{Limit: "2"})
+			fell := time.Now()
+			l.play(12*time.Second, 70, "/book/1", nil)
+			l.wg.Wait()
+			So(most(l.servers[0], fell.Add(limitWindow), time.Now()), ShouldBeLessThanOrEqualTo, allowed(2))
+		})
+	}
+}
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -15,6 +15,7 @@
 	"quetzalhold/platform"
 	"quetzalhold/quarantine"
 	"quetzalhold/result"
+	"quetzalhold/telemetry"
 )
 
 const (
@@ -250,11 +251,11 @@
 	if !d.members.RanksFirst() {
 		return
 	}
-	go func() {
+	telemetry.Go(d.log, "deletion of crashes", func() {
 		for _, n := range expired {
 			if err := d.deleteCrash(context.Background(), n); err != nil {
 				return // the next list shows it again
 			}
 		}
-	}()
+	})
 }
--- a/gateway/upstream.go
+++ b/gateway/upstream.go
@@ -16,6 +16,7 @@
 	"quetzalhold/platform"
 	"quetzalhold/result"
 	"quetzalhold/routing"
+	"quetzalhold/telemetry"
 )
 
 // Timing of the polls among entry VMs.
@@ -54,7 +55,7 @@
 func (d *Daemon) follow(ctx context.Context) {
 	start := time.Now()
 	joined := make(chan struct{})
-	go d.join(ctx, joined)
+	telemetry.Go(d.log, "join", func() { d.join(ctx, joined) })
 	select {
 	case <-joined:
 	case <-time.After(joinTimeout):
@@ -130,7 +131,10 @@
 		return d.poll(ctx, m, p, wait), nil
 	}
 	started := make(chan context.CancelFunc, 1)
-	late := time.AfterFunc(firstPollLimit, func() { started <- d.startWatching(ctx) })
+	late := time.AfterFunc(firstPollLimit, func() {
+		stop, _ := telemetry.GuardValue(d.log, "start of watches", func() (context.CancelFunc, error) { return d.startWatching(ctx), nil })
+		started <- stop // nil if it has not started
+	})
 	fresh = d.poll(ctx, m, p, wait)
 	if late.Stop() {
 		return fresh, nil
@@ -377,7 +381,7 @@
 	if !d.fetchingConfig.CompareAndSwap(false, true) {
 		return
 	}
-	go func() {
+	telemetry.Go(d.log, "newer configuration", func() {
 		defer d.fetchingConfig.Store(false)
 		a, err := d.client.Fetch(context.Background(), from, feed.Request{From: d.members.Self, Config: d.configVersion(), Brief: true})
 		if err != nil {
@@ -387,7 +391,7 @@
 		if a.Config != nil {
 			d.applyConfig(*a.Config, string(a.Self.ID))
 		}
-	}()
+	})
 }
 
 // applyHung applies the reports of hung servers from another entry VM.
@@ -486,11 +490,11 @@
 		if m.Domain != d.members.Self.Domain {
 			continue
 		}
-		go func() {
+		telemetry.Go(d.log, "announcement", func() {
 			if a, err := d.client.Fetch(ctx, m, feed.Request{From: d.members.Self, Starting: true, Brief: true}); err == nil {
 				d.members.MarkFresh(time.Now(), a.Self)
 			}
-		}()
+		})
 	}
 }
 
--- a/move/evidence.go
+++ b/move/evidence.go
@@ -108,6 +108,8 @@
 	// maxNewPerOld is how many requests of the new version count fully in a block
 	// per request of the old version; more are scaled down.
 	maxNewPerOld = 3
+	// maxCount is the highest number of requests in one count.
+	maxCount = 1e7
 	// The requests of the new version required for a step, in all and on each
 	// route.
 	minStepRequests, minRouteRequests = 40, 6
@@ -131,7 +133,7 @@
 		e.routes = make(map[Route]*routeEvidence)
 	}
 	for _, c := range counts {
-		if c.N <= 0 || c.Failed < 0 || c.Slow < 0 || c.Failed > c.N || c.Slow > c.N {
+		if c.N <= 0 || c.N > maxCount || c.Failed < 0 || c.Slow < 0 || c.Failed > c.N || c.Slow > c.N {
 			continue
 		}
 		e.add(now, c)
--- a/relay/plain.go
+++ b/relay/plain.go
@@ -57,7 +57,7 @@
 func (r *Relay) servePlain(w http.ResponseWriter, j *job) {
 	ctx, cancel := context.WithDeadline(j.msg.Context(), j.deadline)
 	defer cancel() // also cancels attempts whose reply is no longer needed
-	p := &plainRequest{job: j, replies: make(chan reply, 2*maxRounds+j.route.MaxAttempts+maxSends)}
+	p := &plainRequest{job: j, replies: make(chan reply, maxSends)}
 	p.retrier = Retrier{Repeatable: j.route.Repeatable(), MaxRuns: j.route.MaxAttempts, GiveUpAt: j.startedAt.Add(j.route.LatencyTarget)}
 	j.spent = func() Spent { return Spent{Attempts: p.retrier.runs, Servers: p.ran} }
 	hedge := time.NewTimer(max(time.Millisecond, time.Duration(hedgeShare*float64(j.route.LatencyTarget))))
--- a/relay/quarantine.go
+++ b/relay/quarantine.go
@@ -11,6 +11,7 @@
 	"quetzalhold/backend"
 	"quetzalhold/quarantine"
 	"quetzalhold/result"
+	"quetzalhold/telemetry"
 )
 
 // beginEvents is the number of events after which an engine is past the beginning of an answer: what
@@ -63,7 +64,7 @@
 	if len(names) == 0 {
 		return
 	}
-	go j.relay.confirmCrash(to, names, j.model != nil)
+	telemetry.Go(j.relay.Log, "confirmation of a crash", func() { j.relay.confirmCrash(to, names, j.model != nil) })
 }
 
 // confirmDelay leaves a server that crashes the time to stop listening.
@@ -75,7 +76,7 @@
 	time.Sleep(confirmDelay)
 	begun := time.Now()
 	usual, results := r.dialTime(&to), make(chan probeResult, 2)
-	go r.probe(context.Background(), to, "", begun.Add(usual+probeMargin), usual+probeRetryDelay, isEngine && !r.Pool.Limited(to.ID), results)
+	r.startProbe(context.Background(), to, "", begun.Add(usual+probeMargin), usual+probeRetryDelay, isEngine && !r.Pool.Limited(to.ID), results)
 	p := <-results
 	lost := p.err != nil && !r.cutOffSince(begun)
 	cleared := false
--- a/relay/reach.go
+++ b/relay/reach.go
@@ -11,6 +11,7 @@
 	"quetzalhold/engine"
 	"quetzalhold/routing"
 	"quetzalhold/serverconn"
+	"quetzalhold/telemetry"
 )
 
 // Reach decides whether this entry VM is cut off from all servers of a service, or of all services. It does
@@ -237,7 +238,7 @@
 		}
 		var wg sync.WaitGroup
 		for _, service := range r.reach.due() {
-			wg.Go(func() { r.tryServers(ctx, service) })
+			wg.Go(func() { telemetry.Run(r.Log, "checks of a service", func() { r.tryServers(ctx, service) }) })
 		}
 		wg.Wait()
 	}
@@ -258,7 +259,9 @@
 	}
 	results := make(chan outcome, len(list))
 	for _, c := range list {
-		go func() { results <- outcome{c.Service, r.tryServer(ctx, &c)} }()
+		go func() {
+			results <- outcome{c.Service, telemetry.Guard(r.Log, "check of a server", func() error { return r.tryServer(ctx, &c) })}
+		}()
 	}
 	for range list {
 		if o := <-results; o.err == nil {
@@ -274,7 +277,12 @@
 func (r *Relay) tryServer(ctx context.Context, to *backend.Choice) error {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout(to.DialTime))
 	defer cancel()
-	c, err := r.dial(ctx, "tcp", to.Address)
+	return r.tryConnect(ctx, to.Address)
+}
+
+// tryConnect opens a connection to a server and closes it.
+func (r *Relay) tryConnect(ctx context.Context, address string) error {
+	c, err := r.dial(ctx, "tcp", address)
 	if err == nil {
 		r.countConnection(serverconn.Probe, false)
 		_ = c.Close() // nothing was sent on it
--- a/relay/recall.go
+++ b/relay/recall.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"quetzalhold/backend"
+	"quetzalhold/telemetry"
 )
 
 // RecallHeader names the hand-over of a request that is taken back from another entry VM, whose answer was
@@ -127,7 +128,7 @@
 	var wg sync.WaitGroup
 	for i, x := range list {
 		wg.Go(func() {
-			text, err := j.relay.askSpent(ctx, &x)
+			text, err := telemetry.GuardValue(j.relay.Log, "recall", func() (string, error) { return j.relay.askSpent(ctx, &x) })
 			spent[i] = j.relay.readSpent(text, 0, x.attempts)
 			j.logEvent("request taken back", x.to.ID, zap.Int("lent", x.attempts), zap.Int("spent", spent[i].Attempts), zap.Error(err))
 		})
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -19,7 +19,6 @@
 	"quetzalhold/platform"
 	"quetzalhold/quarantine"
 	"quetzalhold/result"
-	"quetzalhold/serverconn"
 	"quetzalhold/telemetry"
 )
 
@@ -876,7 +875,8 @@
 	case s.from != "":
 		s.stopRun(s.cur, nil)
 	case len(s.trials) > 0 && !s.sound && !s.cur.done:
-		go s.finishTrial(s.cur)
+		trial := s.cur
+		telemetry.Go(s.relay.Log, "trial", func() { s.finishTrial(trial) })
 		s.cur = nil
 	}
 	s.closeHeld()
@@ -916,7 +916,7 @@
 	if s.relay.kept != nil && !to.Peer && !s.refusesNow(&to, now) {
 		ctx = withKeptProbe(ctx)
 	}
-	go s.relay.probe(ctx, to, id, by, usual+probeRetryDelay, report, results)
+	s.relay.startProbe(ctx, to, id, by, usual+probeRetryDelay, report, results)
 }
 
 // dialTime returns the usual time to open a connection to a server, which may have become known since
@@ -934,6 +934,22 @@
 	probeRetryDelay = 25 * time.Millisecond
 )
 
+// errNoOutcome reports a probe that has ended without one.
+var errNoOutcome = errors.New("probe without an outcome")
+
+// startProbe starts a probe.
+func (r *Relay) startProbe(ctx context.Context, to backend.Choice, id engine.RequestID, deadline time.Time, retryAfter time.Duration, report bool, results chan<- probeResult) {
+	go func() {
+		if telemetry.Run(r.Log, "probe", func() { r.probe(ctx, to, id, deadline, retryAfter, report, results) }) {
+			return
+		}
+		select {
+		case results <- probeResult{err: errNoOutcome}:
+		default: // it has sent its outcome
+		}
+	}()
+}
+
 // probe probes a server until the deadline, with a second try after retryAfter, and sends the outcome
 // of the first try that ends to results, which must have room for two. The second try opens a new
 // connection, as the one for control calls may be silent. A load report that comes later, within the
@@ -943,25 +959,17 @@
 	defer cancel()
 	connections, reports := make(chan probeResult, 2), make(chan probeResult, 1)
 	connect := func() {
-		c, err := r.dial(dialCtx, "tcp", to.Address)
-		if err == nil {
-			r.countConnection(serverconn.Probe, false)
-			_ = c.Close() // nothing was sent on it
-		}
-		connections <- probeResult{err: err}
+		connections <- probeResult{err: telemetry.Guard(r.Log, "probe", func() error { return r.tryConnect(dialCtx, to.Address) })}
 	}
 	if report {
 		go func() {
-			var rep backend.Report
-			err := telemetry.Guard(r.Log, "probe", func() (err error) {
-				rep, err = r.Report(ctx, to)
-				return err
-			})
+			rep, err := telemetry.GuardValue(r.Log, "probe", func() (backend.Report, error) { return r.Report(ctx, to) })
 			reports <- probeResult{err: err, idle: err == nil && rep.Waiting+rep.Prefilling+rep.Generating == 0, events: rep.Events[id]}
 		}()
 	} else {
 		go func() {
-			if r.probeKept(ctx, to, deadline) {
+			answered, _ := telemetry.GuardValue(r.Log, "probe", func() (bool, error) { return r.probeKept(ctx, to, deadline), nil })
+			if answered {
 				connections <- probeResult{}
 				return
 			}
--- a/telemetry/telemetry_test.go
+++ b/telemetry/telemetry_test.go
@@ -10,6 +10,7 @@
 	"testing"
 
 	. "github.com/smartystreets/goconvey/convey"
+	"go.uber.org/zap"
 
 	"quetzalhold/engine"
 	"quetzalhold/names"
@@ -57,6 +58,35 @@
 	})
 }
 
+// TestLoopAfterPanic guards against a panic in the background that ends the process, or what runs there.
+func TestLoopAfterPanic(t *testing.T) {
+	Convey("A loop goes on after a panic, until its context ends", t, func() {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		runs := 0
+		Loop(ctx, zap.NewNop(), "test", func(running context.Context) {
+			if runs++; runs == 3 {
+				cancel()
+				<-running.Done()
+				return
+			}
+			panic("a fault")
+		})
+		So(runs, ShouldEqual, 3)
+	})
+	Convey("A goroutine that panics does not end the process", t, func() {
+		done := make(chan struct{})
+		Go(zap.NewNop(), "test", func() {
+			defer close(done)
+			panic("a fault")
+		})
+		<-done
+		v, err := GuardValue(zap.NewNop(), "test", func() (int, error) { panic("a fault") })
+		So(v, ShouldEqual, 0)
+		So(err, ShouldNotBeNil)
+	})
+}
+
 func TestHistory(t *testing.T) {
 	Convey("A history keeps the most recent requests, with a bounded number of steps each", t, func() {
 		h := NewHistory(2)
