Requests that are overtaken, cut or never answered are evidence of a version move

Cause: a hedged call overtakes the slow failure; servePlain then cancelled the first send and reported it nowhere. The same held for calls cut by their route's limit, for requests that are never answered, and for the rest of long answers.

Change: relay.observation follows each request that is sent to a server. Its outcome is reported wherever it ends; while a move is judged, it is reported as slow as soon as it takes longer than the old version's answers do, and a call that was overtaken goes on until it has an outcome or is slow, 0.4 s at most. What was cut counts by its time, not as a failure.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -154,8 +154,8 @@
 	d.pool.EntryVMs = d.members.Count
 	d.pool.Seed = s.ID
 	d.relay.Allowed = d.allowedVersions
-	d.relay.Sending = d.mayStillSend
-	d.relay.Sent = d.recordSent
+	d.relay.Sending, d.relay.Sent = d.mayStillSend, d.recordSent
+	d.relay.SlowAfter = d.slowAfter
 	d.relay.Answered = d.recordAnswer
 	d.relay.Quarantine = &d.quarantine
 	d.relay.QuarantineChanged = d.quarantineChanged
--- a/gateway/moves.go
+++ b/gateway/moves.go
@@ -396,7 +396,9 @@
 	defer d.moves.mu.Unlock()
 	sm, route := d.moves.all[r.Service], move.Route(r.Route)
 	isNew := sm != nil && sm.plan.State != move.Finished && r.Version == sm.plan.To
-	d.moves.baseline(r.Service).Add(time.Now(), route, isNew, r.Failed)
+	if !r.Late {
+		d.moves.baseline(r.Service).Add(time.Now(), route, isNew, r.Failed)
+	}
 	if sm == nil || sm.plan.State != move.Started {
 		return
 	}
@@ -412,7 +414,20 @@
 	if !r.Failed && !r.Partial && !c.New {
 		sm.speed.Observe(route, r.First, r.Gap)
 	}
-	sm.unreported.add(c)
+	if !r.Late { // it was counted as slow
+		sm.unreported.add(c)
+	}
+}
+
+// slowAfter returns the time after which an answer counts as slow, while a move of its service is in progress.
+func (d *Daemon) slowAfter(service routing.ServiceName, route routing.RouteName) (time.Duration, bool) {
+	d.moves.mu.Lock()
+	defer d.moves.mu.Unlock()
+	sm := d.moves.all[service]
+	if sm == nil || sm.plan.State != move.Started {
+		return 0, false
+	}
+	return sm.speed.Limit(move.Route(route))
 }
 
 // drainCounts returns and resets what this entry VM has counted for moves in progress,
--- a/move/evidence.go
+++ b/move/evidence.go
@@ -521,14 +521,23 @@
 // IsSlow reports whether a request is slow, compared with its route or, if that has
 // too few samples, with all routes.
 func (s *SlowDetector) IsSlow(r Route, first, gap time.Duration) bool {
+	limits, ok := s.limits(r)
+	return ok && (first > limits.first || gap > limits.gap)
+}
+
+// Limit returns the time to the first event above which a request of a route is slow; false if there are too few
+// samples.
+func (s *SlowDetector) Limit(r Route) (time.Duration, bool) {
+	limits, ok := s.limits(r)
+	return limits.first, ok
+}
+
+func (s *SlowDetector) limits(r Route) (latencyLimits, bool) {
 	w := s.routes[r]
 	if w == nil || len(w.first) < minLatencies {
 		w = &s.all
 	}
-	if len(w.first) < minLatencies {
-		return false
-	}
-	return first > w.limits.first || gap > w.limits.gap
+	return w.limits, len(w.first) >= minLatencies
 }
 
 func slowThreshold(all []time.Duration) time.Duration {
--- a/relay/handover.go
+++ b/relay/handover.go
@@ -119,7 +119,9 @@
 		return
 	}
 	if why == reasonSilent || why == reasonIdle {
-		s.reportPartial(why == reasonIdle)
+		s.reportPartial(from, why == reasonIdle)
+	} else {
+		from.suspect = true
 	}
 	s.relay.markFailed(from.to, why == reasonIdle)
 	s.countEmpty(from)
@@ -203,6 +205,7 @@
 func (s *streamRun) goBack() {
 	s.close(s.cur)
 	s.cur, s.handover = s.handover.held, handover{}
+	s.cur.suspect = false // its server is alive
 }
 
 // closeHeld ends the handover, if there is one, in favour of the current run.
--- a/relay/plain.go
+++ b/relay/plain.go
@@ -47,6 +47,8 @@
 	at       time.Time
 	attempts int
 	handover HandoverID // to another entry VM
+	seen     *observation
+	cancel   context.CancelFunc
 }
 
 // defaultSilence is the time after which a server that has not answered the request, nor anything
@@ -56,10 +58,11 @@
 // servePlain answers a request to a plain service.
 func (r *Relay) servePlain(w http.ResponseWriter, j *job) {
 	ctx, cancel := context.WithDeadline(j.msg.Context(), j.deadline)
-	defer cancel() // also cancels attempts whose reply is no longer needed
+	defer cancel()
 	p := &plainRequest{job: j, replies: make(chan reply, maxSends)}
 	p.retrier = Retrier{Repeatable: j.route.Repeatable(), MaxRuns: j.route.MaxAttempts, GiveUpAt: j.startedAt.Add(j.route.LatencyTarget)}
 	j.spent = func() Spent { return Spent{Attempts: p.retrier.runs, Servers: p.ran} }
+	defer p.giveUpOpen()
 	hedge := time.NewTimer(max(time.Millisecond, time.Duration(hedgeShare*float64(j.route.LatencyTarget))))
 	defer hedge.Stop()
 	silent := time.NewTimer(cmp.Or(j.route.LatencyTarget, defaultSilence))
@@ -161,18 +164,68 @@
 	}
 	p.retrier.Sent(attempts)
 	ctx = p.mayKeep(ctx, &to)
-	p.sentTo = append(p.sentTo, sentTo{server: to, at: now, attempts: attempts, handover: handover})
+	seen := p.observe(to)
+	ctx, cancel := p.sendContext(ctx, seen)
+	p.sentTo = append(p.sentTo, sentTo{server: to, at: now, attempts: attempts, handover: handover, seen: seen, cancel: cancel})
 	go func() {
 		rep := reply{server: to}
 		rep.err = telemetry.Guard(r.Log, "exchange", func() error {
 			rep = r.exchange(ctx, p.msg, to, send)
 			return rep.err
 		})
+		rep.seen = seen
+		p.report(&rep)
 		p.replies <- rep
 	}()
 	return Await
 }
 
+// sendContext returns the context of a send. One by whose answer a version move is judged outlasts its request.
+func (p *plainRequest) sendContext(ctx context.Context, seen *observation) (context.Context, context.CancelFunc) {
+	if seen.judged() {
+		return context.WithDeadline(context.WithoutCancel(ctx), p.deadline)
+	}
+	return context.WithCancel(ctx)
+}
+
+// report reports what is known of the answer to a send. deliver reports the answers of which it reads the rest.
+func (j *job) report(rep *reply) {
+	switch {
+	case rep.outcome == Answered && rep.status >= http.StatusInternalServerError:
+		rep.seen.report(ServerAnswer{Failed: true})
+	case rep.outcome == Answered && rep.rest != nil:
+	case rep.outcome == Answered:
+		rep.seen.report(ServerAnswer{First: rep.took})
+	case rep.outcome == Lost && j.isOver():
+		rep.seen.cut()
+	default:
+		rep.seen.drop()
+	}
+}
+
+// overtakenLimit is how long after its request has ended a send goes on by whose answer a version move is judged. Servers
+// may work on requests half a second longer than their callers wait.
+const overtakenLimit = 400 * time.Millisecond
+
+// giveUpOpen ends the sends that have no outcome yet: another one has overtaken them, or the request is over. Those by whose
+// answers a version move is judged go on for a moment, or until they count as slow, if they were overtaken: what
+// hides behind them may be failures.
+func (p *plainRequest) giveUpOpen() {
+	over := p.isOver()
+	for _, s := range p.sentTo {
+		end := func() {
+			s.seen.cut()
+			s.cancel()
+		}
+		if over || !s.seen.judged() {
+			end()
+			continue
+		}
+		s.seen.whenKnown(s.cancel)
+		time.AfterFunc(overtakenLimit, end)
+	}
+}
+
 // markSilent marks the servers that have answered neither the request nor anything else since, so
 // that other requests go elsewhere. This one has to wait if it may not be repeated.
 func (p *plainRequest) markSilent(now time.Time) {
@@ -213,6 +266,11 @@
 	i := slices.IndexFunc(p.sentTo, func(s sentTo) bool { return s.server.ID == rep.server.ID })
 	sent := p.sentTo[i]
 	p.sentTo = slices.Delete(p.sentTo, i, i+1)
+	if rep.rest == nil {
+		defer sent.cancel()
+	} else {
+		context.AfterFunc(p.msg.Context(), sent.cancel) // it is still to be read
+	}
 	switch {
 	case rep.outcome == NotRun:
 		p.keepTrials(rep.server)
@@ -257,11 +315,6 @@
 		p.observeSound()
 		p.relay.calls.Add(p.route.Name, rep.took)
 		p.observeCall(&rep)
-		if rep.status >= http.StatusInternalServerError {
-			p.reportAnswer(rep.server, true, 0, 0)
-		} else {
-			p.reportAnswer(rep.server, false, rep.took, 0)
-		}
 		if p.best == nil || rep.status < p.best.status {
 			p.best = &rep
 		}
@@ -303,10 +356,13 @@
 	}
 	switch {
 	case to.flush() != nil:
+		rep.seen.drop()
 		j.end(result.CallerGone, rep.server.ID, zap.Int("status", rep.status), zap.NamedError("writeError", to.err))
 	case err != nil:
+		rep.seen.drop()
 		j.end(result.OutcomeUnknown, rep.server.ID, zap.String("why", "the rest of the answer was lost"), zap.Error(err))
 	default:
+		rep.seen.report(ServerAnswer{First: rep.took})
 		j.end(result.OK, rep.server.ID, zap.Int("status", rep.status))
 		return
 	}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -107,8 +107,12 @@
 	// because of the wait. May be nil.
 	StreamWaited   func(routing.ServiceName, admit.Rank, time.Duration)
 	StreamRejected func(routing.ServiceName, admit.Rank, admit.Reason)
-	// Answered is called for each answer of a server, including failures; may be nil.
+	// Answered is called with what is known of the answer to a request that was sent to a server, once for each, and twice
+	// if it was Late; may be nil.
 	Answered func(ServerAnswer)
+	// SlowAfter returns the time after which an answer counts as slow, while a version move is judged by the answers of the
+	// service. May be nil.
+	SlowAfter func(routing.ServiceName, routing.RouteName) (time.Duration, bool)
 	// Tracer starts a span for each request, with the decisions about it as events; nil for
 	// none.
 	Tracer trace.Tracer
@@ -157,17 +161,12 @@
 	// Partial reports whether the answer was given up before it ended. First is then the least
 	// that it would have been, and Gap is 0 if there were too few events.
 	Partial bool
+	// Late reports whether the request was reported before as one that takes longer than usual.
+	Late bool
 	// Hung reports whether the server did not work on the request at all.
 	Hung bool
 }
 
-// reportAnswer calls Answered for a server's answer.
-func (j *job) reportAnswer(by backend.Choice, failed bool, first, gap time.Duration) {
-	if j.relay.Answered != nil && !by.Peer {
-		j.relay.Answered(ServerAnswer{Service: j.service, Route: j.route.Name, Server: by.ID, Version: by.Version, Failed: failed, First: first, Gap: gap})
-	}
-}
-
 // New returns a relay that dials with d, or with a net.Dialer if d is nil. Its exported fields
 // are left to the caller.
 func New(d engine.Dialer) *Relay {
--- a/relay/send.go
+++ b/relay/send.go
@@ -305,6 +305,7 @@
 // reply is the result of a plain request at one server.
 type reply struct {
 	server  backend.Choice
+	seen    *observation
 	took    time.Duration
 	outcome Outcome
 	err     error
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -62,6 +62,10 @@
 
 	ending ending
 	meter  *meter // measures its engine; nil if it was sent to another entry VM
+
+	seen    *observation
+	timed   bool // its times can be compared with those of other streams: it is the first send of a whole stream
+	suspect bool // its server is thought to be lost
 }
 
 // part is a part of a run's output: that its connection is open, the response head, an event, or
@@ -358,6 +362,7 @@
 	s.cur = &run{to: to, ctx: ctx, cancel: cancel, sentAt: now, noCopies: noCopies, parts: make(chan part, maxBufferedParts), checkpoints: make(chan checkpoint, 1), work: backend.Load{Requests: 1, Pending: 1, Tokens: s.tokens, Prefill: s.prefillTokens(memory)}}
 	s.cur.state = StreamState{SentAt: now, Peer: to.Peer, FromCopy: memory != nil, FirstEventBy: now.Add(s.firstEventTimeout(&p.Run))}
 	send := &platform.ServerRequest{Server: to.ID, Organisation: s.organisation, TimeLeft: time.Until(s.deadline), Urgency: s.urgency(), ResumeFrom: memory}
+	s.cur.timed = s.sends == 1 && s.msg.params.LastEvent == ""
 	if s.lastID > 0 {
 		send.LastEvent, s.cur.resumes = strconv.FormatInt(s.lastID, 10), true
 	}
@@ -374,6 +379,7 @@
 		send.Server = ""
 		ctx, s.cur.handed = s.admitted(ctx, s.cur.lent, s.handedCopy)
 	}
+	s.cur.seen = s.observe(to)
 	s.beginPending(memory)
 	s.cur.meter = s.newMeter(now, &p.Run, memory != nil)
 	s.addAttempt(s.cur)
@@ -540,6 +546,7 @@
 	s.endPending(now)
 	if !s.cur.started {
 		s.cur.started = true
+		s.cur.seen.begun()
 		s.relay.Pool.End(s.cur.to.ID, backend.Load{Pending: s.cur.work.Pending, Prefill: s.cur.work.Prefill})
 		s.cur.work.Pending, s.cur.work.Prefill = 0, 0
 	}
@@ -622,9 +629,10 @@
 	if s.sends == 1 && s.msg.params.LastEvent == "" && s.lastID > 1 {
 		first, gap := s.firstAt.Sub(s.startedAt)-s.turn.waited, time.Since(s.firstAt)/time.Duration(s.lastID-1)
 		s.relay.stats.Add(s.route.Name, Sample{Prompt: s.msg.params.PromptTokens, First: first, Gap: gap, Events: s.lastID})
-		s.reportAnswer(s.cur.to, false, first, gap)
+		s.cur.seen.report(ServerAnswer{First: first, Gap: gap})
 		s.observeOutput()
 	}
+	s.cur.seen.drop() // its times can't be compared with those of others
 	server := s.cur.to.ID
 	s.awaitCaller()
 	s.end(result.OK, server, zap.Int64("lastEvent", s.lastID))
@@ -651,23 +659,25 @@
 // reported.
 const minPartialEvents = 16
 
-// reportPartial reports the answer of the first run, which is given up though its engine may
-// be alive: the answers of a slow engine, or of one that does not work on them, would otherwise be
-// missed.
-func (s *streamRun) reportPartial(hung bool) {
-	if s.cur == nil || s.cur.to.Peer || s.sends != 1 || s.msg.params.LastEvent != "" || s.relay.Answered == nil {
+// reportPartial reports the answer of a run that is given up though its engine may be alive: the
+// answers of a slow engine, or of one that does not work on them, would otherwise be missed.
+func (s *streamRun) reportPartial(r *run, hung bool) {
+	a := ServerAnswer{Partial: true, Hung: hung}
+	switch {
+	case !hung && (r.suspect || r.state.probeFailed(time.Now())):
+		r.seen.drop()
 		return
-	}
-	a := ServerAnswer{
-		Service: s.service, Route: s.route.Name, Server: s.cur.to.ID, Version: s.cur.to.Version, First: time.Since(s.startedAt) - s.turn.waited, Partial: true, Hung: hung,
-	}
-	if s.headSent {
+	case r.timed && s.headSent:
 		a.First = s.firstAt.Sub(s.startedAt) - s.turn.waited
+		if s.lastID >= minPartialEvents {
+			a.Gap = r.state.LastEventAt.Sub(s.firstAt) / time.Duration(s.lastID-1)
+		}
+	case r.timed:
+		a.First = time.Since(s.startedAt) - s.turn.waited
+	case !r.started:
+		a.First = time.Since(r.sentAt)
 	}
-	if s.lastID >= minPartialEvents {
-		a.Gap = s.cur.state.LastEventAt.Sub(s.firstAt) / time.Duration(s.lastID-1)
-	}
-	s.relay.Answered(a)
+	r.seen.report(a)
 }
 
 // handleEarlyEnd decides what follows a run that ended early. It returns false if the request
@@ -703,15 +713,17 @@
 		s.keepTrials(r.to)
 		s.ran.remove(r)
 		s.refundRetry(p.err)
+		r.seen.drop()
 	case Answered:
 		s.markSound([]quarantine.Suspect{s.fingerprint.Suspect()})
-		s.reportAnswer(r.to, true, 0, 0)
-		s.failure = &reply{server: r.to, status: p.head.StatusCode, header: p.head.Header, body: p.event.raw}
+		r.seen.report(ServerAnswer{Failed: true})
+		s.failure = &reply{server: r.to, seen: r.seen, status: p.head.StatusCode, header: p.head.Header, body: p.event.raw}
 	case Lost:
 		// A run that ended with the request's context shows no failure of its engine.
 		if s.ctx.Err() == nil {
 			s.relay.Pool.MarkFailed(r.to.ID, time.Now())
 			s.observeCrash(r, p.err)
+			r.seen.drop()
 		}
 	}
 }
@@ -845,7 +857,6 @@
 // when the entry VM stops. Whatever the cause, a partial stream must not look complete to the
 // caller.
 func (s *streamRun) endCancelled() {
-	s.reportPartial(false)
 	if !s.headSent {
 		s.clearHead()
 		s.relay.answerCancelled(s.w, s.job, s.mayHaveRun())
@@ -886,6 +897,7 @@
 // close ends a run; its engine stops when the connection closes.
 func (s *streamRun) close(r *run) {
 	r.cancel()
+	s.reportPartial(r, false) // unless its outcome is known
 	s.relay.Pool.End(r.to.ID, r.work)
 	if r.replica != nil {
 		s.relay.Pool.End(r.replica.ID, backend.Load{Tokens: s.tokens})
