--- a/gateway/unseen_test.go
+++ b/gateway/unseen_test.go
@@ -100,23 +100,15 @@
 
 // TestGoodVersionUnderTrouble guards against good versions that are rolled back for what they are not to blame for.
 func TestGoodVersionUnderTrouble(t *testing.T) {
-	bothLate := func(from, length, delay time.Duration) func(*exposureTest) {
-		return func(x *exposureTest) {
-			time.Sleep(from)
-			x.delay(delay, append(x.oldServers, x.newServers...)...)
-			time.Sleep(length)
-			x.delay(0, append(x.oldServers, x.newServers...)...)
-		}
-	}
 	for _, c := range []struct {
 		name   string
 		during func(x *exposureTest)
 	}{
 		{"Nothing else happens", func(*exposureTest) {}},
-		{"Both versions answer 300 ms late for a while", bothLate(4*time.Second, 3*time.Second, 300*time.Millisecond)},
-		{"Both versions answer 1 s late for a while", bothLate(2*time.Second, 4*time.Second, time.Second)},
-		{"Both versions answer 1 s late to the end", bothLate(3*time.Second, 8*time.Second, time.Second)},
-		{"Both versions answer 40 ms late from the beginning", bothLate(0, 12*time.Second, 40*time.Millisecond)},
+		{"Both versions answer 300 ms late for a while", answerLate(4*time.Second, 3*time.Second, 300*time.Millisecond)},
+		{"Both versions answer 1 s late for a while", answerLate(2*time.Second, 4*time.Second, time.Second)},
+		{"Both versions answer 1 s late to the end", answerLate(3*time.Second, 8*time.Second, time.Second)},
+		{"Both versions answer 40 ms late from the beginning", answerLate(0, 12*time.Second, 40*time.Millisecond)},
 		{"One server of the new version answers late", func(x *exposureTest) { x.delay(2*time.Second, x.newServers[0]) }},
 	} {
 		for seed := range uint64(2) {
@@ -128,6 +120,28 @@
 	}
 }
 
+// TestGoodVersionLateInBurst guards against good versions that are rolled back because both versions were slow in the moment in
+// which the new one got most requests.
+func TestGoodVersionLateInBurst(t *testing.T) {
+	for seed := range uint64(2) {
+		inWorld(t, fmt.Sprintf("Both versions answer 300 ms late in the burst, seed %d", seed), func(w *world) {
+			x := newExposureTest(w, seed, 7)
+			late := answerLate(6*time.Second, 2*time.Second, 300*time.Millisecond)
+			So(x.playMove(nil, func(time.Time) { late(x) }), ShouldEqual, "completed")
+		})
+	}
+}
+
+// answerLate lets all servers answer late for a while.
+func answerLate(from, length, delay time.Duration) func(*exposureTest) {
+	return func(x *exposureTest) {
+		time.Sleep(from)
+		x.delay(delay, append(x.oldServers, x.newServers...)...)
+		time.Sleep(length)
+		x.delay(0, append(x.oldServers, x.newServers...)...)
+	}
+}
+
 // delay delays the answers of servers.
 func (x *exposureTest) delay(d time.Duration, servers ...*platformtest.Server) {
 	for _, s := range servers {
