Answers that break off while their server is alive are failures of its version

Cause: an answer that is lost was reported to the evidence of a move neither by plain requests nor by streams.

Change: observation.lose finds out whether the server is alive, by an answer since or by a probe that losses share with the confirmation of crashes. If it is, the loss is a failure, of the old version too. It tells nothing if the server is lost, replaced or leaving, or if everything else in progress was lost with it. Streams with a missing event, and the rest of long answers, count too.

Evidence: TestBrokenOffAnswers, 15 moves to bad versions: all failed before (completed), none now. TestGoodVersionUnderTrouble, now with crashes, resets and cuts: 22 of 22 completed, before and now.

--- a/backend/backend.go
+++ b/backend/backend.go
@@ -593,10 +593,12 @@
 	Removed  bool
 	RemoveAt time.Time // zero while its entry exists
 	FailedAt time.Time
-	RetryAt  time.Time     // until then the server refuses requests; zero if it has refused none
-	DialTime time.Duration // usual time to open a connection; 0 if unknown
-	Limit    Rate          // rate of requests that it takes from all entry VMs
-	LimitAt  time.Time     // when an answer of the server last showed Limit; zero if none did
+	// RespondedAt is when something last arrived from the server; zero if nothing has.
+	RespondedAt time.Time
+	RetryAt     time.Time     // until then the server refuses requests; zero if it has refused none
+	DialTime    time.Duration // usual time to open a connection; 0 if unknown
+	Limit       Rate          // rate of requests that it takes from all entry VMs
+	LimitAt     time.Time     // when an answer of the server last showed Limit; zero if none did
 }
 
 // View returns a snapshot of a server's state, and false if the server is unknown.
@@ -605,7 +607,7 @@
 	found := false
 	p.withState(id, func(st *state) {
 		found = true
-		v = View{Server: st.Server, Removed: !st.active(now), RemoveAt: st.removeAt, FailedAt: st.failedAt, RetryAt: st.retryAt, DialTime: st.dial, Limit: st.limit.rate, LimitAt: st.limit.heardAt}
+		v = View{Server: st.Server, Removed: !st.active(now), RemoveAt: st.removeAt, FailedAt: st.failedAt, RespondedAt: st.respondedAt, RetryAt: st.retryAt, DialTime: st.dial, Limit: st.limit.rate, LimitAt: st.limit.heardAt}
 	})
 	return v, found
 }
--- a/relay/observation.go
+++ b/relay/observation.go
@@ -15,12 +15,14 @@
 	job    *job
 	by     backend.Choice
 	sentAt time.Time
+	lostAt time.Time // zero unless its answer was lost; guarded by the lock of the exchanges
 
 	timer *time.Timer // nil if no move is judged
 
 	mu       sync.Mutex
 	started  bool   // the first event of a stream has come
 	late     bool   // it was reported as one that takes longer than usual
+	losing   bool   // its answer was lost, and it is being found out what that tells
 	reported bool   // it has ended
 	then     func() // called when either is known; nil for nothing
 }
@@ -32,6 +34,7 @@
 		o.reported = true
 		return o
 	}
+	j.relay.exchanges.add(o)
 	if limit, ok := j.relay.slowAfter(j); ok {
 		o.mu.Lock() // the timer may be due at once
 		defer o.mu.Unlock()
@@ -54,7 +57,7 @@
 	limit, ok := o.job.relay.slowAfter(o.job)
 	waited := time.Since(o.sentAt)
 	o.mu.Lock()
-	late := !o.started && !o.reported && ok
+	late := !o.started && !o.reported && !o.losing && ok
 	if late && waited <= limit {
 		o.timer.Reset(limit - waited + time.Millisecond)
 		late = false
@@ -103,12 +106,12 @@
 // end ends the observation. It reports whether the request was late, and whether the observation had not ended before.
 func (o *observation) end() (late, ok bool) {
 	o.mu.Lock()
-	late, ok = o.late, !o.reported
-	then := o.then
-	o.reported, o.then = true, nil
-	if o.timer != nil {
-		o.timer.Stop()
+	late, ok = o.late, !o.reported && !o.losing
+	if ok {
+		o.reported = true
+		o.job.relay.exchanges.remove(o)
 	}
+	then := o.stop()
 	o.mu.Unlock()
 	if then != nil {
 		then()
@@ -116,10 +119,45 @@
 	return late, ok
 }
 
+// stop stops the timer, and returns what to call. The caller holds o.mu.
+func (o *observation) stop() (then func()) {
+	then, o.then = o.then, nil
+	if o.timer != nil {
+		o.timer.Stop()
+	}
+	return then
+}
+
+// beginLoss records that the answer was lost. It reports false if the observation has ended before.
+func (o *observation) beginLoss() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.reported || o.losing {
+		return false
+	}
+	o.losing = true
+	if then := o.stop(); then != nil {
+		defer then()
+	}
+	return true
+}
+
+// endLoss ends the observation of a lost answer, which counts as a failure or tells nothing.
+func (o *observation) endLoss(failed bool) {
+	o.mu.Lock()
+	o.losing = false
+	o.mu.Unlock()
+	if failed {
+		o.report(ServerAnswer{Failed: true})
+	} else {
+		o.drop()
+	}
+}
+
 // whenKnown calls f once the request is late or has an outcome, and perhaps twice.
 func (o *observation) whenKnown(f func()) {
 	o.mu.Lock()
-	known := o.reported || o.late
+	known := o.reported || o.losing || o.late
 	if !known {
 		o.then = f
 	}
--- a/relay/plain.go
+++ b/relay/plain.go
@@ -198,6 +198,8 @@
 		rep.seen.report(ServerAnswer{First: rep.took})
 	case rep.outcome == Lost && j.isOver():
 		rep.seen.cut()
+	case rep.outcome == Lost && !failedOnKept(rep.err):
+		rep.seen.lose()
 	default:
 		rep.seen.drop()
 	}
@@ -359,7 +361,7 @@
 		rep.seen.drop()
 		j.end(result.CallerGone, rep.server.ID, zap.Int("status", rep.status), zap.NamedError("writeError", to.err))
 	case err != nil:
-		rep.seen.drop()
+		rep.seen.lose()
 		j.end(result.OutcomeUnknown, rep.server.ID, zap.String("why", "the rest of the answer was lost"), zap.Error(err))
 	default:
 		rep.seen.report(ServerAnswer{First: rep.took})
--- a/relay/quarantine.go
+++ b/relay/quarantine.go
@@ -67,18 +67,12 @@
 	telemetry.Go(j.relay.Log, "confirmation of a crash", func() { j.relay.confirmCrash(to, names, j.model != nil) })
 }
 
-// confirmDelay leaves a server that crashes the time to stop listening.
-const confirmDelay = 100 * time.Millisecond
-
 // confirmCrash confirms crashes of a server, or clears them if it is alive: then it has only broken off an
 // answer. An engine shows it by a load report. They are also cleared if this entry VM reaches no server at all.
 func (r *Relay) confirmCrash(to backend.Choice, names []quarantine.Name, isEngine bool) {
-	time.Sleep(confirmDelay)
-	begun := time.Now()
-	usual, results := r.dialTime(&to), make(chan probeResult, 2)
-	r.startProbe(context.Background(), to, "", begun.Add(usual+probeMargin), usual+probeRetryDelay, isEngine && !r.Pool.Limited(to.ID), results)
-	p := <-results
-	lost := p.err != nil && !r.cutOffSince(begun)
+	check := r.checkLoss(to, isEngine)
+	<-check.done
+	lost := check.err != nil && !r.cutOffSince(check.begun)
 	cleared := false
 	for _, n := range names {
 		if lost {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -145,6 +145,8 @@
 	controlTransport *http.Transport  // for control calls, such as load reports
 	kept             *serverconn.Pool // nil if connections are not kept
 	recent           recentReports
+	exchanges        exchanges
+	lossChecks       lossChecks
 	logMalformed     sync.Once
 }
 
@@ -154,7 +156,7 @@
 	Route   routing.RouteName
 	Server  engine.ServerID
 	Version engine.Version
-	Failed  bool // the server answered with a failure
+	Failed  bool // the server answered with a failure, or has broken its answer off and is alive
 	// First is the time to the answer, or to a stream's first event. Gap is the mean time
 	// between events. Both are 0 for failures.
 	First, Gap time.Duration
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -565,11 +565,13 @@
 	}
 	if p.event.id == 0 && s.cur.resumes && !s.cur.proceeded && !p.event.isComment() {
 		// The events that the caller has received have ids: this is an error, or no event at all.
+		s.cur.seen.report(ServerAnswer{Failed: true})
 		return s.failOver("event without an id")
 	}
 	s.cur.proceeded = s.cur.proceeded || p.event.id != 0
 	if !s.follows(p.event.id) {
 		s.logEvent("event missing", s.cur.to.ID, zap.Int64("event", p.event.id), zap.Int64("lastEvent", s.lastID))
+		s.cur.seen.report(ServerAnswer{Failed: true})
 		return s.failOver("event missing")
 	}
 	return s.forward(p.event)
@@ -723,7 +725,7 @@
 		if s.ctx.Err() == nil {
 			s.relay.Pool.MarkFailed(r.to.ID, time.Now())
 			s.observeCrash(r, p.err)
-			r.seen.drop()
+			r.seen.lose()
 		}
 	}
 }
