All parts of a long prompt are suspects of a crash, wherever they come

Cause: quarantine.Parts kept the first 31 parts. Those are found sound all the time, so that only each request's fingerprint was left.

Change: all parts, up to 2,048, are looked at. A crash holds those not known to be sound: first the parts of other crashes, then by turns from the end and the beginning. What does not fit into the list that earlier versions read is in a further one that they ignore. Records are gone through once for a check, and what is remembered as sound is bounded.

--- a/gateway/quarantine_test.go
+++ b/gateway/quarantine_test.go
@@ -29,6 +29,7 @@
 type crashTest struct {
 	*world
 	fault   platformtest.Fault
+	deep    int // parts that all prompts share before the others
 	engines []*platformtest.Server
 	vms     []*vm
 
@@ -95,6 +96,9 @@
 // requestLong sends a request whose own part has so many tokens.
 func (c *crashTest) requestLong(i int, v *vm, crashing bool, tokens int) {
 	shared := fmt.Sprintf("first:200,s%d:100", i%7)
+	for n := range c.deep {
+		shared += fmt.Sprintf(",turn%d:2", n)
+	}
 	if crashing {
 		shared += "," + crashPart + ":300"
 	}
@@ -177,6 +181,22 @@
 			So(c.sentAfterBound(), ShouldBeLessThanOrEqualTo, maxSentAfter)
 		})
 	}
+	for _, deep := range []int{31, 60, 400} {
+		for _, x := range partFaults {
+			inWorld(t, fmt.Sprintf("%s, after %d parts", x.name, deep), func(w *world) {
+				c := newCrashTest(w, x.fault)
+				c.deep = deep
+				begin := time.Now()
+				c.play(25*time.Second, 0)
+				c.wg.Wait()
+				So(len(c.crashes), ShouldBeGreaterThanOrEqualTo, 1)
+				So(c.sentAfterBound(), ShouldBeLessThanOrEqualTo, maxSentAfter)
+				answered, failed := c.soundSince(begin.Add(12 * time.Second))
+				So(answered, ShouldBeGreaterThan, 80)
+				So(failed, ShouldEqual, 0)
+			})
+		}
+	}
 	inWorld(t, "entry VMs that start know the part from the store", func(w *world) {
 		c := newCrashTest(w, partFaults[0].fault)
 		c.play(15*time.Second, 0)
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -24,13 +24,19 @@
 // requestPrefix is the prefix of suspects that are whole requests.
 const requestPrefix = "request:"
 
-// Parts returns the suspects for the parts of a prompt with the given IDs, at most as many as a crash
-// may have beside the request. IDs that are too long, or could be mistaken for a request, are left
-// out: callers choose them.
+// maxParts is the number of parts of a prompt that are looked at, from its beginning and its end. Prompts of so many
+// parts hardly fit into a head of a request.
+const maxParts = 2048
+
+// Parts returns the suspects for the parts of a prompt with the given IDs. IDs that are too long, or could be mistaken
+// for a request, are left out: callers choose them.
 func Parts(ids []string) []Suspect {
+	if len(ids) > maxParts {
+		ids = slices.Concat(ids[:maxParts/2], ids[len(ids)-maxParts/2:])
+	}
 	var parts []Suspect
 	for _, id := range ids {
-		if !Suspect(id).IsRequest() && len(id) <= maxIDSize && len(parts) < maxSuspects-1 {
+		if !Suspect(id).IsRequest() && len(id) <= maxIDSize {
 			parts = append(parts, Suspect(id))
 		}
 	}
@@ -73,6 +79,9 @@
 	// Waiting are the parts of its prompt in a crash made by [Crash.OfWaiting]. Entry VMs of an earlier
 	// version neither send nor read them.
 	Waiting []Suspect `json:"waitingParts,omitempty"`
+	// More are those of a long prompt for which there is no room in Suspects or Waiting. Entry VMs of an
+	// earlier version neither send nor read them.
+	More []Suspect `json:"moreParts,omitempty"`
 	// Until is when the crash is no longer held against its suspects.
 	Until UnixMilli `json:"untilMs"`
 	// Trial is set for the claim of a trial, which is no crash: Start is then its number.
@@ -81,8 +90,10 @@
 
 // Limits of one crash, which other processes report.
 const (
-	maxSuspects = 32
-	maxIDSize   = 256 // bytes
+	maxSuspects  = 32
+	maxMore      = 224
+	maxMoreBytes = 4096 // of the ids of More
+	maxIDSize    = 256  // bytes
 )
 
 // Check returns the first reason why the crash is invalid, or nil.
@@ -94,8 +105,10 @@
 		return result.New(result.OutOfRange, "%d suspects", len(c.Suspects)).WithField("parts")
 	case len(c.Waiting) > maxSuspects:
 		return result.New(result.OutOfRange, "%d suspects", len(c.Waiting)).WithField("waitingParts")
+	case len(c.More) > maxMore:
+		return result.New(result.OutOfRange, "%d suspects", len(c.More)).WithField("moreParts")
 	}
-	for _, s := range slices.Concat(c.Suspects, c.Waiting) {
+	for _, s := range slices.Concat(c.Suspects, c.Waiting, c.More) {
 		if len(s) > maxIDSize {
 			return result.New(result.OutOfRange, "a suspect's id of %d bytes", len(s)).WithField("parts")
 		}
@@ -121,9 +134,9 @@
 // held returns the suspects against which the crash is held.
 func (c *Crash) held() []Suspect {
 	if c.waiting() {
-		return c.Waiting
+		return slices.Concat(c.Waiting, c.More)
 	}
-	return c.Suspects
+	return slices.Concat(c.Suspects, c.More)
 }
 
 // Name returns the crash's name.
@@ -201,6 +214,8 @@
 	// clearedFor is how long a crash that is in no list is still reported as cleared.
 	clearedFor = 10 * time.Second
 	maxCrashes = 512
+	// maxSound bounds the suspects that are remembered as sound in one period, which is shorter then.
+	maxSound = 16384
 )
 
 // trialDelays are how long after the last crash, or trial, a blocked suspect may be tried again: for
@@ -263,21 +278,102 @@
 		list, since = &c.Waiting, now.Add(-soundWaitingFor)
 	}
 	var suspects []Suspect
+	seen := make(map[Suspect]bool, len(*list))
 	for _, s := range *list {
-		if !l.soundSince(since, keyOf(c.Service, s)) && !slices.Contains(suspects, s) {
+		if !seen[s] && !l.soundSince(since, keyOf(c.Service, s)) {
 			suspects = append(suspects, s)
 		}
+		seen[s] = true
 	}
 	if len(suspects) == 0 {
 		return c, false
 	}
-	*list, c.Until = suspects, UnixMilli(now.Add(holdFor).UnixMilli())
+	*list, c.More = l.fit(now, &c, suspects)
+	c.Until = UnixMilli(now.Add(holdFor).UnixMilli())
 	if c.Check() != nil || !l.add(now, c, false) {
 		return c, false
 	}
 	return c, true
 }
 
+// fit returns as many suspects of a crash as fit into it, in two lists. The request comes first, then the suspects of other
+// crashes. The rest is taken from the end and the beginning of the prompt, and, if that is not enough, at intervals from its
+// middle, other ones in each crash.
+func (l *List) fit(now time.Time, c *Crash, suspects []Suspect) (list, more []Suspect) {
+	if len(suspects) <= maxSuspects {
+		return suspects, nil
+	}
+	counts := l.counts(now, c.Service)
+	var known, others []Suspect
+	for _, s := range suspects {
+		switch {
+		case s.IsRequest():
+			list = append(list, s)
+		case counts[s] > 0:
+			known = append(known, s)
+		default:
+			others = append(others, s)
+		}
+	}
+	room := maxSuspects + maxMore - len(list) - len(known)
+	ordered := slices.Concat(list, known, sample(others, room, xxhash.Sum64String(string(c.Name()))))
+	n := min(len(ordered), maxSuspects)
+	list, size := ordered[:n:n], 0
+	for _, s := range ordered[n:min(len(ordered), maxSuspects+maxMore)] {
+		if size += len(s); size <= maxMoreBytes {
+			more = append(more, s)
+		}
+	}
+	return list, more
+}
+
+// sample returns n of some suspects: all by turns from the end and the beginning, or, if there are more, half of them so
+// and the others at equal intervals between, which begin at an offset.
+func sample(list []Suspect, n int, offset uint64) []Suspect {
+	if n <= 0 {
+		return nil
+	}
+	ends := len(list)
+	if ends > n {
+		ends = (n + 1) / 2
+	}
+	chosen := make([]Suspect, 0, n)
+	first, last := 0, len(list)
+	for len(chosen) < ends {
+		if len(chosen)%2 == 0 {
+			last--
+			chosen = append(chosen, list[last])
+		} else {
+			chosen = append(chosen, list[first])
+			first++
+		}
+	}
+	middle := list[first:last]
+	if rest := n - ends; rest > 0 && len(middle) > 0 {
+		step := (len(middle) + rest - 1) / rest
+		for i := int(offset % uint64(step)); i < len(middle); i += step {
+			chosen = append(chosen, middle[i])
+		}
+	}
+	return chosen
+}
+
+// counts returns how many crashes are held against each suspect that has any.
+func (l *List) counts(now time.Time, service routing.ServiceName) map[Suspect]int {
+	at, counts := UnixMilli(now.UnixMilli()), make(map[Suspect]int)
+	for _, r := range l.records {
+		if r.Trial || at >= r.Until {
+			continue
+		}
+		for _, s := range r.suspects {
+			if r.Service == service || s.IsRequest() {
+				counts[s]++
+			}
+		}
+	}
+	return counts
+}
+
 // Confirm records that the server of a crash is lost.
 func (l *List) Confirm(n Name) {
 	l.mu.Lock()
@@ -314,8 +410,12 @@
 	if len(l.records) >= maxCrashes {
 		l.dropOldest()
 	}
-	l.records[c.Name()] = &record{Crash: c, suspects: slices.Clone(c.held()), addedAt: now, shared: shared}
-	if l.changed != nil && slices.ContainsFunc(c.held(), func(s Suspect) bool { return len(l.starts(now, c.Service, s)) >= blockAfter }) {
+	l.records[c.Name()] = &record{Crash: c, suspects: c.held(), addedAt: now, shared: shared}
+	if l.changed == nil {
+		return true
+	}
+	counts := l.counts(now, c.Service)
+	if slices.ContainsFunc(c.held(), func(s Suspect) bool { return counts[s] >= blockAfter && len(l.starts(now, c.Service, s)) >= blockAfter }) {
 		close(l.changed)
 		l.changed = nil
 	}
@@ -406,18 +506,22 @@
 func (l *List) MarkSound(now time.Time, service routing.ServiceName, suspects []Suspect) (cleared bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.sound == nil || now.Sub(l.soundTurn) >= soundWaitingFor {
+	if l.sound == nil || now.Sub(l.soundTurn) >= soundWaitingFor || len(l.sound) >= maxSound {
 		l.sound, l.soundBefore, l.soundTurn = make(map[key]time.Time), l.sound, now
 	}
 	for _, s := range suspects {
 		l.sound[keyOf(service, s)] = now
 	}
+	if len(l.records) == 0 {
+		return false
+	}
+	isSound := setOf(suspects)
 	for n, r := range l.records {
 		if len(r.suspects) == 0 {
 			continue
 		}
 		r.suspects = slices.DeleteFunc(r.suspects, func(s Suspect) bool {
-			return (r.Service == service || s.IsRequest()) && slices.Contains(suspects, s)
+			return (r.Service == service || s.IsRequest()) && isSound[s]
 		})
 		if len(r.suspects) > 0 {
 			continue
@@ -428,6 +532,14 @@
 	return cleared
 }
 
+func setOf(suspects []Suspect) map[Suspect]bool {
+	set := make(map[Suspect]bool, len(suspects))
+	for _, s := range suspects {
+		set[s] = true
+	}
+	return set
+}
+
 // clear drops a record without suspects, unless other entry VMs may hold the crash.
 func (l *List) clear(now time.Time, n Name, r *record) {
 	switch {
@@ -556,9 +668,14 @@
 		return Block{}, false
 	}
 	var longest Block
+	counts := l.counts(now, service)
+	asked := setOf(suspects)
 	for _, s := range suspects {
+		if counts[s] < blockAfter {
+			continue
+		}
 		n := l.crashes(now, service, s)
-		if n < blockAfter || !s.IsRequest() && (l.requests(now, service, s) < blockAfter || l.explained(now, service, s, n, suspects)) {
+		if n < blockAfter || !s.IsRequest() && (l.requests(now, service, s) < blockAfter || l.explained(now, service, s, n, asked)) {
 			continue
 		}
 		b := Block{Suspect: s, Crashes: n}
@@ -670,8 +787,8 @@
 }
 
 // explained reports whether all crashes of a part, n as counted, are explained by other parts that the
-// request lacks, and that requests on the servers had.
-func (l *List) explained(now time.Time, service routing.ServiceName, part Suspect, n int, suspects []Suspect) bool {
+// request lacks, and that requests on the servers had. asked are the suspects of the request.
+func (l *List) explained(now time.Time, service routing.ServiceName, part Suspect, n int, asked map[Suspect]bool) bool {
 	left, at := l.starts(now, service, part), UnixMilli(now.UnixMilli())
 	others := make(map[Suspect]bool) // whether they explain crashes of the part
 	for _, r := range l.records {
@@ -679,7 +796,7 @@
 			continue
 		}
 		if slices.ContainsFunc(r.suspects, func(o Suspect) bool {
-			if o.IsRequest() || slices.Contains(suspects, o) {
+			if o.IsRequest() || asked[o] {
 				return false
 			}
 			does, ok := others[o]
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -460,3 +461,81 @@
 		So(earlier.Parts[0], ShouldNotEqual, requestNamed("r"))
 	})
 }
+
+// TestPartLateInPrompt guards against parts that crash engines and are never suspected since they come late in a long prompt.
+func TestPartLateInPrompt(t *testing.T) {
+	for _, x := range []struct {
+		name string
+		// parts is the number of the other parts, of which own are each request's own, and the others are known to be sound.
+		parts, own int
+	}{
+		{"a short prompt", 3, 0},
+		{"40 sound parts", 40, 0},
+		{"600 sound parts", 600, 0},
+		{"40 parts of its own", 40, 40},
+		{"200 parts of its own", 200, 200},
+		{"400 parts, half of them its own", 400, 200},
+	} {
+		for _, waiting := range []bool{false, true} {
+			Convey(fmt.Sprintf("%s, nothing of an answer had come: %t", x.name, waiting), t, func() {
+				for at := 0; at <= x.parts; at += max(1, x.parts/20) {
+					var l quarantine.List
+					prompt := func(request int, bad string) []quarantine.Suspect {
+						var ids []string
+						for i := range x.parts {
+							id := fmt.Sprintf("part-%d", i)
+							if i%x.parts < x.own {
+								id = fmt.Sprintf("own-%d-%d", request, i)
+							}
+							ids = append(ids, id)
+						}
+						if bad != "" {
+							ids = slices.Insert(ids, at, bad)
+						}
+						return quarantine.Parts(ids)
+					}
+					for i := range 3 {
+						now := start.Add(time.Duration(i) * (lossSpan + time.Millisecond))
+						l.MarkSound(now, "models", prompt(-1, ""))
+						request := quarantine.Crash{
+							Service: "models", Request: engine.RequestID(fmt.Sprint("r", i)), Server: engine.ServerID(fmt.Sprint("e", i)), Start: 1,
+							Suspects: append(parts(requestNamed(fmt.Sprint("r", i))), prompt(i, "bad")...),
+						}
+						if waiting {
+							request.Suspects = request.Suspects[:1]
+							request = request.OfWaiting(prompt(i, "bad"))
+						}
+						c, ok := l.Observe(now, request)
+						So(ok, ShouldBeTrue)
+						So(c.Check(), ShouldBeNil)
+						So(len(c.Suspects), ShouldBeLessThanOrEqualTo, 32) // earlier versions read no more
+						So(len(c.Waiting), ShouldBeLessThanOrEqualTo, 32)
+					}
+					now := start.Add(3 * lossSpan)
+					b, ok := l.Blocked(now, "models", prompt(9, "bad"))
+					So(ok, ShouldBeTrue)
+					So(b.Suspect, ShouldEqual, quarantine.Suspect("bad"))
+					_, ok = l.Blocked(now, "models", prompt(9, ""))
+					So(ok, ShouldBeFalse)
+					// A sound answer clears all parts.
+					l.MarkSound(now, "models", prompt(0, "bad"))
+					_, ok = l.Blocked(now, "models", prompt(9, "bad"))
+					So(ok, ShouldBeFalse)
+				}
+			})
+		}
+	}
+	Convey("A crash is bounded, whatever the prompt is", t, func() {
+		var l quarantine.List
+		ids := make([]string, 10_000)
+		for i := range ids {
+			ids[i] = strings.Repeat("x", i%250) + fmt.Sprint(i)
+		}
+		c, ok := l.Observe(start, crash(1, quarantine.Parts(ids)...))
+		So(ok, ShouldBeTrue)
+		So(c.Check(), ShouldBeNil)
+		b, err := json.Marshal(c)
+		So(err, ShouldBeNil)
+		So(len(b), ShouldBeLessThan, 16<<10)
+	})
+}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -700,10 +700,13 @@
 	return s.failOver("run ended early")
 }
 
+// maxLoggedParts bounds the parts of a prompt in a log line.
+const maxLoggedParts = 32
+
 // recordEnd records that a run ended early.
 func (s *streamRun) recordEnd(r *run, p part) {
 	s.logEvent("run ended early", r.to.ID, zap.Stringer("outcome", p.outcome), zap.Error(p.err), zap.Int64("lastEvent", s.lastID),
-		zap.Bool("answered", r.answered), zap.Int("events", r.events), zap.Bool("withinEvent", p.partial), zap.Any("parts", s.parts), zap.String("fingerprint", string(s.fingerprint)))
+		zap.Bool("answered", r.answered), zap.Int("events", r.events), zap.Bool("withinEvent", p.partial), zap.Any("parts", s.parts[:min(len(s.parts), maxLoggedParts)]), zap.String("fingerprint", string(s.fingerprint)))
 	r.ending.failed, r.partial = true, p.partial
 	if r.to.Peer && p.outcome != NotRun {
 		spent := s.relay.readSpent(p.spent, 1, r.lent)
