An answer without a length is cut if its connection fails while the request is written

Cause: the socket reports the reset to the write that meets it first; the next read finds the end of the input, which net/http takes for the end of the answer.

Change: package http1, above every http.Transport of the program, joins both sides of a connection, and takes an answer that its connection ends for whole only if the request was written and no write has failed.

--- a/caller/client.go
+++ b/caller/client.go
@@ -18,6 +18,7 @@
 
 	"quetzalhold/clock"
 	"quetzalhold/engine"
+	"quetzalhold/http1"
 	"quetzalhold/result"
 )
 
@@ -40,7 +41,7 @@
 
 // WithDial sets how connections are opened.
 func WithDial(d engine.Dialer) ClientOption {
-	return func(c *Client) { c.http.Transport.(*http.Transport).DialContext = engine.TimeoutDialer(d) }
+	return func(c *Client) { c.http.Transport = newTransport(d) }
 }
 
 // OnPiece sets a function that is called with the text of each piece of a
@@ -64,12 +65,17 @@
 	maxBackoff        = time.Second
 )
 
+// newTransport returns the transport of a client that dials with d.
+func newTransport(d engine.Dialer) *http1.Transport {
+	return http1.New(&http.Transport{DialContext: engine.TimeoutDialer(d), DisableKeepAlives: true, MaxResponseHeaderBytes: engine.MaxHeaderBytes})
+}
+
 // NewClient returns a client of the entry VMs at the given addresses.
 func NewClient(entries []string, key string, opts ...ClientOption) *Client {
 	c := &Client{
 		addrs:       entries,
 		key:         key,
-		http:        &http.Client{Transport: &http.Transport{DialContext: engine.TimeoutDialer(nil), DisableKeepAlives: true, MaxResponseHeaderBytes: engine.MaxHeaderBytes}},
+		http:        &http.Client{Transport: newTransport(nil)},
 		onPiece:     func(string) {},
 		logf:        func(string, ...any) {},
 		idleTimeout: clientIdleTimeout,
--- a/engine/client.go
+++ b/engine/client.go
@@ -17,6 +17,7 @@
 	"github.com/tmaxmax/go-sse"
 	"go.opentelemetry.io/otel/propagation"
 
+	"quetzalhold/http1"
 	"quetzalhold/result"
 )
 
@@ -56,8 +57,8 @@
 	pooled.MaxIdleConnsPerHost = 1
 	pooled.IdleConnTimeout = idleConnTimeout
 	return &Client{
-		unpooled: &http.Client{Transport: unpooled, CheckRedirect: noRedirect},
-		pooled:   &http.Client{Transport: pooled, CheckRedirect: noRedirect},
+		unpooled: &http.Client{Transport: http1.New(unpooled), CheckRedirect: noRedirect},
+		pooled:   &http.Client{Transport: http1.New(pooled), CheckRedirect: noRedirect},
 	}
 }
 
--- a/feed/http.go
+++ b/feed/http.go
@@ -18,6 +18,7 @@
 
 	"quetzalhold/backend"
 	"quetzalhold/engine"
+	"quetzalhold/http1"
 	"quetzalhold/names"
 	"quetzalhold/quarantine"
 	"quetzalhold/result"
@@ -383,7 +384,7 @@
 	if d == nil {
 		d = (&net.Dialer{Timeout: dialTimeout}).DialContext
 	}
-	return &Client{http: &http.Client{Transport: &http.Transport{DialContext: engine.TimeoutDialer(d), MaxIdleConnsPerHost: 1, MaxResponseHeaderBytes: engine.MaxHeaderBytes}}}
+	return &Client{http: &http.Client{Transport: http1.New(&http.Transport{DialContext: engine.TimeoutDialer(d), MaxIdleConnsPerHost: 1, MaxResponseHeaderBytes: engine.MaxHeaderBytes})}}
 }
 
 // CloseIdle closes idle connections.
--- a/gateway/where.go
+++ b/gateway/where.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap"
 
 	"quetzalhold/engine"
+	"quetzalhold/http1"
 	"quetzalhold/relay"
 	"quetzalhold/result"
 )
@@ -56,7 +57,7 @@
 		return nil, result.Wrap(result.BadRequest, withoutURL(err), "address %q", address)
 	}
 	// A transport returns errors without the URL, which has the key.
-	resp, err := (&http.Transport{DialContext: dial, DisableKeepAlives: true}).RoundTrip(req)
+	resp, err := http1.New(&http.Transport{DialContext: dial, DisableKeepAlives: true}).RoundTrip(req)
 	if err != nil {
 		return nil, fmt.Errorf("ask %s: %w", address, withoutURL(err))
 	}
--- a/objects/client.go
+++ b/objects/client.go
@@ -18,6 +18,7 @@
 	"go.opentelemetry.io/otel/trace/noop"
 
 	"quetzalhold/engine"
+	"quetzalhold/http1"
 	"quetzalhold/result"
 )
 
@@ -35,7 +36,7 @@
 
 // WithDial sets the function that opens connections.
 func WithDial(d engine.Dialer) Option {
-	return func(c *Client) { c.http.Transport.(*http.Transport).DialContext = engine.TimeoutDialer(d) }
+	return func(c *Client) { c.http.Transport = newTransport(d) }
 }
 
 // WithTracer sets the tracer that makes a span for each call.
@@ -51,12 +52,17 @@
 // as lost. The platform sends a comment more often than that.
 const watchIdleTimeout = 15 * time.Second
 
+// newTransport returns the transport of a client that dials with d.
+func newTransport(d engine.Dialer) *http1.Transport {
+	return http1.New(&http.Transport{DialContext: engine.TimeoutDialer(d), MaxIdleConnsPerHost: 4, IdleConnTimeout: 30 * time.Second, MaxResponseHeaderBytes: engine.MaxHeaderBytes})
+}
+
 // NewClient returns a client of the platform at address, which is an IP
 // address with a port.
 func NewClient(address string, opts ...Option) *Client {
 	c := &Client{
 		address:    address,
-		http:       &http.Client{Transport: &http.Transport{DialContext: engine.TimeoutDialer(nil), MaxIdleConnsPerHost: 4, IdleConnTimeout: 30 * time.Second, MaxResponseHeaderBytes: engine.MaxHeaderBytes}},
+		http:       &http.Client{Transport: newTransport(nil)},
 		newWriteID: uuid.NewString,
 		tracer:     noop.Tracer{},
 	}
--- a/operator/client.go
+++ b/operator/client.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"quetzalhold/engine"
+	"quetzalhold/http1"
 	"quetzalhold/objects"
 	"quetzalhold/result"
 )
@@ -31,7 +32,7 @@
 	return &Client{
 		entries: entries,
 		key:     key,
-		http:    &http.Client{Timeout: clientTimeout, Transport: &http.Transport{DialContext: engine.TimeoutDialer(nil), DisableKeepAlives: true, MaxResponseHeaderBytes: engine.MaxHeaderBytes}},
+		http:    &http.Client{Timeout: clientTimeout, Transport: http1.New(&http.Transport{DialContext: engine.TimeoutDialer(nil), DisableKeepAlives: true, MaxResponseHeaderBytes: engine.MaxHeaderBytes})},
 	}
 }
 
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -23,6 +23,7 @@
 
 	"quetzalhold/booking"
 	"quetzalhold/engine"
+	"quetzalhold/http1"
 	"quetzalhold/move"
 	"quetzalhold/objects"
 	"quetzalhold/operator"
@@ -189,14 +190,14 @@
 	return &Client{
 		token:  t,
 		tracer: tr,
-		http:   &http.Client{Transport: &http.Transport{DialContext: dial, DisableKeepAlives: true, MaxResponseHeaderBytes: engine.MaxHeaderBytes}},
-		pooled: &http.Client{Transport: &http.Transport{
+		http:   &http.Client{Transport: http1.New(&http.Transport{DialContext: dial, DisableKeepAlives: true, MaxResponseHeaderBytes: engine.MaxHeaderBytes})},
+		pooled: &http.Client{Transport: http1.New(&http.Transport{
 			DialContext:         dial,
 			MaxIdleConnsPerHost: idlePerPeer,
 			IdleConnTimeout:     idleTimeout,
 
 			MaxResponseHeaderBytes: engine.MaxHeaderBytes,
-		}},
+		})},
 	}
 }
 
--- a/relay/place.go
+++ b/relay/place.go
@@ -11,6 +11,7 @@
 
 	"quetzalhold/backend"
 	"quetzalhold/engine"
+	"quetzalhold/http1"
 	"quetzalhold/platform"
 	"quetzalhold/serverconn"
 	"quetzalhold/telemetry"
@@ -230,10 +231,10 @@
 // idle ones after some seconds.
 const controlIdleTimeout = 3 * time.Second
 
-func newControlTransport(dial engine.Dialer) *http.Transport {
+func newControlTransport(dial engine.Dialer) *http1.Transport {
 	t := newTransport(dial)
 	t.DisableKeepAlives = false
 	t.MaxIdleConnsPerHost = 1
 	t.IdleConnTimeout = controlIdleTimeout
-	return t
+	return http1.New(t)
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -27,6 +27,7 @@
 	"quetzalhold/connlimit"
 	"quetzalhold/cost"
 	"quetzalhold/engine"
+	"quetzalhold/http1"
 	"quetzalhold/names"
 	"quetzalhold/platform"
 	"quetzalhold/quarantine"
@@ -141,8 +142,8 @@
 	trying           chan struct{} // full while servers are tried for cutOffSince
 	taken            atomic.Int64  // requests of other entry VMs in flight
 	dial             engine.Dialer
-	transport        *http.Transport  // for requests
-	controlTransport *http.Transport  // for control calls, such as load reports
+	transport        *http1.Transport // for requests
+	controlTransport *http1.Transport // for control calls, such as load reports
 	kept             *serverconn.Pool // nil if connections are not kept
 	recent           recentReports
 	exchanges        exchanges
@@ -175,7 +176,7 @@
 	if d == nil {
 		d = (&net.Dialer{}).DialContext
 	}
-	return &Relay{checkReach: make(chan struct{}, 1), trying: make(chan struct{}, 1), Quarantine: &quarantine.List{}, Costs: &cost.Book{}, Log: zap.NewNop(), dial: d, transport: newTransport(d), controlTransport: newControlTransport(d)}
+	return &Relay{checkReach: make(chan struct{}, 1), trying: make(chan struct{}, 1), Quarantine: &quarantine.List{}, Costs: &cost.Book{}, Log: zap.NewNop(), dial: d, transport: http1.New(newTransport(d)), controlTransport: newControlTransport(d)}
 }
 
 // CloseIdle closes idle connections.
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -16,6 +16,7 @@
 
 	"quetzalhold/backend"
 	"quetzalhold/engine"
+	"quetzalhold/http1"
 	"quetzalhold/platform"
 	"quetzalhold/quarantine"
 	"quetzalhold/result"
@@ -483,7 +484,7 @@
 	events := newEventReader(resp.Body)
 	for n := 0; ; n++ {
 		e, err := events.next()
-		if errors.Is(err, io.EOF) && n == 0 && endsWithConnection(resp) {
+		if errors.Is(err, io.EOF) && n == 0 && http1.EndsWithConnection(resp) {
 			err = errTruncated
 		}
 		if errors.Is(err, io.EOF) {
@@ -502,12 +503,6 @@
 	}
 }
 
-// endsWithConnection reports whether a response has no length and is not chunked, so that one that
-// breaks off between two events looks complete.
-func endsWithConnection(resp *http.Response) bool {
-	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
-}
-
 // errTooLong reports that a response has no end within its limit.
 var errTooLong = errors.New("the response is too long")
 
@@ -529,7 +524,7 @@
 	s.cur.done = p.ended && p.outcome != Lost
 	switch {
 	case p.head != nil && !p.ended:
-		s.cur.answered, s.cur.headAt, s.cur.openEnd = true, time.Now(), endsWithConnection(p.head)
+		s.cur.answered, s.cur.headAt, s.cur.openEnd = true, time.Now(), http1.EndsWithConnection(p.head)
 		s.holdHead(p.head)
 		return true
 	case p.ended && p.err == nil && s.cur.resumes && !s.cur.proceeded && s.route.Resumable:
--- a/serverconn/conn.go
+++ b/serverconn/conn.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"quetzalhold/engine"
+	"quetzalhold/http1"
 )
 
 // conn is a connection with a transport of its own, which opens it once: http.Transport would otherwise repeat
@@ -20,7 +21,7 @@
 	pool      *Pool
 	server    Server
 	class     Class
-	transport *http.Transport
+	transport *http1.Transport
 
 	// Guarded by the pool's lock.
 	element    *list.Element // nil unless idle
@@ -48,14 +49,15 @@
 
 func newConn(p *Pool, o Options) *conn {
 	c := &conn{pool: p, server: o.Server, class: o.Class}
-	c.transport = &http.Transport{
+	t := &http.Transport{
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: engine.MaxHeaderBytes,
 		DialContext:            c.dial,
 	}
 	if o.Class == Reports {
-		c.transport.ReadBufferSize, c.transport.WriteBufferSize = reportBuffer, reportBuffer
+		t.ReadBufferSize, t.WriteBufferSize = reportBuffer, reportBuffer
 	}
+	c.transport = http1.New(t)
 	return c
 }
 
--- a/service/service.go
+++ b/service/service.go
@@ -22,6 +22,7 @@
 	"go.opentelemetry.io/otel/trace/noop"
 
 	"quetzalhold/engine"
+	"quetzalhold/http1"
 	"quetzalhold/names"
 	"quetzalhold/operator"
 	"quetzalhold/result"
@@ -325,7 +326,7 @@
 	c.once.Do(func() {
 		t := &http.Transport{DialContext: engine.TimeoutDialer(c.Dial), DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: engine.MaxHeaderBytes}
 		c.http = &http.Client{
-			Transport:     t,
+			Transport:     http1.New(t),
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		}
 	})
