Heads that are no answer in HTTP/1.1 are lost answers

Cause: net/http takes any three characters that are a number for a status, and keeps names with blanks; WriteHeader panics below 100.

Change: http1.Transport, above every http.Transport of the program, fails for protocols, statuses, names and values that HTTP/1.1 does not permit, in informational heads and trailers too.

--- a/http1/http1.go
+++ b/http1/http1.go
@@ -1,5 +1,6 @@
-// Package http1 decides what is an answer in HTTP/1.1. Package net/http takes an answer without a length for whole whose
-// connection was reset while its request was being sent. That is an error here.
+// Package http1 decides what is an answer in HTTP/1.1. Package net/http takes more for one: any status of three digits, names
+// of fields with blanks, and an answer without a length whose connection was reset while its request was being sent. What is no
+// answer, or not a whole one, is an error here.
 package http1
 
 import (
@@ -10,10 +11,16 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"net/textproto"
 	"sync"
 	"time"
+
+	"golang.org/x/net/http/httpguts"
 )
 
+// ErrNoAnswer reports a head that is no answer in HTTP/1.1.
+var ErrNoAnswer = errors.New("no answer in HTTP/1.1")
+
 // ErrCut reports an answer without a length that ended before its request was sent, or with an error of its connection.
 var ErrCut = errors.New("the answer was cut off")
 
@@ -42,19 +49,48 @@
 // CloseIdleConnections closes the connections that are kept and idle.
 func (t *Transport) CloseIdleConnections() { t.transport.CloseIdleConnections() }
 
-// RoundTrip implements [http.RoundTripper].
+// RoundTrip implements [http.RoundTripper]. It fails with [ErrNoAnswer] if the head is no answer.
 func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
 	s := &sending{}
 	resp, err := t.transport.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), s.trace())))
 	if err != nil {
 		return nil, err
 	}
+	if err := checkHead(resp); err != nil {
+		_ = resp.Body.Close() // its connection is not used again
+		return nil, err
+	}
 	if resp.Body != http.NoBody {
 		resp.Body = &body{ReadCloser: resp.Body, resp: resp, sending: s}
 	}
 	return resp, nil
 }
 
+// checkHead returns why a head that package net/http has taken is no answer, or nil.
+func checkHead(resp *http.Response) error {
+	switch digits := resp.Status[:min(len(resp.Status), 3)]; {
+	case resp.ProtoMajor != 1:
+		return fmt.Errorf("protocol %s: %w", resp.Proto, ErrNoAnswer)
+	case resp.StatusCode < 200 || resp.StatusCode > 599 || digits != fmt.Sprintf("%03d", resp.StatusCode):
+		return fmt.Errorf("status %q: %w", digits, ErrNoAnswer)
+	}
+	return checkFields(textproto.MIMEHeader(resp.Header))
+}
+
+func checkFields(fields textproto.MIMEHeader) error {
+	for name, values := range fields {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return fmt.Errorf("field %q: %w", name, ErrNoAnswer)
+		}
+		for _, v := range values {
+			if !httpguts.ValidHeaderFieldValue(v) {
+				return fmt.Errorf("value of field %q: %w", name, ErrNoAnswer)
+			}
+		}
+	}
+	return nil
+}
+
 // sending is the sending of a request, which may go on while the answer comes.
 type sending struct {
 	mu    sync.Mutex
@@ -79,6 +115,7 @@
 				close(s.sent)
 			}
 		},
+		Got1xxResponse: func(_ int, fields textproto.MIMEHeader) error { return checkFields(fields) },
 	}
 }
 
@@ -133,6 +170,9 @@
 			return n, err
 		}
 	}
+	if err := checkFields(textproto.MIMEHeader(b.resp.Trailer)); err != nil {
+		return n, fmt.Errorf("trailer: %w", err)
+	}
 	return n, err
 }
 
--- a/http1/http1_test.go
+++ b/http1/http1_test.go
@@ -73,6 +73,57 @@
 	}
 }
 
+// TestHeads guards against heads that are no answer and are taken for one.
+func TestHeads(t *testing.T) {
+	const end = "Content-Length: 2\r\n\r\nok"
+	for _, x := range []struct {
+		name, answer string
+		ok           bool
+	}{
+		{"an answer", "HTTP/1.1 200 OK\r\n" + end, true},
+		{"no reason", "HTTP/1.1 200\r\n" + end, true},
+		{"a failure", "HTTP/1.1 599 X\r\n" + end, true},
+		{"no length", "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nok", true},
+		{"chunks and a trailer", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTrailer: X-End\r\n\r\n2\r\nok\r\n0\r\nX-End: 1\r\n\r\n", true},
+		{"an informational answer first", "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 200 OK\r\n" + end, true},
+		{"odd names and values", "HTTP/1.1 200 OK\r\nX-!#$%&'*+-.^_`|~0: \t ä\"(),/:;<=>?@[\\]{} \r\nX-Empty:\r\n" + end, true},
+		{"status 000", "HTTP/1.1 000 None\r\n" + end, false},
+		{"status 099", "HTTP/1.1 099 None\r\n" + end, false},
+		{"status -00", "HTTP/1.1 -00 None\r\n" + end, false},
+		{"status +20", "HTTP/1.1 +20 None\r\n" + end, false},
+		{"status +99", "HTTP/1.1 +99 None\r\n" + end, false},
+		{"status 600", "HTTP/1.1 600 None\r\n" + end, false},
+		{"status 999", "HTTP/1.1 999 None\r\n" + end, false},
+		{"status 2000", "HTTP/1.1 2000 None\r\n" + end, false},
+		{"a switch of protocols", "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\nok", false},
+		{"another protocol", "HTTP/2.0 200 OK\r\n" + end, false},
+		{"a blank in a name", "HTTP/1.1 200 OK\r\nX Name: 1\r\n" + end, false},
+		{"a blank after a name", "HTTP/1.1 200 OK\r\nX-Name : 1\r\n" + end, false},
+		{"a blank after the length's name", "HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\nok, and more", false},
+		{"a blank after the coding's name", "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", false},
+		{"a tab in a name", "HTTP/1.1 200 OK\r\nX\tName: 1\r\n" + end, false},
+		{"a zero byte in a name", "HTTP/1.1 200 OK\r\nX\x00Name: 1\r\n" + end, false},
+		{"a control byte in a name", "HTTP/1.1 200 OK\r\nX\x7fName: 1\r\n" + end, false},
+		{"a control byte in a value", "HTTP/1.1 200 OK\r\nX-Name: 1\x01\r\n" + end, false},
+		{"a blank in an informational answer's name", "HTTP/1.1 103 Early Hints\r\nX Name: x\r\n\r\nHTTP/1.1 200 OK\r\n" + end, false},
+		{"a blank in a trailer's name", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX End: 1\r\n\r\n", false},
+	} {
+		Convey(x.name, t, func() {
+			address := serve(t, func(c *net.TCPConn) {
+				readRequest(c)
+				_, _ = io.WriteString(c, x.answer)
+			})
+			_, body, err := exchange(newTransport(), address, []byte("request"))
+			if !x.ok {
+				So(err, ShouldNotBeNil)
+				return
+			}
+			So(err, ShouldBeNil)
+			So(body, ShouldEqual, "ok")
+		})
+	}
+}
+
 // scripted is a connection whose writes fail after a while, as on a socket that was reset: the write that meets the reset
 // fails, and reads find the end.
 type scripted struct {
--- a/relay/world_test.go
+++ b/relay/world_test.go
@@ -412,3 +412,6 @@
 		return func(v engine.Version) bool { return v == only }
 	}
 }
+
+// judgeAll is a Relay.SlowAfter by which all services are in a version move.
+func judgeAll(routing.ServiceName, routing.RouteName) (time.Duration, bool) { return time.Second, true }
