The watch of crashes is renewed with that of orders

Cause: the watch of crashes was a copy of that of orders, without its renewal when other calls show lost channels.

Change: both are followed by one loop, watchRare.

--- a/gateway/crashing_test.go
+++ b/gateway/crashing_test.go
@@ -265,3 +265,28 @@
 		})
 	}
 }
+
+// TestCrashesUnheard guards against requests that crash servers and reach more of them through failure domains that do not hear of it,
+// as all channels to the store have gone silent.
+func TestCrashesUnheard(t *testing.T) {
+	for _, after := range []time.Duration{0, 2 * time.Second, 4 * time.Second, 6 * time.Second, 8 * time.Second} {
+		inWorld(t, fmt.Sprintf("silent %v after the start", after), func(w *world) {
+			c := newCrashingTest(w, requestKinds[4])
+			time.Sleep(after)
+			for _, v := range c.entries {
+				w.net.Blackhole(memnet.Host(v.host), storeHost)
+			}
+			time.Sleep(2200 * time.Millisecond)
+			all := c.entries
+			c.entries = []*vm{all[0], all[2]}
+			c.playCrashing(time.Second, 200*time.Millisecond)
+			c.wg.Wait()
+			from := c.boundStart()
+			time.Sleep(time.Until(from))
+			c.entries = []*vm{all[1], all[3]}
+			c.playCrashing(6*time.Second, 200*time.Millisecond)
+			c.wg.Wait()
+			So(c.sentSince(from), ShouldBeLessThanOrEqualTo, maxSentAfter)
+		})
+	}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -65,7 +65,8 @@
 	conns      idleConns
 	clients    connlimit.Limiter
 	moves      moves
-	orders     orderChecks
+	orders     listRequests // of orders of version moves
+	crashLists listRequests
 	quarantine quarantine.List
 	// crashesChanged wakes publishCrashes up, and unwritten writeCrashes.
 	crashesChanged, unwritten chan struct{}
--- a/gateway/orders.go
+++ b/gateway/orders.go
@@ -4,140 +4,51 @@
 	"context"
 	"maps"
 	"slices"
-	"sync"
 	"time"
 
 	"go.uber.org/zap"
 
 	"quetzalhold/backend"
-	"quetzalhold/clock"
 	"quetzalhold/engine"
 	"quetzalhold/move"
 	"quetzalhold/platform"
-	"quetzalhold/result"
 	"quetzalhold/routing"
 )
 
 // Timing of the checks for orders.
 const (
-	// orderListInterval and orderListCalls are the interval between the calls for a list of orders,
-	// and their number: a kept connection may have gone silent.
-	orderListInterval = 300 * time.Millisecond
-	orderListCalls    = 3
 	// orderCheckLimit is how long an entry VM that starts waits for a list of orders, and
 	// orderCheckTime how long the watch of servers does: others may have left meanwhile.
 	orderCheckLimit = 1500 * time.Millisecond
 	orderCheckTime  = 500 * time.Millisecond
 )
 
-// orderChecks are requests to list the orders of version moves now. The zero value has none.
-type orderChecks struct {
-	mu      sync.Mutex
-	waiting []chan<- error
-	asked   chan struct{} // closed when a list is asked for
-}
-
-// wake asks for a list; its outcome is sent to done, unless done is nil.
-func (o *orderChecks) wake(done chan<- error) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	if done != nil {
-		o.waiting = append(o.waiting, done)
-	}
-	if o.asked != nil {
-		close(o.asked)
-		o.asked = nil
-	}
-}
-
-// begin returns who has asked for a list so far, and a channel that is closed when the next one does.
-func (o *orderChecks) begin() (waiting []chan<- error, asked <-chan struct{}) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	waiting, o.waiting = o.waiting, nil
-	if o.asked == nil {
-		o.asked = make(chan struct{})
-	}
-	return waiting, o.asked
-}
-
 // watchMoves follows the operator's orders to move services until ctx ends.
 func (d *Daemon) watchMoves(ctx context.Context) {
 	var era backend.Era
 	var relistAt time.Time // until then orders that the list lacks are kept; zero unless the store was just restored
-	for ctx.Err() == nil {
-		waiting, asked := d.orders.begin()
-		page, err := clock.Hedge(ctx, orderListInterval, orderListCalls, func(ctx context.Context) (platform.Page, error) {
-			return d.store.List(ctx, platform.Moves, false)
-		})
-		rev := page.Revision
-		if err == nil {
+	d.watchRare(ctx, &rareWatch{
+		kind: platform.Moves, what: "orders of version moves", requests: &d.orders,
+		list: func(page platform.Page) time.Time {
 			switch now := time.Now(); {
-			case era < rev.Era && len(d.moves.list(now)) > 0:
+			case era < page.Revision.Era && len(d.moves.list(now)) > 0:
 				relistAt = now.Add(restoredOrderHold)
 			case !now.Before(relistAt):
 				relistAt = time.Time{}
 			}
-			era = rev.Era
+			era = page.Revision.Era
 			d.applyMoveList(page, relistAt.IsZero())
 			d.moves.setListed(time.Now())
-		}
-		for _, done := range waiting {
-			done <- err
-		}
-		for err == nil && ctx.Err() == nil && (relistAt.IsZero() || time.Now().Before(relistAt)) && !isClosed(asked) {
-			wait := orderWatchWait
+			return relistAt
+		},
+		change: func(c platform.Change) { d.applyMoveChange(c, false) },
+		wait: func() time.Duration {
 			if len(d.moves.active()) > 0 {
-				wait = watchWait // a connection that has gone silent is noticed sooner
-			}
-			start := time.Now()
-			var c platform.Changes
-			c, err = d.watchUntil(ctx, asked, rev, wait)
-			for _, ch := range c.Changes {
-				d.applyMoveChange(ch, false)
-			}
-			rev = backend.Latest(rev, c.Revision)
-			if err == nil {
-				// A watch that ends at once must not be repeated at once.
-				_ = clock.Until(ctx, start.Add(watchInterval)) // the loop condition checks ctx
+				return watchWait // a connection that has gone silent is noticed sooner
 			}
-		}
-		if ctx.Err() == nil && err != nil && result.CodeOf(err) != result.HistoryGone && !isClosed(asked) {
-			d.log.Info("orders of version moves not received", zap.Error(err))
-			_ = clock.Sleep(ctx, maxBackoff) // the loop condition checks ctx
-			d.awaitStore(ctx, orderWatchWait)
-		}
-	}
-}
-
-// watchUntil watches the orders until a list is asked for.
-func (d *Daemon) watchUntil(ctx context.Context, asked <-chan struct{}, rev backend.Revision, wait time.Duration) (platform.Changes, error) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	go func() {
-		select {
-		case <-asked:
-			cancel()
-		case <-ctx.Done():
-		}
-	}()
-	return d.store.Watch(ctx, platform.Moves, rev, wait)
-}
-
-func isClosed(c <-chan struct{}) bool {
-	select {
-	case <-c:
-		return true
-	default:
-		return false
-	}
-}
-
-// renewWatches replaces calls that may wait long, and kept connections, after calls to the store have
-// failed: connections may have gone silent, of which only those with short calls show it soon.
-func (d *Daemon) renewWatches() {
-	d.store.CloseIdle()
-	d.orders.wake(nil)
+			return orderWatchWait
+		},
+	})
 }
 
 // checkOrders waits until the orders were listed.
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -118,35 +118,20 @@
 	}
 }
 
-// watchCrashes follows the crashes in the store until ctx ends.
+// watchCrashes follows the crashes in the store until ctx ends. After the store was restored from an older copy, those that it
+// lacks are written again.
 func (d *Daemon) watchCrashes(ctx context.Context) {
 	var era backend.Era
-	for ctx.Err() == nil {
-		page, err := d.store.List(ctx, platform.Crashes, false)
-		rev := page.Revision
-		if err == nil {
-			d.applyCrashPage(page, era != 0 && era < rev.Era)
-			era = rev.Era
-		}
-		for err == nil && ctx.Err() == nil {
-			start := time.Now()
-			var c platform.Changes
-			c, err = d.store.Watch(ctx, platform.Crashes, rev, crashWatchWait)
-			for i := range c.Changes {
-				d.applyCrashChange(&c.Changes[i])
-			}
-			rev = backend.Latest(rev, c.Revision)
-			if err == nil {
-				// A watch that ends at once must not be repeated at once.
-				_ = clock.Until(ctx, start.Add(watchInterval)) // the loop condition checks ctx
-			}
-		}
-		if ctx.Err() == nil && err != nil && result.CodeOf(err) != result.HistoryGone {
-			d.log.Info("crashes not received", zap.Error(err))
-			_ = clock.Sleep(ctx, maxBackoff) // the loop condition checks ctx
-			d.awaitStore(ctx, orderWatchWait)
-		}
-	}
+	d.watchRare(ctx, &rareWatch{
+		kind: platform.Crashes, what: "crashes", requests: &d.crashLists,
+		list: func(page platform.Page) time.Time {
+			d.applyCrashPage(page, era != 0 && era < page.Revision.Era)
+			era = page.Revision.Era
+			return time.Time{}
+		},
+		change: func(c platform.Change) { d.applyCrashChange(&c) },
+		wait:   func() time.Duration { return crashWatchWait },
+	})
 }
 
 func readCrash(o *platform.Object) (quarantine.Crash, error) {
