The first restore of the store keeps crash records

Cause: watchCrashes took the era 0 for none, and dropped the crashes that the copy lacks.

Change: whether a list was read is a variable of its own.

Evidence: TestCrashesAfterDrill failed before in 2 of 2 cases, and passes.

--- a/gateway/crashing_test.go
+++ b/gateway/crashing_test.go
@@ -266,6 +266,33 @@
 	}
 }
 
+// TestCrashesAfterDrill guards against requests that crash servers and reach them again after the store was restored from an older copy
+// for the first time: its era was 0 before.
+func TestCrashesAfterDrill(t *testing.T) {
+	for _, kind := range requestKinds[3:] {
+		inWorld(t, kind.name, func(w *world) {
+			c := newCrashingTest(w, kind)
+			before := w.store.Copy()
+			c.playCrashing(3*time.Second, 400*time.Millisecond)
+			c.wg.Wait()
+			from := c.boundStart()
+			time.Sleep(2 * time.Second)
+			w.restore(before)
+			w.configure(w.version, "key-1")
+			for _, s := range c.servers {
+				w.heartbeat(s, "ready")
+			}
+			if back := time.Now().Add(contactBound); back.After(from) {
+				from = back
+			}
+			time.Sleep(time.Until(from))
+			c.playCrashing(12*time.Second, 400*time.Millisecond)
+			c.wg.Wait()
+			So(c.sentSince(from), ShouldBeLessThanOrEqualTo, maxSentAfter)
+		})
+	}
+}
+
 // TestCrashesUnheard guards against requests that crash servers and reach more of them through failure domains that do not hear of it,
 // as all channels to the store have gone silent.
 func TestCrashesUnheard(t *testing.T) {
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -122,11 +122,12 @@
 // lacks are written again.
 func (d *Daemon) watchCrashes(ctx context.Context) {
 	var era backend.Era
+	listed := false // era is that of a list
 	d.watchRare(ctx, &rareWatch{
 		kind: platform.Crashes, what: "crashes", requests: &d.crashLists,
 		list: func(page platform.Page) time.Time {
-			d.applyCrashPage(page, era != 0 && era < page.Revision.Era)
-			era = page.Revision.Era
+			d.applyCrashPage(page, listed && era < page.Revision.Era)
+			era, listed = page.Revision.Era, true
 			return time.Time{}
 		},
 		change: func(c platform.Change) { d.applyCrashChange(&c) },
