Retry-After of a server is kept however long it is

Cause: platform.maxRetryAfter cut the time to 30 s.

Change: only the bound on all durations that others name is left.

Evidence: with the old code, TestRefusedUntil fails in 6 cases, among them a server that gets requests before 45 s are over; none now.

--- a/relay/notices_test.go
+++ b/relay/notices_test.go
@@ -155,9 +155,24 @@
 		So(a.status, ShouldEqual, 503)
 		So(a.took, ShouldBeLessThan, 100*time.Millisecond)
 	})
+	withHarness(t, "one of two servers, for longer than most", func(w *harness) {
+		busy := w.add("a0", "app", 0, work)
+		busy.SetFault(platformtest.Fault{Refuse: true, RetryAfter: "45"})
+		w.add("a1", "app", 1, work)
+		for i := range 200 {
+			So(call(w, strconv.Itoa(i)).status, ShouldEqual, 200)
+			time.Sleep(500 * time.Millisecond)
+		}
+		refused := busy.Refused()
+		So(len(refused), ShouldBeBetweenOrEqual, 2, 3)
+		for i := 1; i < len(refused); i++ {
+			So(refused[i].Sub(refused[i-1]), ShouldBeGreaterThan, 44900*time.Millisecond)
+		}
+	})
+	const longest = 1e6 * time.Second // keeps sums of times in range
 	for value, least := range map[string]time.Duration{
 		"soon": 0, "-1": 0, "NaN": 0, "": 0, "0": 0, "Fri, 31 Dec 1999 23:59:59 GMT": 0, "0.4": 400 * time.Millisecond,
-		"1e300": 30 * time.Second, "+Inf": 30 * time.Second, "99999999999999999999": 30 * time.Second,
+		"45": 45 * time.Second, "3600": time.Hour, "1e300": longest, "+Inf": longest, "99999999999999999999": longest,
 	} {
 		withHarness(t, fmt.Sprintf("Retry-After %q", value), func(w *harness) {
 			w.add("a0", "app", 0, work).SetFault(platformtest.Fault{Refuse: true, RetryAfter: value})
