A request waits until the crashes that block it are confirmed

Callers saw: streams that ended with 502 or after two events, 'request crashed 3 servers', as three of nine engines reset connections while a long prompt was written; the others had room.

Cause: crashes count before a probe has confirmed them, so that the request is not sent on; three resets in less than 100 ms rejected it for good, although all engines were alive.

Change: a block that only stands with unconfirmed crashes lets the request wait, neither sent nor rejected; a confirmation wakes streams that have not begun.

The harness of relay checks now that every request has an outcome.

--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -381,6 +381,10 @@
 	if r := l.records[n]; r != nil {
 		r.unconfirmed = false
 	}
+	if l.changed != nil {
+		close(l.changed)
+		l.changed = nil
+	}
 }
 
 // soundSince reports whether a server got past the beginning of an answer to a suspect since an instant.
@@ -422,7 +426,7 @@
 	return true
 }
 
-// Changed returns a channel that is closed when a suspect becomes blocked.
+// Changed returns a channel that is closed when a suspect may have become blocked.
 func (l *List) Changed() <-chan struct{} {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -654,13 +658,15 @@
 	Until time.Time
 	// Trial is to be claimed from Until on by the entry VM that sends the request then.
 	Trial Crash
+	// Unconfirmed reports whether it is not known yet if so many servers were lost. It is soon.
+	Unconfirmed bool
 }
 
 // Blocked reports whether a request with the given suspects is not to be sent, since one of them
 // has crashed blockAfter servers. Requests that share parts with those that crash engines remain
 // served: a part is not blocked unless blockAfter different requests are needed to explain its
 // crashes, nor while each of these is explained by another part that has crashed as many servers
-// and that the request lacks. Of several blocks, the one that lasts longest is returned.
+// and that the request lacks. Of several blocks, the one that lasts longest is returned, confirmed ones before others.
 func (l *List) Blocked(now time.Time, service routing.ServiceName, suspects []Suspect) (Block, bool) {
 	l.mu.RLock()
 	defer l.mu.RUnlock()
@@ -679,7 +685,9 @@
 			continue
 		}
 		b := Block{Suspect: s, Crashes: n}
-		if b.Until, b.Trial = l.blockedUntil(now, service, s); b.Until.After(longest.Until) {
+		b.Unconfirmed = l.confirmed(now, service, s) < blockAfter
+		b.Until, b.Trial = l.blockedUntil(now, service, s)
+		if longest.Crashes == 0 || longest.Unconfirmed && !b.Unconfirmed || longest.Unconfirmed == b.Unconfirmed && b.Until.After(longest.Until) {
 			longest = b
 		}
 	}
@@ -742,6 +750,18 @@
 	return starts
 }
 
+// confirmed returns how many starts of servers are known to have crashed under a suspect.
+func (l *List) confirmed(now time.Time, service routing.ServiceName, s Suspect) int {
+	starts := make(map[incarnation]bool)
+	l.each(now, service, s, func(r *record) bool {
+		if !r.unconfirmed {
+			starts[r.incarnation()] = true
+		}
+		return true
+	})
+	return len(starts)
+}
+
 // requests returns how many different requests it takes to explain all crashes of a part. A server
 // that crashes takes all requests on it along, so that not each of them has to be to blame.
 func (l *List) requests(now time.Time, service routing.ServiceName, part Suspect) int {
--- a/relay/plain.go
+++ b/relay/plain.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"quetzalhold/backend"
+	"quetzalhold/clock"
 	"quetzalhold/engine"
 	"quetzalhold/platform"
 	"quetzalhold/quarantine"
@@ -122,6 +123,9 @@
 func (r *Relay) sendPlain(ctx context.Context, p *plainRequest) Action {
 	p.block = nil
 	p.beginTrials()
+	for p.isUnconfirmed() && ctx.Err() == nil {
+		_ = clock.Sleep(ctx, confirmInterval) // the loop condition checks ctx
+	}
 	if b, ok := p.rejected(); ok {
 		p.block = &b
 		return p.retrier.Conclude()
--- a/relay/quarantine.go
+++ b/relay/quarantine.go
@@ -134,10 +134,20 @@
 	}
 }
 
-// rejected reports whether the request is blocked and no trial is due.
+// rejected reports whether the request is blocked, as far as is known, and no trial is due.
 func (j *job) rejected() (quarantine.Block, bool) {
 	b, ok := j.blocked()
-	return b, ok && time.Now().Before(b.Until)
+	return b, ok && !b.Unconfirmed && time.Now().Before(b.Until)
+}
+
+// confirmInterval is how often a request looks whether what blocks it is confirmed.
+const confirmInterval = 30 * time.Millisecond
+
+// isUnconfirmed reports whether the request is blocked by crashes of which it is not known yet whether servers were lost. It must
+// not be sent meanwhile.
+func (j *job) isUnconfirmed() bool {
+	b, ok := j.blocked()
+	return ok && b.Unconfirmed
 }
 
 // claimRetryDelay is when a request may be sent again that could not claim a trial which was due.
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -257,6 +257,12 @@
 		if s.rejectBlocked() || !s.awaitTurn() || s.rejectBlocked() {
 			return false
 		}
+		if s.isUnconfirmed() {
+			if !s.wait(confirmInterval) {
+				return false
+			}
+			continue
+		}
 		now, budget := time.Now(), s.relay.Budget(s.service)
 		if s.headSent && s.sends > 0 && !budget.Available(now) {
 			// An answer under way waits for a retry, which new requests earn.
--- a/relay/world_test.go
+++ b/relay/world_test.go
@@ -79,6 +79,7 @@
 		defer w.mu.Unlock()
 		w.codes = append(w.codes, c)
 	}
+	r.Answered = func(relay.ServerAnswer) {}
 	r.Log = zap.NewNop()
 	w.relay = r
 	var base context.Context
@@ -392,7 +393,10 @@
 		synctest.Test(t, func(t *testing.T) {
 			Convey(name, t, func() {
 				w := newHarness()
-				defer time.Sleep(time.Minute)
+				defer func() {
+					time.Sleep(time.Minute)
+					So(w.relay.OpenExchanges(), ShouldEqual, 0) // each request has an outcome
+				}()
 				defer w.close()
 				f(w)
 			})
