--- a/relay/observation.go
+++ b/relay/observation.go
@@ -92,6 +92,7 @@
 	}
 }
 
+// call calls Relay.Answered, with what identifies the request.
 func (o *observation) call(a ServerAnswer) {
 	a.Service, a.Route, a.Server, a.Version = o.job.service, o.job.route.Name, o.by.ID, o.by.Version
 	o.job.relay.Answered(a)
@@ -154,7 +155,7 @@
 	}
 }
 
-// whenKnown calls f once the request is late or has an outcome, and perhaps twice.
+// whenKnown calls f once the request is late or has an outcome. It may be called again after that.
 func (o *observation) whenKnown(f func()) {
 	o.mu.Lock()
 	known := o.reported || o.losing || o.late
--- a/relay/plain.go
+++ b/relay/plain.go
@@ -48,7 +48,7 @@
 	at       time.Time
 	attempts int
 	handover HandoverID // to another entry VM
-	seen     *observation
+	observed *observation
 	cancel   context.CancelFunc
 }
 
@@ -168,16 +168,16 @@
 	}
 	p.retrier.Sent(attempts)
 	ctx = p.mayKeep(ctx, &to)
-	seen := p.observe(to)
-	ctx, cancel := p.sendContext(ctx, seen)
-	p.sentTo = append(p.sentTo, sentTo{server: to, at: now, attempts: attempts, handover: handover, seen: seen, cancel: cancel})
+	observed := p.observe(to)
+	ctx, cancel := p.sendContext(ctx, observed)
+	p.sentTo = append(p.sentTo, sentTo{server: to, at: now, attempts: attempts, handover: handover, observed: observed, cancel: cancel})
 	go func() {
 		rep := reply{server: to}
 		rep.err = telemetry.Guard(r.Log, "exchange", func() error {
 			rep = r.exchange(ctx, p.msg, to, send)
 			return rep.err
 		})
-		rep.seen = seen
+		rep.observed = observed
 		p.report(&rep)
 		p.replies <- rep
 	}()
@@ -185,8 +185,8 @@
 }
 
 // sendContext returns the context of a send. One by whose answer a version move is judged outlasts its request.
-func (p *plainRequest) sendContext(ctx context.Context, seen *observation) (context.Context, context.CancelFunc) {
-	if seen.judged() {
+func (p *plainRequest) sendContext(ctx context.Context, observed *observation) (context.Context, context.CancelFunc) {
+	if observed.judged() {
 		return context.WithDeadline(context.WithoutCancel(ctx), p.deadline)
 	}
 	return context.WithCancel(ctx)
@@ -196,16 +196,16 @@
 func (j *job) report(rep *reply) {
 	switch {
 	case rep.outcome == Answered && rep.status >= http.StatusInternalServerError:
-		rep.seen.report(ServerAnswer{Failed: true})
+		rep.observed.report(ServerAnswer{Failed: true})
 	case rep.outcome == Answered && rep.rest != nil:
 	case rep.outcome == Answered:
-		rep.seen.report(ServerAnswer{First: rep.took})
+		rep.observed.report(ServerAnswer{First: rep.took})
 	case rep.outcome == Lost && j.isOver():
-		rep.seen.cut()
+		rep.observed.cut()
 	case rep.outcome == Lost && !failedOnKept(rep.err):
-		rep.seen.lose()
+		rep.observed.lose()
 	default:
-		rep.seen.drop()
+		rep.observed.drop()
 	}
 }
 
@@ -214,20 +214,20 @@
 const overtakenLimit = 400 * time.Millisecond
 
 // giveUpOpen ends the sends that have no outcome yet: another one has overtaken them, or the request is over. Those by whose
-// answers a version move is judged go on for a moment, or until they count as slow, if they were overtaken: what
-// hides behind them may be failures.
+// answers a version move is judged go on for a moment if they were overtaken, until they have an outcome or count as slow:
+// the overtaken answers may be failures.
 func (p *plainRequest) giveUpOpen() {
 	over := p.isOver()
 	for _, s := range p.sentTo {
 		end := func() {
-			s.seen.cut()
+			s.observed.cut()
 			s.cancel()
 		}
-		if over || !s.seen.judged() {
+		if over || !s.observed.judged() {
 			end()
 			continue
 		}
-		s.seen.whenKnown(s.cancel)
+		s.observed.whenKnown(s.cancel)
 		time.AfterFunc(overtakenLimit, end)
 	}
 }
@@ -362,13 +362,13 @@
 	}
 	switch {
 	case to.flush() != nil:
-		rep.seen.drop()
+		rep.observed.drop()
 		j.end(result.CallerGone, rep.server.ID, zap.Int("status", rep.status), zap.NamedError("writeError", to.err))
 	case err != nil:
-		rep.seen.lose()
+		rep.observed.lose()
 		j.end(result.OutcomeUnknown, rep.server.ID, zap.String("why", "the rest of the answer was lost"), zap.Error(err))
 	default:
-		rep.seen.report(ServerAnswer{First: rep.took})
+		rep.observed.report(ServerAnswer{First: rep.took})
 		j.end(result.OK, rep.server.ID, zap.Int("status", rep.status))
 		return
 	}
--- a/relay/send.go
+++ b/relay/send.go
@@ -304,16 +304,16 @@
 
 // reply is the result of a plain request at one server.
 type reply struct {
-	server  backend.Choice
-	seen    *observation
-	took    time.Duration
-	outcome Outcome
-	err     error
-	status  int
-	header  http.Header
-	body    []byte
-	rest    io.Reader // the part of the body that is not buffered; nil if it is complete
-	spent   string    // what another entry VM states of the attempts lent to it
+	server   backend.Choice
+	observed *observation
+	took     time.Duration
+	outcome  Outcome
+	err      error
+	status   int
+	header   http.Header
+	body     []byte
+	rest     io.Reader // the part of the body that is not buffered; nil if it is complete
+	spent    string    // what another entry VM states of the attempts lent to it
 }
 
 // exchange sends a plain request and reads the answer: a truncated one must not reach the
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -64,9 +64,9 @@
 	ending ending
 	meter  *meter // measures its engine; nil if it was sent to another entry VM
 
-	seen    *observation
-	timed   bool // its times can be compared with those of other streams: it is the first send of a whole stream
-	suspect bool // its server is thought to be lost
+	observed *observation
+	timed    bool // its times can be compared with those of other streams: it is the first send of a whole stream
+	suspect  bool // its server is thought to be lost
 }
 
 // part is a part of a run's output: that its connection is open, the response head, an event, or
@@ -386,7 +386,7 @@
 		send.Server = ""
 		ctx, s.cur.handed = s.admitted(ctx, s.cur.lent, s.handedCopy)
 	}
-	s.cur.seen = s.observe(to)
+	s.cur.observed = s.observe(to)
 	s.beginPending(memory)
 	s.cur.meter = s.newMeter(now, &p.Run, memory != nil)
 	s.addAttempt(s.cur)
@@ -547,7 +547,7 @@
 	s.endPending(now)
 	if !s.cur.started {
 		s.cur.started = true
-		s.cur.seen.begun()
+		s.cur.observed.begun()
 		s.relay.Pool.End(s.cur.to.ID, backend.Load{Pending: s.cur.work.Pending, Prefill: s.cur.work.Prefill})
 		s.cur.work.Pending, s.cur.work.Prefill = 0, 0
 	}
@@ -566,13 +566,13 @@
 	}
 	if p.event.id == 0 && s.cur.resumes && !s.cur.proceeded && !p.event.isComment() {
 		// The events that the caller has received have ids: this is an error, or no event at all.
-		s.cur.seen.report(ServerAnswer{Failed: true})
+		s.cur.observed.report(ServerAnswer{Failed: true})
 		return s.failOver("event without an id")
 	}
 	s.cur.proceeded = s.cur.proceeded || p.event.id != 0
 	if !s.follows(p.event.id) {
 		s.logEvent("event missing", s.cur.to.ID, zap.Int64("event", p.event.id), zap.Int64("lastEvent", s.lastID))
-		s.cur.seen.report(ServerAnswer{Failed: true})
+		s.cur.observed.report(ServerAnswer{Failed: true})
 		return s.failOver("event missing")
 	}
 	return s.forward(p.event)
@@ -632,10 +632,10 @@
 	if s.sends == 1 && s.msg.params.LastEvent == "" && s.lastID > 1 {
 		first, gap := s.firstAt.Sub(s.startedAt)-s.turn.waited, time.Since(s.firstAt)/time.Duration(s.lastID-1)
 		s.relay.stats.Add(s.route.Name, Sample{Prompt: s.msg.params.PromptTokens, First: first, Gap: gap, Events: s.lastID})
-		s.cur.seen.report(ServerAnswer{First: first, Gap: gap})
+		s.cur.observed.report(ServerAnswer{First: first, Gap: gap})
 		s.observeOutput()
 	}
-	s.cur.seen.drop() // its times can't be compared with those of others
+	s.cur.observed.drop() // its times can't be compared with those of others
 	server := s.cur.to.ID
 	s.awaitCaller()
 	s.end(result.OK, server, zap.Int64("lastEvent", s.lastID))
@@ -668,7 +668,7 @@
 	a := ServerAnswer{Partial: true, Hung: hung}
 	switch {
 	case !hung && (r.suspect || r.state.probeFailed(time.Now())):
-		r.seen.drop()
+		r.observed.drop()
 		return
 	case r.timed && s.headSent:
 		a.First = s.firstAt.Sub(s.startedAt) - s.turn.waited
@@ -680,7 +680,7 @@
 	case !r.started:
 		a.First = time.Since(r.sentAt)
 	}
-	r.seen.report(a)
+	r.observed.report(a)
 }
 
 // handleEarlyEnd decides what follows a run that ended early. It returns false if the request
@@ -719,17 +719,17 @@
 		s.keepTrials(r.to)
 		s.ran.remove(r)
 		s.refundRetry(p.err)
-		r.seen.drop()
+		r.observed.drop()
 	case Answered:
 		s.markSound([]quarantine.Suspect{s.fingerprint.Suspect()})
-		r.seen.report(ServerAnswer{Failed: true})
-		s.failure = &reply{server: r.to, seen: r.seen, status: p.head.StatusCode, header: p.head.Header, body: p.event.raw}
+		r.observed.report(ServerAnswer{Failed: true})
+		s.failure = &reply{server: r.to, observed: r.observed, status: p.head.StatusCode, header: p.head.Header, body: p.event.raw}
 	case Lost:
 		// A run that ended with the request's context shows no failure of its engine.
 		if s.ctx.Err() == nil {
 			s.relay.Pool.MarkFailed(r.to.ID, time.Now())
 			s.observeCrash(r, p.err)
-			r.seen.lose()
+			r.observed.lose()
 		}
 	}
 }
