--- a/gateway/quarantine_test.go
+++ b/gateway/quarantine_test.go
@@ -155,21 +155,23 @@
 		len(slices.DeleteFunc(slices.Clone(c.failed), func(t time.Time) bool { return !after(t) }))
 }
 
+// checkBlocked plays requests with the part, and checks that it is blocked in time and sound requests are served.
+func (c *crashTest) checkBlocked() {
+	begin := time.Now()
+	c.play(25*time.Second, 0)
+	c.wg.Wait()
+	So(len(c.crashes), ShouldBeGreaterThanOrEqualTo, 1)
+	So(c.sentAfterBound(), ShouldBeLessThanOrEqualTo, maxSentAfter)
+	answered, failed := c.soundSince(begin.Add(12 * time.Second))
+	So(answered, ShouldBeGreaterThan, 80)
+	So(failed, ShouldEqual, 0)
+}
+
 // TestPromptPartCrashesEngines guards against requests with one part in their prompts that crash
 // one engine after the other, however far the answer has come.
 func TestPromptPartCrashesEngines(t *testing.T) {
 	for _, x := range partFaults {
-		inWorld(t, x.name, func(w *world) {
-			c := newCrashTest(w, x.fault)
-			begin := time.Now()
-			c.play(25*time.Second, 0)
-			c.wg.Wait()
-			So(len(c.crashes), ShouldBeGreaterThanOrEqualTo, 1)
-			So(c.sentAfterBound(), ShouldBeLessThanOrEqualTo, maxSentAfter)
-			answered, failed := c.soundSince(begin.Add(12 * time.Second))
-			So(answered, ShouldBeGreaterThan, 80)
-			So(failed, ShouldEqual, 0)
-		})
+		inWorld(t, x.name, func(w *world) { newCrashTest(w, x.fault).checkBlocked() })
 		inWorld(t, x.name+", rarely", func(w *world) {
 			c := newCrashTest(w, x.fault)
 			for i := range 12 {
@@ -186,14 +188,7 @@
 			inWorld(t, fmt.Sprintf("%s, after %d parts", x.name, deep), func(w *world) {
 				c := newCrashTest(w, x.fault)
 				c.deep = deep
-				begin := time.Now()
-				c.play(25*time.Second, 0)
-				c.wg.Wait()
-				So(len(c.crashes), ShouldBeGreaterThanOrEqualTo, 1)
-				So(c.sentAfterBound(), ShouldBeLessThanOrEqualTo, maxSentAfter)
-				answered, failed := c.soundSince(begin.Add(12 * time.Second))
-				So(answered, ShouldBeGreaterThan, 80)
-				So(failed, ShouldEqual, 0)
+				c.checkBlocked()
 			})
 		}
 	}
