--- /dev/null
+++ b/review/scenario3/engine.go
@@ -0,0 +1,206 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// path is the way of one gateway to a server: a listener of its own, which can be cut.
+type path struct {
+	net.Listener
+
+	mu    sync.Mutex
+	conns map[net.Conn]bool
+}
+
+func newPath() (*path, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	return &path{Listener: l, conns: make(map[net.Conn]bool)}, nil
+}
+
+// address is where the gateway reaches the server.
+func (p *path) address() string { return p.Addr().String() }
+
+// track is a ConnState hook.
+func (p *path) track(c net.Conn, state http.ConnState) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	switch state {
+	case http.StateNew:
+		p.conns[c] = true
+	case http.StateClosed, http.StateHijacked:
+		delete(p.conns, c)
+	default:
+	}
+}
+
+// refuse lets the channels that are open live on, and refuses new ones.
+func (p *path) refuse() { _ = p.Close() }
+
+// exit closes the path and all its channels, as when the server's process ends.
+func (p *path) exit() {
+	_ = p.Close()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.conns {
+		_ = c.Close()
+	}
+}
+
+// engine is a model engine, which each gateway reaches by a path of its own.
+type engine struct {
+	world      *world
+	id, zone   string
+	born       int64
+	eventEvery time.Duration
+	// eventID returns the id of event n; nil if it is the event's number.
+	eventID func(n int) int
+	// refuses reports whether the engine turns a new request away; retryAfter is then in its answer.
+	refuses    func(*http.Request) bool
+	retryAfter time.Duration
+	// arrived is called for each request of a caller that reaches it, with the gateway from which it came, and answered
+	// with the status of its answer.
+	arrived  func(gateway string, r *http.Request, at time.Time)
+	answered func(gateway string, r *http.Request, status int, at time.Time)
+
+	paths map[string]*path // by gateway
+
+	mu   sync.Mutex
+	runs map[string]int // events made, by request
+}
+
+// start begins to serve on a path for each gateway.
+func (e *engine) start(gateways ...string) error {
+	e.born, e.paths, e.runs = time.Now().UnixMilli(), make(map[string]*path), make(map[string]int)
+	for _, g := range gateways {
+		p, err := newPath()
+		if err != nil {
+			return err
+		}
+		e.paths[g] = p
+		s := &http.Server{
+			Handler:           http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { e.handle(w, r, g) }),
+			ReadHeaderTimeout: time.Minute,
+			ConnState:         p.track,
+		}
+		go func() { _ = s.Serve(p) }()
+	}
+	return nil
+}
+
+// entry is what the engine registers of itself, with the address at which a gateway reaches it.
+func (e *engine) entry(gateway, state string) map[string]any {
+	return map[string]any{
+		"service": "models", "address": e.paths[gateway].address(), "zone": e.zone, "version": "v1", "slots": 24, "state": state,
+		"cold_left_ms": 0, "sequence": 1, "born": e.born,
+	}
+}
+
+func (e *engine) handle(w http.ResponseWriter, r *http.Request, gateway string) {
+	w.Header().Set("X-Instance-Id", e.id)
+	switch r.URL.Path {
+	case "/health":
+		return
+	case "/report":
+		e.report(w)
+		return
+	case "/kv-events":
+		writeJSON(w, map[string]any{"epoch": e.born, "next": 1, "lost": false, "events": []any{}})
+		return
+	}
+	id := r.Header.Get("X-Request-Id")
+	w.Header().Set("X-Request-Id", id)
+	if id == "" { // an order about a run that it does not have any more
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	e.arrived(gateway, r, time.Now())
+	if want := r.Header.Get("X-Expect-Instance"); want != "" && want != e.id {
+		e.refuse(w, r, gateway, http.StatusMisdirectedRequest)
+		return
+	}
+	if e.refuses != nil && e.refuses(r) {
+		w.Header().Set("Retry-After", strconv.FormatFloat(e.retryAfter.Seconds(), 'f', -1, 64))
+		e.refuse(w, r, gateway, http.StatusServiceUnavailable)
+		return
+	}
+	e.stream(w, r, gateway)
+}
+
+func (e *engine) refuse(w http.ResponseWriter, r *http.Request, gateway string, status int) {
+	w.Header().Set("X-Not-Executed", "1")
+	w.WriteHeader(status)
+	e.answered(gateway, r, status, time.Now())
+}
+
+func (e *engine) report(w http.ResponseWriter) {
+	e.mu.Lock()
+	runs := make([][]any, 0, len(e.runs))
+	for id, made := range e.runs {
+		runs = append(runs, []any{id, 1000, made, 1})
+	}
+	e.mu.Unlock()
+	writeJSON(w, map[string]any{
+		"stage": "both", "models": []any{map[string]any{"name": "m", "version": 1, "lora_adapters": []any{}}}, "busy": false, "sequence": 1,
+		"waiting": 0, "running": len(runs), "kv_used": 1000 * len(runs), "kv_total": 88000, "handles": 0, "state": "ready", "runs": runs, "born": e.born,
+	})
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(w).Encode(v); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+const tokensPerEvent = 5
+
+// stream runs a request from the event after the last one that its caller has.
+func (e *engine) stream(w http.ResponseWriter, r *http.Request, gateway string) {
+	id := r.Header.Get("X-Request-Id")
+	_, out, _ := strings.Cut(r.Header.Get("X-Token-Count"), ",")
+	limit, _ := strconv.Atoi(out)
+	last, err := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	if err != nil {
+		last = -1 // it has none
+	}
+	w.Header().Set("X-Server-Stamp", "stamp."+e.id)
+	w.Header().Set("X-Weight-Versions", "1")
+	w.Header().Set("Content-Type", "text/event-stream")
+	e.answered(gateway, r, http.StatusOK, time.Now())
+	defer func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		delete(e.runs, id)
+	}()
+	for n := 1; n <= limit/tokensPerEvent; n++ {
+		number := n
+		if e.eventID != nil {
+			number = e.eventID(n)
+		}
+		if number <= last {
+			continue
+		}
+		select {
+		case <-time.After(e.eventEvery):
+		case <-r.Context().Done():
+			return
+		}
+		e.mu.Lock()
+		e.runs[id] = n
+		e.mu.Unlock()
+		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s-%d\n\n", number, r.URL.Path, n); err != nil {
+			return
+		}
+		_ = http.NewResponseController(w).Flush() // a failure shows at the next write
+	}
+}
