Add review case 11: comments of engines hide crashes

Cause: relay counts comments of a stream as events of the answer, and at the third one takes the request and the parts of its prompt for sound; the crash that follows is held against nothing.

Done: the case for the rule BUDGET; cases 11 to 14 become 12 to 15, as it is the gravest. Played with review/11/run.sh on x86-64.

--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -6,7 +6,7 @@
 trap 'rm -rf "$dir"' EXIT
 trouble=true
 if [ "${TROUBLE:-1}" = 0 ]; then trouble=false; fi
-timeout --kill-after=5 110 target/scenario3 --case from-zero --trouble="$trouble" --gateway target/quetzalhold --record review/13/record.txt --dir "$dir"
+timeout --kill-after=5 110 target/scenario3 --case uneven-ids --trouble="$trouble" --gateway target/quetzalhold --record review/13/record.txt --dir "$dir"
 code=$?
 if [ "$code" -gt 1 ]; then exit 2; fi
 exit "$code"
--- a/review/scenario3/engine.go
+++ b/review/scenario3/engine.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -62,6 +63,12 @@
 	id, zone   string
 	born       int64
 	eventEvery time.Duration
+	// prefill is how long it reads a prompt, during which it sends comments at an interval; 0 for none.
+	prefill, comments time.Duration
+	// crashes reports whether the engine crashes when it begins to write an answer.
+	crashes func(*http.Request) bool
+	// crashed is called when it does.
+	crashed func()
 	// eventID returns the id of event n; nil if it is the event's number.
 	eventID func(n int) int
 	// refuses reports whether the engine turns a new request away; retryAfter is then in its answer.
@@ -162,6 +169,30 @@
 	}
 }
 
+// readPrompt takes the time of reading the prompt. It reports false if the client has left.
+func (e *engine) readPrompt(w http.ResponseWriter, r *http.Request) bool {
+	done := time.After(e.prefill)
+	var comment <-chan time.Time
+	if e.comments > 0 {
+		t := time.NewTicker(e.comments)
+		defer t.Stop()
+		comment = t.C
+	}
+	for {
+		select {
+		case <-done:
+			return true
+		case <-r.Context().Done():
+			return false
+		case <-comment:
+			if _, err := io.WriteString(w, ": reading the prompt\n\n"); err != nil {
+				return false
+			}
+			_ = http.NewResponseController(w).Flush() // a failure shows at the next write
+		}
+	}
+}
+
 const tokensPerEvent = 5
 
 // stream runs a request from the event after the last one that its caller has.
@@ -182,6 +213,13 @@
 		defer e.mu.Unlock()
 		delete(e.runs, id)
 	}()
+	if !e.readPrompt(w, r) {
+		return
+	}
+	if e.crashes != nil && e.crashes(r) {
+		e.crashed()
+		panic(http.ErrAbortHandler)
+	}
 	for n := 1; n <= limit/tokensPerEvent; n++ {
 		number := n
 		if e.eventID != nil {
--- a/review/scenario3/main.go
+++ b/review/scenario3/main.go
@@ -38,6 +38,7 @@
 		"uneven-ids":   unevenIDs,
 		"encoded-path": encodedPaths,
 		"from-zero":    fromZero,
+		"comments":     comments,
 		"refusal":      refusal,
 	}
 	run, ok := cases[name]
--- a/review/scenario3/refusal.go
+++ b/review/scenario3/refusal.go
@@ -175,9 +175,14 @@
 
 // stream sends a request for a stream and reads it to its end.
 func (w *world) stream(ctx context.Context, c *http.Client, g *gateway, route, id, tokens string) reply {
+	return w.streamOn(ctx, c, g, route, id, tokens, "aa:200")
+}
+
+// streamOn is like stream, for a prompt that begins with some parts.
+func (w *world) streamOn(ctx context.Context, c *http.Client, g *gateway, route, id, tokens, parts string) reply {
 	w.note("sent", "%s to %s", id, g.name)
 	a := send(ctx, c, g, http.MethodPost, "/"+route+"/"+id, id, map[string]string{
-		"X-Deadline-Ms": streamBudget, "X-Model": "m", "X-Token-Count": tokens, "X-Prompt-Prefix": fmt.Sprintf("aa:200,%x:200", id),
+		"X-Deadline-Ms": streamBudget, "X-Model": "m", "X-Token-Count": tokens, "X-Prompt-Prefix": fmt.Sprintf("%s,%x:200", parts, id),
 	}, "prompt")
 	w.note("got", "%s: %d, %d events, %v", id, a.status, strings.Count(a.body, "\n\n"), a.err)
 	return a
