Add scenarios groups and overlaps to the third review

Cause: entries of KNOWN-RED.txt were tried as scripts: requests with a part that crashes engines which come together (TestPartCrashesBeforeHead), and two engines at work on a stream that can't be told to stop before it begins (TestSilencesBeforeFirstEvent).

Done: two more plays in review/scenario3, without a folder; engines that keep runs, break answers off and take orders to stop.

--- a/review/scenario3/comments.go
+++ b/review/scenario3/comments.go
@@ -15,8 +15,9 @@
 const (
 	badPart       = "bad0"
 	badEvery      = 2 * time.Second // between two requests with the part
+	groupSize     = 6               // requests with the part that come together
+	groupEvery    = 8 * time.Second
 	soundEvery    = 250 * time.Millisecond
-	partEngines   = 6
 	partDown      = 4 * time.Second // how long an engine is down after a crash
 	partPrefill   = 450 * time.Millisecond
 	partComments  = 100 * time.Millisecond
@@ -42,14 +43,33 @@
 // comments sends streams of which some have a part in their prompts that crashes each engine which begins to write
 // an answer. While engines read a prompt, they send comments.
 func comments(w *world) error {
+	return w.crashingPart(&crashingPart{engines: 6, comments: partComments, size: 1, every: badEvery})
+}
+
+// groups sends streams of which some have a part in their prompts that crashes each engine which begins to write an
+// answer, before a byte of it. Those with the part come in groups.
+func groups(w *world) error {
+	return w.crashingPart(&crashingPart{engines: 12, size: groupSize, every: groupEvery})
+}
+
+// crashingPart is how requests with a part come that crashes engines.
+type crashingPart struct {
+	engines  int
+	comments time.Duration // between the comments of engines that read a prompt; 0 for none
+	size     int           // requests that come together
+	every    time.Duration
+}
+
+// crashingPart plays streams of which some have a part that crashes engines.
+func (w *world) crashingPart(p *crashingPart) error {
 	configure(w.store)
 	address, err := serve(w.store)
 	if err != nil {
 		return err
 	}
 	x := &partCrashes{}
-	for i := range partEngines {
-		if err := w.addPartEngine(x, i); err != nil {
+	for i := range p.engines {
+		if err := w.addPartEngine(x, i, p.comments); err != nil {
 			return err
 		}
 	}
@@ -67,17 +87,17 @@
 	if err := w.awaitReady(20 * time.Second); err != nil {
 		return err
 	}
-	return x.judge(w, w.playParts())
+	return x.judge(w, w.playParts(p))
 }
 
 // addPartEngine starts an engine that crashes on the part, and comes back.
-func (w *world) addPartEngine(x *partCrashes, i int) error {
+func (w *world) addPartEngine(x *partCrashes, i int, comments time.Duration) error {
 	boot := 0
 	var start func() error
 	start = func() error {
 		boot++
 		e := &engine{
-			world: w, id: fmt.Sprintf("models-%d-%d", i, boot), zone: zones[i%len(zones)], eventEvery: partEvents, prefill: partPrefill, comments: partComments,
+			world: w, id: fmt.Sprintf("models-%d-%d", i, boot), zone: zones[i%len(zones)], eventEvery: partEvents, prefill: partPrefill, comments: comments,
 			answered: func(string, *http.Request, int, time.Time) {},
 		}
 		isBad := func(r *http.Request) bool { return strings.Contains(r.Header.Get("X-Prompt-Prefix"), badPart+":") }
@@ -109,7 +129,7 @@
 }
 
 // playParts sends streams, some of which have the part, and returns the others.
-func (w *world) playParts() []*note {
+func (w *world) playParts(p *crashingPart) []*note {
 	ctx, cancel := context.WithTimeout(context.Background(), commentBudget)
 	defer cancel()
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
@@ -118,10 +138,12 @@
 	began := time.Now()
 	wg.Go(func() {
 		for n := 0; time.Since(began) < partPlay; n++ {
-			wg.Go(func() {
-				w.streamOn(ctx, client, w.gateways[n%len(w.gateways)], "summary", fmt.Sprintf("bad-%d", n), zeroTokens, "aa:200,"+badPart+":200")
-			})
-			time.Sleep(badEvery)
+			for i := range p.size {
+				wg.Go(func() {
+					w.streamOn(ctx, client, w.gateways[(n+i)%len(w.gateways)], "summary", fmt.Sprintf("bad-%d-%d", n, i), zeroTokens, "aa:200,"+badPart+":200")
+				})
+			}
+			time.Sleep(p.every)
 		}
 	})
 	for n := 0; time.Since(began) < partPlay; n++ {
--- a/review/scenario3/engine.go
+++ b/review/scenario3/engine.go
@@ -69,6 +69,12 @@
 	crashes func(*http.Request) bool
 	// crashed is called when it does.
 	crashed func()
+	// keeps is set if the engine goes on with runs whose channels have closed.
+	keeps bool
+	// breaks reports whether the engine breaks an answer off within an event; nil for never.
+	breaks func(r *http.Request, event int) bool
+	// worked is called when a run has ended that had begun at an instant; may be nil.
+	worked func(id string, begun time.Time)
 	// eventID returns the id of event n; nil if it is the event's number.
 	eventID func(n int) int
 	// refuses reports whether the engine turns a new request away; retryAfter is then in its answer.
@@ -81,13 +87,20 @@
 
 	paths map[string]*path // by gateway
 
-	mu   sync.Mutex
-	runs map[string]int // events made, by request
+	mu          sync.Mutex
+	runs        map[string]*engineRun // those that have begun, by request
+	silentUntil time.Time             // until then it sends nothing on its streams
+}
+
+// engineRun is a run that generates.
+type engineRun struct {
+	made int           // events
+	stop chan struct{} // closed by an order to stop
 }
 
 // start begins to serve on a path for each gateway.
 func (e *engine) start(gateways ...string) error {
-	e.born, e.paths, e.runs = time.Now().UnixMilli(), make(map[string]*path), make(map[string]int)
+	e.born, e.paths, e.runs = time.Now().UnixMilli(), make(map[string]*path), make(map[string]*engineRun)
 	for _, g := range gateways {
 		p, err := newPath()
 		if err != nil {
@@ -120,14 +133,16 @@
 	case "/report":
 		e.report(w)
 		return
+	case "/kv-move":
+		e.move(w, r)
+		return
 	case "/kv-events":
 		writeJSON(w, map[string]any{"epoch": e.born, "next": 1, "lost": false, "events": []any{}})
 		return
 	}
 	id := r.Header.Get("X-Request-Id")
 	w.Header().Set("X-Request-Id", id)
-	if id == "" { // an order about a run that it does not have any more
-		w.WriteHeader(http.StatusNotFound)
+	if id == "" { // a handle that is freed
 		return
 	}
 	e.arrived(gateway, r, time.Now())
@@ -152,8 +167,8 @@
 func (e *engine) report(w http.ResponseWriter) {
 	e.mu.Lock()
 	runs := make([][]any, 0, len(e.runs))
-	for id, made := range e.runs {
-		runs = append(runs, []any{id, 1000, made, 1})
+	for id, x := range e.runs {
+		runs = append(runs, []any{id, 1000, x.made, 1})
 	}
 	e.mu.Unlock()
 	writeJSON(w, map[string]any{
@@ -182,10 +197,11 @@
 		select {
 		case <-done:
 			return true
-		case <-r.Context().Done():
+		case <-e.gone(r):
 			return false
 		case <-comment:
-			if _, err := io.WriteString(w, ": reading the prompt\n\n"); err != nil {
+			e.pause()
+			if _, err := io.WriteString(w, ": reading the prompt\n\n"); err != nil && !e.keeps {
 				return false
 			}
 			_ = http.NewResponseController(w).Flush() // a failure shows at the next write
@@ -208,11 +224,6 @@
 	w.Header().Set("X-Weight-Versions", "1")
 	w.Header().Set("Content-Type", "text/event-stream")
 	e.answered(gateway, r, http.StatusOK, time.Now())
-	defer func() {
-		e.mu.Lock()
-		defer e.mu.Unlock()
-		delete(e.runs, id)
-	}()
 	if !e.readPrompt(w, r) {
 		return
 	}
@@ -220,7 +231,40 @@
 		e.crashed()
 		panic(http.ErrAbortHandler)
 	}
-	for n := 1; n <= limit/tokensPerEvent; n++ {
+	x, begun := &engineRun{stop: make(chan struct{})}, time.Now()
+	e.mu.Lock()
+	e.runs[id] = x
+	e.mu.Unlock()
+	defer func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		delete(e.runs, id)
+		if e.worked != nil {
+			e.worked(id, begun)
+		}
+	}()
+	e.generate(w, r, x, last, limit/tokensPerEvent)
+}
+
+// gone returns a channel that is closed when the client has left, as far as the engine minds.
+func (e *engine) gone(r *http.Request) <-chan struct{} {
+	if e.keeps {
+		return nil
+	}
+	return r.Context().Done()
+}
+
+// pause waits while the engine is silent.
+func (e *engine) pause() {
+	e.mu.Lock()
+	until := e.silentUntil
+	e.mu.Unlock()
+	time.Sleep(time.Until(until))
+}
+
+// generate sends the events of a run after the last one that its client has.
+func (e *engine) generate(w http.ResponseWriter, r *http.Request, x *engineRun, last, events int) {
+	for n := 1; n <= events; n++ {
 		number := n
 		if e.eventID != nil {
 			number = e.eventID(n)
@@ -230,15 +274,51 @@
 		}
 		select {
 		case <-time.After(e.eventEvery):
-		case <-r.Context().Done():
+		case <-x.stop:
+			panic(http.ErrAbortHandler)
+		case <-e.gone(r):
 			return
 		}
+		e.pause()
 		e.mu.Lock()
-		e.runs[id] = n
+		x.made = n
 		e.mu.Unlock()
-		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s-%d\n\n", number, r.URL.Path, n); err != nil {
+		if e.breaks != nil && e.breaks(r, n) {
+			_, _ = fmt.Fprintf(w, "id: %d\nda", number) // the channel is closed next
+			_ = http.NewResponseController(w).Flush()
+			panic(http.ErrAbortHandler)
+		}
+		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s-%d\n\n", number, r.URL.Path, n); err != nil && !e.keeps {
 			return
 		}
 		_ = http.NewResponseController(w).Flush() // a failure shows at the next write
 	}
 }
+
+// move carries out an order to copy a run, of which only that to stop it is of use here. A run that has not begun does
+// not exist.
+func (e *engine) move(w http.ResponseWriter, r *http.Request) {
+	var order struct {
+		ID   string `json:"id"`
+		Last bool   `json:"last"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&order); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	e.mu.Lock()
+	x := e.runs[order.ID]
+	if x != nil && order.Last {
+		delete(e.runs, order.ID)
+		close(x.stop)
+	}
+	e.mu.Unlock()
+	if e.world != nil {
+		e.world.note("order", "%s is told to copy %s, last %t; it runs: %t", e.id, order.ID, order.Last, x != nil)
+	}
+	if x == nil {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	writeJSON(w, map[string]any{"handle": "h-" + order.ID, "created": x.made})
+}
--- a/review/scenario3/main.go
+++ b/review/scenario3/main.go
@@ -38,6 +38,8 @@
 		"uneven-ids":   unevenIDs,
 		"encoded-path": encodedPaths,
 		"from-zero":    fromZero,
+		"overlaps":     overlaps,
+		"groups":       groups,
 		"comments":     comments,
 		"refusal":      refusal,
 	}
