Harden the stand-ins of the third review's cases

Cause: a gateway was not ready once, as another case had taken its port; and engines left prompts that they read out of their load reports, so that they looked idle.

Done: gateways listen at loopback addresses that derive from the case's process, servers that start again take another port if theirs is taken, and reports count prompts.

--- a/review/scenario3/engine.go
+++ b/review/scenario3/engine.go
@@ -89,6 +89,7 @@
 
 	mu          sync.Mutex
 	runs        map[string]*engineRun // those that have begun, by request
+	reading     int                   // requests whose prompts it reads
 	silentUntil time.Time             // until then it sends nothing on its streams
 }
 
@@ -170,10 +171,11 @@
 	for id, x := range e.runs {
 		runs = append(runs, []any{id, 1000, x.made, 1})
 	}
+	running := len(runs) + e.reading
 	e.mu.Unlock()
 	writeJSON(w, map[string]any{
 		"stage": "both", "models": []any{map[string]any{"name": "m", "version": 1, "lora_adapters": []any{}}}, "busy": false, "sequence": 1,
-		"waiting": 0, "running": len(runs), "kv_used": 1000 * len(runs), "kv_total": 88000, "handles": 0, "state": "ready", "runs": runs, "born": e.born,
+		"waiting": 0, "running": running, "kv_used": 1000 * running, "kv_total": 88000, "handles": 0, "state": "ready", "runs": runs, "born": e.born,
 	})
 }
 
@@ -186,6 +188,14 @@
 
 // readPrompt takes the time of reading the prompt. It reports false if the client has left.
 func (e *engine) readPrompt(w http.ResponseWriter, r *http.Request) bool {
+	e.mu.Lock()
+	e.reading++
+	e.mu.Unlock()
+	defer func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.reading--
+	}()
 	done := time.After(e.prefill)
 	var comment <-chan time.Time
 	if e.comments > 0 {
--- a/review/scenario3/plain.go
+++ b/review/scenario3/plain.go
@@ -50,6 +50,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	l, err := net.Listen("tcp", s.address)
+	if err != nil { // somebody else has taken the port meanwhile
+		l, err = net.Listen("tcp", "127.0.0.1:0")
+	}
 	if err != nil {
 		return err
 	}
--- a/review/scenario3/world.go
+++ b/review/scenario3/world.go
@@ -81,9 +81,12 @@
 	return l.Addr().String(), nil
 }
 
-// freeAddress returns a loopback address at which nothing listens.
-func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+// freeAddress returns a free address of gateway n. Its IP address derives from the process, so that no other process
+// takes the port before the gateway binds it.
+func freeAddress(n int) (string, error) {
+	const most = 250
+	pid := os.Getpid()
+	l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 1+pid%most, pid/most%most, 2+n))
 	if err != nil {
 		return "", err
 	}
@@ -112,7 +115,7 @@
 func (w *world) addGateway(name, zone, store string) (*gateway, error) {
 	var addresses [4]string
 	for i := range addresses {
-		a, err := freeAddress()
+		a, err := freeAddress(len(w.gateways))
 		if err != nil {
 			return nil, err
 		}
