relay: an event id of 0 is an id

Cause: the last id was an int64 with 0 for none. The next run was sent without Last-Event-Id, and its first event was not taken for a repeated one. The same held for each id that the number could not hold: negative ones, more than 64 bits, no numbers, and events without an id between others; a Last-Event-Id that could not be read started the answer anew.

Change: eventID has none apart from every id and keeps the text; position tells whether an event is a repeated one and whether another run can go on. A stream is not resumed where no id stands for what was delivered.

It works because what decides about repeats and resumption no longer reads a number for it; all places that did are gone (onHeld, meter, awaitTurn, urgency, findCached).

--- a/relay/admission.go
+++ b/relay/admission.go
@@ -246,10 +246,10 @@
 
 // leastTime returns the least time that the stream takes; 0 if it is unknown.
 func (s *streamRun) leastTime() time.Duration {
-	if need, ok := s.relay.stats.RecentTime(s.route.Name, s.lastID); ok {
+	if need, ok := s.relay.stats.RecentTime(s.route.Name, s.position.count()); ok {
 		return need
 	}
-	return s.relay.leastTime(s.service, s.lastID)
+	return s.relay.leastTime(s.service, s.position.count())
 }
 
 // leastTime returns the least time that streams of any route to a service take to resume after event last; 0 if
@@ -276,7 +276,7 @@
 // another entry VM does not wait. It returns false if it has ended the request.
 func (s *streamRun) awaitTurn() bool {
 	if s.turn.ticket == nil {
-		if s.sends > 0 || s.lastID > 0 || s.from != "" {
+		if s.sends > 0 || s.resumes() || s.from != "" {
 			return true
 		}
 		if s.turn.line = s.relay.line(s.service); s.turn.line == nil {
--- a/relay/attempts.go
+++ b/relay/attempts.go
@@ -101,7 +101,7 @@
 
 // mayReplace reports whether another server may take the stream over from the current run.
 func (s *streamRun) mayReplace() bool {
-	return s.route.Resumable && (!s.atLimit(0) || len(s.ran.servers()) > 1)
+	return s.mayGoOn() && (!s.atLimit(0) || len(s.ran.servers()) > 1)
 }
 
 // permitted returns the servers to which the stream may be sent; nil permits all. At the limit of
--- a/relay/decision_test.go
+++ b/relay/decision_test.go
@@ -130,26 +130,28 @@
 func TestSplitEvents(t *testing.T) {
 	for _, c := range []struct {
 		name, in  string
-		want      []int64
+		want      []string
 		truncated bool
 	}{
 		{"none", "", nil, false},
-		{"two", "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", []int64{1, 2}, false},
-		{"carriage returns", "id: 1\r\ndata: a\r\n\r\n", []int64{1}, false},
-		{"without an id", "data: a\n\nid:7\n\n", []int64{0, 7}, false},
-		{"torn", "id: 1\ndata: a\n\nid: 2\nda", []int64{1}, true},
+		{"two", "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", []string{"1", "2"}, false},
+		{"carriage returns", "id: 1\r\ndata: a\r\n\r\n", []string{"1"}, false},
+		{"without an id", "data: a\n\nid:7\n\n", []string{"", "7"}, false},
+		{"that begin with 0", "id: 0\ndata: a\n\nid: 1\ndata: b\n\n", []string{"0", "1"}, false},
+		{"with an id that is withdrawn", "id: 4\nid\nid:\ndata: a\n\n", []string{""}, false},
+		{"torn", "id: 1\ndata: a\n\nid: 2\nda", []string{"1"}, true},
 		{"truncated before the empty line", "id: 1\ndata: a\n", nil, true},
 	} {
 		Convey(c.name, t, func() {
 			r := newEventReader(stringReader(c.in))
-			var ids []int64
+			var ids []string
 			var err error
 			for {
 				var e event
 				if e, err = r.next(); err != nil {
 					break
 				}
-				ids = append(ids, e.id)
+				ids = append(ids, e.id.text)
 			}
 			So(ids, ShouldResemble, c.want)
 			So(isTruncated(err), ShouldEqual, c.truncated)
--- a/relay/events.go
+++ b/relay/events.go
@@ -6,13 +6,12 @@
 	"errors"
 	"fmt"
 	"io"
-	"strconv"
 )
 
 // event is one complete event of a stream, byte for byte as the server sent it.
 type event struct {
 	raw []byte
-	id  int64 // 0 if it has none
+	id  eventID
 }
 
 // isComment reports whether an event consists of comments alone.
@@ -73,21 +72,27 @@
 		return event{}, io.EOF
 	}
 	raw := bytes.Clone(e.scan.Bytes())
-	return event{raw: raw, id: eventID(raw)}, nil
+	return event{raw: raw, id: readEventID(raw)}, nil
 }
 
-// eventID returns the number in an event's id line, 0 if there is none.
-func eventID(raw []byte) int64 {
+// readEventID returns the id of an event.
+func readEventID(raw []byte) eventID {
+	text := ""
 	for line := range bytes.Lines(raw) {
-		value, ok := bytes.CutPrefix(line, []byte("id:"))
-		if !ok {
-			continue
+		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
+			text = string(bytes.TrimSpace(value))
 		}
-		id, err := strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64)
-		if err != nil {
-			return 0
+	}
+	return parseEventID(text)
+}
+
+// withoutID returns the lines of an event but those of ids.
+func withoutID(raw []byte) []byte {
+	var rest []byte
+	for line := range bytes.Lines(raw) {
+		if !bytes.HasPrefix(line, []byte("id:")) {
+			rest = append(rest, line...)
 		}
-		return id
 	}
-	return 0
+	return rest
 }
--- a/relay/gaps_test.go
+++ b/relay/gaps_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -26,10 +27,10 @@
 		Convey("Gaps "+x.name, t, func() {
 			m := &meter{costs: &cost.Book{}, sample: cost.Sample{Service: "models", Server: "e", Start: 5, Count: 1}}
 			now, data := time.Unix(1_000_000, 0), []byte("data: x\n\n")
-			m.event(now, &event{raw: data, id: 1}, 0)
+			m.event(now, &event{raw: data, id: parseEventID("1")}, 0)
 			for i, gap := range x.gapsMs {
 				now = now.Add(time.Duration(gap) * time.Millisecond)
-				m.event(now, &event{raw: data, id: int64(i + 2)}, 0)
+				m.event(now, &event{raw: data, id: parseEventID(fmt.Sprint(i + 2))}, 0)
 			}
 			list := m.costs.Drain(now)
 			if x.rate == 0 {
--- a/relay/handover.go
+++ b/relay/handover.go
@@ -49,18 +49,18 @@
 	return turnTakeOver
 }
 
-// onHeld returns what follows a part of the silent run. Repeated events and comments do not show
+// onHeld returns what follows a part of the silent run, which may be a repeated event. Those and comments do not show
 // that it goes on.
-func (h handover) onHeld(p part, lastID int64) turn {
+func (h handover) onHeld(p part, repeated bool) turn {
 	switch {
 	case p.connected:
 		return turnNone
 	case p.ended && p.err != nil:
 		return turnDrop
-	case p.ended, p.head != nil, lastID == 0, p.event.id > lastID:
-		return turnGoBack
+	case !p.ended && p.head == nil && (repeated || p.event.isComment()):
+		return turnNone
 	}
-	return turnNone
+	return turnGoBack
 }
 
 // limit returns the decision about the current run with regard to the handover: there is no third
@@ -135,7 +135,7 @@
 	s.cur.recheckAt = time.Now().Add(recheckDelay)
 	if s.cur.keptFor != why {
 		s.cur.keptFor = why
-		s.logEvent("silent run continues", s.cur.to.ID, zap.String("why", why), zap.Int64("lastEvent", s.lastID))
+		s.logEvent("silent run continues", s.cur.to.ID, zap.String("why", why), zap.String("lastEvent", s.position.last.text))
 	}
 }
 
@@ -175,9 +175,9 @@
 // handleHeld handles a part of the silent run's output. It returns false if the request has
 // ended.
 func (s *streamRun) handleHeld(p part) bool {
-	switch s.handover.onHeld(p, s.lastID) {
+	switch s.handover.onHeld(p, s.position.has(p.event.id)) {
 	case turnGoBack:
-		s.logEvent("silent run goes on", s.handover.held.to.ID, zap.Int64("lastEvent", s.lastID))
+		s.logEvent("silent run goes on", s.handover.held.to.ID, zap.String("lastEvent", s.position.last.text))
 		// The dropped run's connection may be silent too, so that its engine does not see it close.
 		s.stopRun(s.cur, s.handover.held)
 		s.goBack()
--- a/relay/ids.go
+++ b/relay/ids.go
@@ -1,12 +1,174 @@
 package relay
 
 import (
+	"bytes"
+	"cmp"
+	"errors"
+	"math/big"
+	"strconv"
 	"sync"
 
+	"golang.org/x/net/http/httpguts"
+
 	"quetzalhold/engine"
 	"quetzalhold/routing"
 )
 
+// eventID is the id of an event. The zero value is none, which differs from every id: a stream may begin
+// with 0. Ids that are numbers rise; those that are not have no order.
+type eventID struct {
+	text   string // as it was received
+	number int64
+	large  *big.Int // the number, if an int64 can't hold it
+	ranked bool     // it is a number
+}
+
+// maxIDLength bounds the ids that are used to resume a stream, in bytes.
+const maxIDLength = 256
+
+// parseEventID reads an id; that of an empty text is none.
+func parseEventID(text string) eventID {
+	id := eventID{text: text}
+	n, err := strconv.ParseInt(text, 10, 64)
+	switch {
+	case err == nil:
+		id.number, id.ranked = n, true
+	case errors.Is(err, strconv.ErrRange) && len(text) <= maxIDLength:
+		id.large, id.ranked = new(big.Int).SetString(text, 10)
+	}
+	return id
+}
+
+// isNone reports whether there is no id.
+func (a eventID) isNone() bool { return a.text == "" }
+
+// resumable reports whether a request can name the id as the one to resume after.
+func (a eventID) resumable() bool {
+	return !a.isNone() && len(a.text) <= maxIDLength && httpguts.ValidHeaderFieldValue(a.text)
+}
+
+func (a eventID) big() *big.Int {
+	if a.large != nil {
+		return a.large
+	}
+	return big.NewInt(a.number)
+}
+
+// compare returns the order of two ids as cmp.Compare does. It reports false if they have none.
+func (a eventID) compare(b eventID) (int, bool) {
+	switch {
+	case !a.ranked || !b.ranked:
+		return 0, false
+	case a.large == nil && b.large == nil:
+		return cmp.Compare(a.number, b.number), true
+	}
+	return a.big().Cmp(b.big()), true
+}
+
+// same reports whether two ids are the same, which may be written in several ways.
+func (a eventID) same(b eventID) bool {
+	if order, ok := a.compare(b); ok {
+		return order == 0
+	}
+	return a.text == b.text
+}
+
+// rise returns by how much b exceeds a. It reports false if they have no order or the rise exceeds an int64.
+func (a eventID) rise(b eventID) (int64, bool) {
+	if !a.ranked || !b.ranked {
+		return 0, false
+	}
+	d := new(big.Int).Sub(b.big(), a.big())
+	return d.Int64(), d.IsInt64()
+}
+
+// position is how far the caller has got in an answer. The zero value is its beginning.
+type position struct {
+	last eventID
+	// raw is the event with the last id, and trail the events without an id since; nil if the caller had
+	// received the last id before.
+	raw       []byte
+	trail     [][]byte
+	trailSize int
+	// passed are the ids before, of those that have no order; circular is set once one of them has come again.
+	passed   map[string]struct{}
+	circular bool
+	// unknown is set if there is no id after which another run could go on.
+	unknown bool
+}
+
+// maxTrail bounds the events without an id of which the bytes are kept, in bytes.
+const maxTrail = 64 << 10
+
+// add records that an event was delivered.
+func (p *position) add(e *event) {
+	switch {
+	case e.isComment():
+	case e.id.isNone():
+		p.trailSize += len(e.raw)
+		if p.trail = append(p.trail, e.raw); p.last.isNone() || p.trailSize > maxTrail {
+			p.unknown, p.trail = true, nil
+		}
+	case e.id.same(p.last):
+		p.unknown = true // a further event with the same id
+	default:
+		if !e.id.ranked {
+			p.pass(e.id.text)
+		}
+		*p = position{last: e.id, raw: e.raw, passed: p.passed, circular: p.circular, unknown: p.circular || !e.id.resumable()}
+	}
+}
+
+// pass records an id that has no order.
+func (p *position) pass(id string) {
+	if p.passed == nil {
+		p.passed = make(map[string]struct{})
+	}
+	if _, ok := p.passed[id]; ok {
+		p.circular = true
+	}
+	p.passed[id] = struct{}{}
+}
+
+// absorb reports whether an event is the next of those that were delivered without an id: another engine may give it one.
+func (p *position) absorb(e *event) bool {
+	if len(p.trail) == 0 || !bytes.Equal(withoutID(e.raw), p.trail[0]) {
+		return false
+	}
+	p.last, p.raw, p.trail = e.id, e.raw, p.trail[1:]
+	return true
+}
+
+// has reports whether the caller has an event with an id.
+func (p *position) has(id eventID) bool {
+	if id.isNone() || p.last.isNone() {
+		return false
+	}
+	if order, ok := id.compare(p.last); ok {
+		return order <= 0
+	}
+	_, ok := p.passed[id.text]
+	return ok || id.same(p.last)
+}
+
+// isOther reports whether an id is of another kind than the last one, so that it can't go on after it.
+func (p *position) isOther(id eventID) bool { return !p.last.isNone() && p.last.ranked != id.ranked }
+
+// beyond returns what the caller does not have of the events without an id with which a run begins that goes on after the last
+// id. It reports false if they differ from those that the caller has. The event with the last id may come again without one.
+func (p *position) beyond(list []event) ([]event, bool) {
+	if len(list) > 0 && bytes.Equal(list[0].raw, withoutID(p.raw)) {
+		list = list[1:]
+	}
+	n := min(len(list), len(p.trail))
+	for i := range n {
+		if !bytes.Equal(list[i].raw, p.trail[i]) {
+			return nil, false
+		}
+	}
+	return list[n:], true
+}
+
 // eventIDs decides whether the events of a stream follow each other. Ids rise, mostly by the same step,
 // which the first two show. Then an event is missing where they rise by several steps at once, unless
 // another engine has no event in between either: ids may count what the events hold. The zero value has
@@ -19,28 +181,28 @@
 
 // idGap is a rise by several steps that an engine has shown.
 type idGap struct {
-	from, to int64
+	from, to string
 	by       engine.ServerID
 }
 
-// isNext reports whether the event with an id follows the last one; ids are 0 if there are none. It also reports
-// whether two engines have shown that ids rise by uneven steps.
-func (e *eventIDs) isNext(last, id int64, by engine.ServerID) (next, confirmed bool) {
-	if id == 0 || last == 0 || e.uneven {
+// isNext reports whether the event with an id follows the last one. It also reports whether two engines
+// have shown that ids rise by uneven steps.
+func (e *eventIDs) isNext(last, id eventID, by engine.ServerID) (next, confirmed bool) {
+	if id.isNone() || last.isNone() || e.uneven {
 		return true, false
 	}
-	rise := id - last
+	rise, ok := last.rise(id)
 	if e.step == 0 {
 		e.step = rise
 	}
-	g := idGap{from: last, to: id, by: by}
+	g := idGap{from: last.text, to: id.text, by: by}
 	switch {
-	case rise == e.step:
+	case ok && rise == e.step:
 		return true, false
-	case rise%e.step != 0:
+	case !ok || rise%e.step != 0:
 		e.uneven = true
 		return true, false
-	case e.gap.from == last && e.gap.to == id && e.gap.by != by:
+	case e.gap.from == g.from && e.gap.to == g.to && e.gap.by != by:
 		e.uneven = true
 		return true, true
 	}
@@ -69,3 +231,6 @@
 	defer u.mu.Unlock()
 	return u.all[r]
 }
+
+// count returns how many events the caller has, where ids count them from 1.
+func (p *position) count() int64 { return max(0, p.last.number) }
--- a/relay/ids_test.go
+++ b/relay/ids_test.go
@@ -3,7 +3,10 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
+	"regexp"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -28,21 +31,8 @@
 // TestUnevenEventIDs guards against streams that don't end as the ids of their events rise by uneven steps.
 func TestUnevenEventIDs(t *testing.T) {
 	for _, x := range unevenIDs {
-		answer := func(s *platformtest.Server) string {
-			var b strings.Builder
-			for n := range numEvent {
-				b.WriteString(s.EventText(prompt, n+1))
-			}
-			return b.String()
-		}
-		add := func(w *harness) (want string) {
-			w.addEngines()
-			for _, s := range w.servers {
-				s.EventIDs = x.id
-				want = answer(s)
-			}
-			return want
-		}
+		numbering := platformtest.Numbering{ID: func(n int) string { return fmt.Sprint(x.id(n)) }}
+		add := func(w *harness) (want string) { return w.addNumbered(numbering) }
 		withHarness(t, x.name, func(w *harness) {
 			want := add(w)
 			for i := range 4 {
@@ -75,3 +65,129 @@
 		})
 	}
 }
+
+// addNumbered adds engines with a numbering of events, and returns the whole answer.
+func (w *harness) addNumbered(n platformtest.Numbering) (want string) {
+	w.addEngines()
+	for _, s := range w.servers {
+		s.Numbering = n
+	}
+	return n.Events(prompt, 1, numEvent)
+}
+
+// breakRuns lets the first runs of streams end before an event.
+func (w *harness) breakRuns(runs, before int) {
+	var mu sync.Mutex
+	w.faultOthers(nil, platformtest.Fault{EndsStream: func() int {
+		mu.Lock()
+		defer mu.Unlock()
+		if runs--; runs < 0 {
+			return 0
+		}
+		return before
+	}})
+}
+
+// TestFirstEventTwice guards against an event that comes twice after a crash, or to a caller that comes back, as its id is
+// taken for none.
+func TestFirstEventTwice(t *testing.T) {
+	for _, x := range platformtest.Numberings() {
+		for _, before := range []int{2, 3, 40} {
+			withHarness(t, fmt.Sprintf("%s, two runs end before event %d", x.Name, before), func(w *harness) {
+				want := w.addNumbered(x)
+				w.breakRuns(2, before)
+				a := w.resumableStream(context.Background())
+				So(a.err, ShouldBeNil)
+				So(a.body, ShouldEqual, want)
+			})
+		}
+		for _, after := range []int{1, 60} {
+			withHarness(t, fmt.Sprintf("%s, the caller has come to event %d", x.Name, after), func(w *harness) {
+				w.addNumbered(x)
+				w.breakRuns(1, after+2)
+				a := w.resumableStream(context.Background(), "Last-Event-Id", platformtest.LastID(x.Event(prompt, after)))
+				So(a.err, ShouldBeNil)
+				So(a.body, ShouldEqual, x.Events(prompt, after+1, numEvent))
+			})
+		}
+		withHarness(t, x.Name+", the engine is silent and begins again", func(w *harness) {
+			want := w.addNumbered(x)
+			time.AfterFunc(1100*time.Millisecond, func() { silence(w.serving("r1"), time.Second) })
+			a := w.resumableStream(context.Background())
+			So(a.err, ShouldBeNil)
+			So(a.body, ShouldEqual, want)
+		})
+	}
+}
+
+// oddNumberings are numberings that the protocol does not describe.
+var oddNumberings = []struct {
+	platformtest.Numbering
+	whole bool // an answer can be completed though runs break off
+	falls bool // ids do not rise
+}{
+	{platformtest.Numbering{Name: "no numbers", ID: func(n int) string { return fmt.Sprintf("e%x", n) }}, true, false},
+	{platformtest.Numbering{Name: "each third event without an id", ID: func(n int) string {
+		if n%3 == 0 {
+			return ""
+		}
+		return fmt.Sprint(n)
+	}}, true, false},
+	{platformtest.Numbering{Name: "first events without ids", ID: func(n int) string {
+		if n < 30 {
+			return ""
+		}
+		return fmt.Sprint(n)
+	}}, false, false},
+	{platformtest.Numbering{Name: "no ids", ID: func(int) string { return "" }}, false, false},
+	{platformtest.Numbering{Name: "the same id", ID: func(int) string { return "0" }}, false, true},
+	{platformtest.Numbering{Name: "ids in a circle", ID: func(n int) string { return fmt.Sprint(n % 7) }}, false, true},
+	{platformtest.Numbering{Name: "no numbers, in a circle", ID: func(n int) string { return fmt.Sprintf("e%d", n%7) }}, false, true},
+	{platformtest.Numbering{Name: "bytes that no header may hold", ID: func(n int) string { return fmt.Sprintf("e\x01%d", n) }}, false, false},
+}
+
+// TestOddEventIDs guards against pieces that come twice or are missing, and cut answers that look complete, where ids of events do not tell how far
+// an answer has come.
+func TestOddEventIDs(t *testing.T) {
+	check := func(a answer, want string) {
+		So(strings.HasPrefix(want, a.body), ShouldBeTrue) // nothing twice, missing, or of another answer
+		So(a.err == nil, ShouldEqual, a.body == want)
+	}
+	for _, x := range oddNumberings {
+		for _, before := range []int{2, 3, 4, 5, 40, 60} {
+			withHarness(t, fmt.Sprintf("%s, a run ends before event %d", x.Name, before), func(w *harness) {
+				want := w.addNumbered(x.Numbering)
+				w.breakRuns(1, before)
+				a := w.resumableStream(context.Background())
+				check(a, want)
+				So(a.err == nil || !x.whole, ShouldBeTrue)
+			})
+		}
+		withHarness(t, x.Name+", no run ends early", func(w *harness) {
+			want := w.addNumbered(x.Numbering)
+			check(w.resumableStream(context.Background()), want)
+		})
+		if x.falls {
+			continue // an engine that knows no such id tells that nothing is left
+		}
+		withHarness(t, x.Name+" at half of the engines", func(w *harness) {
+			w.addNumbered(x.Numbering)
+			for i := range 4 {
+				w.servers[fmt.Sprintf("e%d", 2*i)].Numbering = platformtest.Numbering{}
+			}
+			w.breakRuns(3, 40)
+			a := w.resumableStream(context.Background())
+			data := func(text string) string { return idLines.ReplaceAllString(text, "") }
+			check(answer{body: data(a.body), err: a.err}, data(events(1, numEvent)))
+		})
+	}
+	withHarness(t, "the caller resumes after an id that is no number", func(w *harness) {
+		w.addEngines()
+		a := w.resumableStream(context.Background(), "Last-Event-Id", "e60")
+		So(a.status, ShouldEqual, http.StatusBadGateway)
+		So(w.book.Runs("r1"), ShouldHaveLength, 1)
+	})
+}
+
+// idLines matches the lines of ids in an answer.
+var idLines = regexp.MustCompile("(?m)^id: .*\n")
--- a/relay/meter.go
+++ b/relay/meter.go
@@ -33,7 +33,7 @@
 	// prompt is the number of tokens that the engine prefills before the first event, and certain that of those which
 	// cannot have been cached; 0 if the time to the first event says nothing.
 	prompt, certain engine.Tokens
-	after           int64 // events up to this id are repeated ones
+	after           eventID // events up to this id are repeated ones; none if there are none
 	lastAt          time.Time
 	gaps            []time.Duration
 }
@@ -47,10 +47,10 @@
 	params := &s.msg.params
 	s.relay.Costs.ObservePrompt(s.service, params.PromptTokens)
 	m := &meter{
-		costs: s.relay.Costs, sentAt: now, after: s.lastID, travel: 2 * at.DialTime,
+		costs: s.relay.Costs, sentAt: now, after: s.position.last, travel: 2 * at.DialTime,
 		sample: cost.Sample{Service: s.service, Server: at.ID, Start: at.Start, Count: 1},
 	}
-	if !fromCopy && s.lastID == 0 && at.Report != nil && at.Load.Pending+at.Report.Waiting+at.Report.Prefilling == 0 {
+	if !fromCopy && !s.resumes() && at.Report != nil && at.Load.Pending+at.Report.Waiting+at.Report.Prefilling == 0 {
 		m.prompt, m.certain = params.PromptTokens, params.PromptTokens
 		// The parts before the last one may be cached, as other requests have them too.
 		if n := len(params.Prompt); n > 0 {
@@ -66,7 +66,10 @@
 
 // event records that an event was read while so many parts wait for the caller. A nil meter measures nothing.
 func (m *meter) event(now time.Time, e *event, behind int) {
-	if m == nil || e.isComment() || e.id != 0 && e.id <= m.after {
+	if m == nil || e.isComment() {
+		return
+	}
+	if order, ok := e.id.compare(m.after); ok && order <= 0 {
 		return
 	}
 	if behind > maxBehind && !m.lastAt.IsZero() {
@@ -129,7 +132,7 @@
 
 // observeOutput records the length of a complete answer.
 func (s *streamRun) observeOutput() {
-	s.relay.Costs.ObserveOutput(s.route.Name, s.msg.params.AnswerTokens, engine.Tokens(s.lastID*cost.TokensPerEvent))
+	s.relay.Costs.ObserveOutput(s.route.Name, s.msg.params.AnswerTokens, engine.Tokens(s.position.count()*cost.TokensPerEvent))
 }
 
 // basis returns what the choice of a server for the request is based on; nil while the servers of its service are not
@@ -151,7 +154,7 @@
 	if from != nil {
 		return 0
 	}
-	return s.msg.params.PromptTokens + engine.Tokens(s.lastID*cost.TokensPerEvent)
+	return s.msg.params.PromptTokens + engine.Tokens(s.position.count()*cost.TokensPerEvent)
 }
 
 // speedFields returns the inputs of a placement that are known only while the engines differ in speed.
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"bytes"
 	"cmp"
 	"context"
 	"errors"
@@ -9,7 +10,6 @@
 	"net/http"
 	"net/http/httptrace"
 	"slices"
-	"strconv"
 	"time"
 
 	"go.uber.org/zap"
@@ -46,9 +46,14 @@
 	// resumes is set if it is to go on with a stream that has begun.
 	resumes   bool
 	proceeded bool // it has sent an event that no run before has sent
+	repeats   bool // it has sent an event that the caller has
 	noCopies  bool // it got no replica because of pressure
 
-	repeatedID int64 // id of the last event that it has sent again; 0 for none
+	last    eventID // the last id that it has sent, of a repeated event too
+	lastRaw []byte  // the event with that id
+	// begins are the events without an id with which it began. They are held until one with an id shows that it goes
+	// on with the stream.
+	begins []event
 
 	state        StreamState
 	probeResults chan probeResult
@@ -93,8 +98,8 @@
 	headSent  bool     // the response head was sent to the caller
 	backlog   *backlog // of what the caller has not read; nil before the first event, or if nothing is read ahead
 	firstAt   time.Time
-	emptyRuns int   // consecutive runs without an event
-	lastID    int64 // id of the last event sent to the caller, or received by it before it resumed
+	emptyRuns int // consecutive runs without an event
+	position  position
 	ids       eventIDs
 	ran       attempts
 	rounds    int
@@ -117,9 +122,7 @@
 	defer cancel()
 	s := &streamRun{job: j, w: w, ctx: ctx, ids: eventIDs{uneven: r.unevenRoutes.has(j.route.Name)}}
 	j.spent = func() Spent { return Spent{Attempts: s.ran.spent(), Servers: s.ran.ids()} }
-	if id, err := strconv.ParseInt(j.msg.params.LastEvent, 10, 64); err == nil {
-		s.lastID = id
-	}
+	s.position.last = parseEventID(j.msg.params.LastEvent)
 	defer func() { s.turn.end() }()
 	defer s.closeRuns()
 	defer s.closeBacklog()
@@ -195,7 +198,7 @@
 // engine wastes work on its prompt. It reports whether it did.
 func (s *streamRun) rejectTooLate() bool {
 	left := time.Until(s.deadline)
-	need, ok := s.relay.stats.MinTime(s.route.Name, s.lastID)
+	need, ok := s.relay.stats.MinTime(s.route.Name, s.position.count())
 	if !ok || need <= left {
 		return false
 	}
@@ -324,7 +327,7 @@
 	if c, memory, ok := s.liveCopy(from, now); ok {
 		return s.placementAt(c, now, exclude), memory, true
 	}
-	if s.lastID > 0 && s.sends == 0 && s.rounds == 0 {
+	if s.resumes() && s.sends == 0 && s.rounds == 0 {
 		if c, ok := s.relay.findCached(s.ctx, s.job, now); ok {
 			return s.placementAt(c, now, exclude), nil, true
 		}
@@ -370,9 +373,7 @@
 	s.cur.state = StreamState{SentAt: now, Peer: to.Peer, FromCopy: memory != nil, FirstEventBy: now.Add(s.firstEventTimeout(&p.Run))}
 	send := &platform.ServerRequest{Server: to.ID, Organisation: s.organisation, TimeLeft: time.Until(s.deadline), Urgency: s.urgency(), ResumeFrom: memory}
 	s.cur.timed = s.sends == 1 && s.msg.params.LastEvent == ""
-	if s.lastID > 0 {
-		send.LastEvent, s.cur.resumes = strconv.FormatInt(s.lastID, 10), true
-	}
+	send.LastEvent, s.cur.resumes = s.position.last.text, s.resumes()
 	copyID := engine.ServerID("")
 	if p.Replica != nil && s.model != nil && s.model.Replicates && s.route.Resumable {
 		s.cur.replica = &p.Replica.Choice
@@ -391,7 +392,7 @@
 	s.cur.meter = s.newMeter(now, &p.Run, memory != nil)
 	s.addAttempt(s.cur)
 	s.relay.Pool.Begin(to.ID, s.cur.work)
-	s.logEvent("stream sent", to.ID, zap.String("why", why), zap.Bool("fromCopy", memory != nil), zap.Int64("lastEvent", s.lastID),
+	s.logEvent("stream sent", to.ID, zap.String("why", why), zap.Bool("fromCopy", memory != nil), zap.String("lastEvent", s.position.last.text),
 		zap.String("copyAt", string(copyID)), zap.Any("report", p.Run.Report), zap.Int("rank", p.Run.Rank), zap.Int("heard", p.Reports), zap.Int("asked", p.Polled), speedFields(&p.Run))
 	if s.relay.StreamSent != nil {
 		s.relay.StreamSent(why)
@@ -428,7 +429,7 @@
 // urgency returns the request's rank at an engine; resumed streams come before new ones.
 func (s *streamRun) urgency() int {
 	u := min(int(s.priority), 9)
-	if s.lastID > 0 {
+	if s.resumes() {
 		u--
 	}
 	return max(0, u)
@@ -533,6 +534,9 @@
 		s.cur.answered, s.cur.headAt, s.cur.openEnd = true, time.Now(), http1.EndsWithConnection(p.head)
 		s.holdHead(p.head)
 		return true
+	case p.ended && p.err == nil && !s.cur.last.isNone() && !s.cur.last.same(s.position.last):
+		s.cur.observed.report(ServerAnswer{Failed: true})
+		return s.failOver("ended before the last event")
 	case p.ended && p.err == nil && s.cur.resumes && !s.cur.proceeded && s.route.Resumable:
 		return s.handleEmptyEnd()
 	case p.ended && p.err == nil:
@@ -551,43 +555,145 @@
 		s.relay.Pool.End(s.cur.to.ID, backend.Load{Pending: s.cur.work.Pending, Prefill: s.cur.work.Prefill})
 		s.cur.work.Pending, s.cur.work.Prefill = 0, 0
 	}
-	if p.event.id != 0 && p.event.id <= s.lastID {
-		if s.cur.repeatedID == 0 {
-			s.logEvent("event repeated", s.cur.to.ID, zap.Int64("event", p.event.id), zap.Int64("lastEvent", s.lastID))
-		}
-		s.cur.repeatedID = p.event.id
+	return s.handleEvent(&p.event, now)
+}
+
+// handleEvent handles an event of the current run. It returns false if the request has ended.
+func (s *streamRun) handleEvent(e *event, now time.Time) bool {
+	begins := s.cur.resumes && !s.cur.proceeded
+	order := s.cur.follow(e)
+	switch {
+	case begins && e.id.isNone() && !e.isComment():
+		return s.holdBegin(e)
+	case begins && (order == orderFalls || order == orderFurther):
+		return s.failBegin("ids of events do not rise")
+	case begins && !e.id.isNone() && s.position.isOther(e.id):
+		return s.failKind()
+	case order == orderAgain, order != orderFurther && s.position.has(e.id) && (e.id.ranked || begins),
+		begins && !e.id.isNone() && len(s.cur.begins) == 0 && s.position.absorb(e):
+		s.dropRepeated(e)
 		return true
 	}
-	if p.event.id != 0 || s.lastID == 0 {
+	if !e.isComment() || !s.resumes() {
 		// Repeated events and comments do not show that the generation proceeds.
 		state := &s.cur.state
 		state.LastEventAt, state.ProbedAt, state.ProbeOK = now, time.Time{}, false
 		s.endSilence()
 	}
-	if p.event.id == 0 && s.cur.resumes && !s.cur.proceeded && !p.event.isComment() {
-		// The events that the caller has received have ids: this is an error, or no event at all.
-		s.cur.observed.report(ServerAnswer{Failed: true})
-		return s.failOver("event without an id")
-	}
-	s.cur.proceeded = s.cur.proceeded || p.event.id != 0
-	if !s.follows(p.event.id) {
-		s.logEvent("event missing", s.cur.to.ID, zap.Int64("event", p.event.id), zap.Int64("lastEvent", s.lastID))
+	if !s.follows(e.id) {
+		s.logEvent("event missing", s.cur.to.ID, zap.String("event", e.id.text), zap.String("lastEvent", s.position.last.text))
 		s.cur.observed.report(ServerAnswer{Failed: true})
 		return s.failOver("event missing")
 	}
-	return s.forward(p.event)
+	if begins && !e.id.isNone() {
+		s.cur.proceeded = true
+		if !s.forwardBegins() {
+			return s.failBegin(whyNoID)
+		}
+	}
+	return s.forward(*e)
+}
+
+// eventOrder is how the id of an event follows that of the event before it in a run.
+type eventOrder int
+
+// The orders.
+const (
+	orderRises   eventOrder = iota // it is higher, or one of them has no order
+	orderAgain                     // it is the same event again
+	orderFurther                   // it is another event with the same id
+	orderFalls                     // it is lower
+)
+
+// follow records an event of a run and returns how it follows the one before.
+func (r *run) follow(e *event) eventOrder {
+	if e.id.isNone() {
+		return orderRises
+	}
+	last, raw := r.last, r.lastRaw
+	r.last, r.lastRaw = e.id, e.raw
+	order, ok := e.id.compare(last)
+	switch {
+	case last.isNone():
+		return orderRises
+	case e.id.same(last) && bytes.Equal(raw, e.raw):
+		return orderAgain
+	case e.id.same(last):
+		return orderFurther
+	case ok && order < 0:
+		return orderFalls
+	}
+	return orderRises
+}
+
+// dropRepeated drops an event that the caller has.
+func (s *streamRun) dropRepeated(e *event) {
+	s.cur.begins = nil
+	if !s.cur.repeats {
+		s.cur.repeats = true
+		s.logEvent("event repeated", s.cur.to.ID, zap.String("event", e.id.text), zap.String("lastEvent", s.position.last.text))
+	}
+}
+
+// maxBegins bounds the events without an id that are held.
+const maxBegins = 16
+
+// holdBegin holds an event without an id with which the current run begins. It returns false if the request has ended.
+func (s *streamRun) holdBegin(e *event) bool {
+	if s.cur.begins = append(s.cur.begins, *e); len(s.cur.begins) > maxBegins {
+		return s.failBegin(whyNoID)
+	}
+	return true
+}
+
+// forwardBegins sends the caller what it does not have of the events without an id with which the current run began. It
+// reports false if they are not those of the stream.
+func (s *streamRun) forwardBegins() bool {
+	list, ok := s.position.beyond(s.cur.begins)
+	s.cur.begins = nil
+	for _, e := range list {
+		s.forward(e)
+	}
+	return ok
+}
+
+// whyNoID is the reason for a failover from a run that is to go on with a stream whose events have ids.
+const whyNoID = "event without an id"
+
+// failBegin ends a run that began with events that are not those of the stream: an error, or none at all. It returns
+// false if the request has ended.
+func (s *streamRun) failBegin(why string) bool {
+	s.cur.observed.report(ServerAnswer{Failed: true})
+	return s.failOver(why)
+}
+
+// failKind ends a run whose ids are of another kind than the last one that the caller has: they can't be compared. It returns
+// false if the request has ended.
+func (s *streamRun) failKind() bool {
+	const why = "ids of another kind"
+	if !s.headSent {
+		return s.giveUp(why) // the caller has named an id that is none of this route
+	}
+	s.cur.observed.report(ServerAnswer{Failed: true})
+	return s.failOver(why)
 }
 
 // follows reports whether the event with an id is the next one.
-func (s *streamRun) follows(id int64) bool {
-	next, confirmed := s.ids.isNext(s.lastID, id, s.cur.to.ID)
+func (s *streamRun) follows(id eventID) bool {
+	next, confirmed := s.ids.isNext(s.position.last, id, s.cur.to.ID)
 	if confirmed {
 		s.relay.unevenRoutes.add(s.route.Name)
-		s.logEvent("ids of events rise unevenly", s.cur.to.ID, zap.String("route", string(s.route.Name)), zap.Int64("event", id), zap.Int64("lastEvent", s.lastID))
+		s.logEvent("ids of events rise unevenly", s.cur.to.ID, zap.String("route", string(s.route.Name)), zap.String("event", id.text), zap.String("lastEvent", s.position.last.text))
 	}
 	return next
 }
 
+// resumes reports whether the next run is to go on after an event.
+func (s *streamRun) resumes() bool { return !s.position.last.isNone() }
+
+// mayGoOn reports whether another run may go on with the stream.
+func (s *streamRun) mayGoOn() bool { return s.route.Resumable && !s.position.unknown }
+
 // holdHead sets the caller's response headers but does not send them until an event comes:
 // until then another server's answer may replace this one.
 func (s *streamRun) holdHead(head *http.Response) {
@@ -613,9 +719,7 @@
 	if err := s.sendEvent(e.raw); err != nil {
 		s.abort(result.Wrap(result.CallerGone, err, "send event"))
 	}
-	if e.id != 0 {
-		s.lastID = e.id
-	}
+	s.position.add(&e)
 	return true
 }
 
@@ -629,16 +733,16 @@
 		s.relay.announceClose(s.w.Header())
 		s.w.WriteHeader(http.StatusOK)
 	}
-	if s.sends == 1 && s.msg.params.LastEvent == "" && s.lastID > 1 {
-		first, gap := s.firstAt.Sub(s.startedAt)-s.turn.waited, time.Since(s.firstAt)/time.Duration(s.lastID-1)
-		s.relay.stats.Add(s.route.Name, Sample{Prompt: s.msg.params.PromptTokens, First: first, Gap: gap, Events: s.lastID})
+	if s.sends == 1 && s.msg.params.LastEvent == "" && s.position.count() > 1 {
+		first, gap := s.firstAt.Sub(s.startedAt)-s.turn.waited, time.Since(s.firstAt)/time.Duration(s.position.count()-1)
+		s.relay.stats.Add(s.route.Name, Sample{Prompt: s.msg.params.PromptTokens, First: first, Gap: gap, Events: s.position.count()})
 		s.cur.observed.report(ServerAnswer{First: first, Gap: gap})
 		s.observeOutput()
 	}
 	s.cur.observed.drop() // its times can't be compared with those of others
 	server := s.cur.to.ID
 	s.awaitCaller()
-	s.end(result.OK, server, zap.Int64("lastEvent", s.lastID))
+	s.end(result.OK, server, zap.String("lastEvent", s.position.last.text))
 	return false
 }
 
@@ -649,7 +753,10 @@
 // handleEmptyEnd decides what follows a run that was to go on with the stream and has ended without more. It
 // returns false if the request has ended.
 func (s *streamRun) handleEmptyEnd() bool {
-	if !s.cur.openEnd && (s.cur.repeatedID == 0 || s.cur.repeatedID == s.lastID) {
+	if len(s.cur.begins) > 0 {
+		return s.failBegin(whyNoID)
+	}
+	if !s.cur.openEnd {
 		s.emptyEnds++
 	}
 	if s.emptyEnds >= emptyEndsNeeded {
@@ -672,8 +779,8 @@
 		return
 	case r.timed && s.headSent:
 		a.First = s.firstAt.Sub(s.startedAt) - s.turn.waited
-		if s.lastID >= minPartialEvents {
-			a.Gap = r.state.LastEventAt.Sub(s.firstAt) / time.Duration(s.lastID-1)
+		if n := s.position.count(); n >= minPartialEvents {
+			a.Gap = r.state.LastEventAt.Sub(s.firstAt) / time.Duration(n-1)
 		}
 	case r.timed:
 		a.First = time.Since(s.startedAt) - s.turn.waited
@@ -706,7 +813,7 @@
 
 // recordEnd records that a run ended early.
 func (s *streamRun) recordEnd(r *run, p part) {
-	s.logEvent("run ended early", r.to.ID, zap.Stringer("outcome", p.outcome), zap.Error(p.err), zap.Int64("lastEvent", s.lastID),
+	s.logEvent("run ended early", r.to.ID, zap.Stringer("outcome", p.outcome), zap.Error(p.err), zap.String("lastEvent", s.position.last.text),
 		zap.Bool("answered", r.answered), zap.Int("events", r.events), zap.Bool("withinEvent", p.partial), zap.Any("parts", s.parts[:min(len(s.parts), maxLoggedParts)]), zap.String("fingerprint", string(s.fingerprint)))
 	r.ending.failed, r.partial = true, p.partial
 	if r.to.Peer && p.outcome != NotRun {
@@ -744,6 +851,8 @@
 	switch {
 	case !s.route.Resumable:
 		return s.giveUp("route does not resume")
+	case s.position.unknown:
+		return s.giveUp("no id to resume after")
 	case s.atLimit(0) && len(s.permitted(time.Now())) == 0 && !s.recallLost():
 		return s.giveUp("every permitted run was lost")
 	}
@@ -873,7 +982,7 @@
 
 // abort closes the caller's connection, so that a partial stream does not look complete.
 func (s *streamRun) abort(err *result.Error) {
-	s.end(err.Code, "", zap.String("why", err.Error()), zap.Int64("lastEvent", s.lastID))
+	s.end(err.Code, "", zap.String("why", err.Error()), zap.String("lastEvent", s.position.last.text))
 	panic(http.ErrAbortHandler)
 }
 
