relay: an uneven rise of ids does not end a sound stream

Cause: a rise by several steps counted as a missing event until a second engine had shown the same rise, and the run was closed first. Where no second engine answers, the stream ended: the route doesn't resume, one engine is left, the others refuse, drain, fail or are cut off, attempts or retries are used up.

Change: the run stays open while another engine is asked (handover.doubt), and goes on unless that one shows an event in between, or that none is missing.

It works because ending an answer now needs a proof, and who could give it is asked before anything is closed.

--- a/relay/handover.go
+++ b/relay/handover.go
@@ -6,7 +6,9 @@
 
 	"go.uber.org/zap"
 
+	"quetzalhold/backend"
 	"quetzalhold/engine"
+	"quetzalhold/platform"
 )
 
 // handover is the passage of a stream from a silent run to the current one. The silent run stays
@@ -15,6 +17,8 @@
 type handover struct {
 	held  *run      // the silent run
 	until time.Time // when it is closed
+	// doubt is set if the held run is not silent, but may have left out an event, which the current run is to show.
+	doubt *doubt
 }
 
 // The timing of handovers.
@@ -77,11 +81,16 @@
 }
 
 // expired reports whether the silent run is to be closed.
-func (h handover) expired(now time.Time) bool { return h.held != nil && !now.Before(h.until) }
+func (h handover) expired(now time.Time) bool {
+	return h.held != nil && h.doubt == nil && !now.Before(h.until)
+}
+
+// isProofLate reports whether the held run is to go on, as the current one has not shown in time whether an event is missing.
+func (h handover) isProofLate(now time.Time) bool { return h.doubt != nil && !now.Before(h.until) }
 
 // parts returns the parts of the silent run's output.
 func (h handover) parts() <-chan part {
-	if h.held == nil {
+	if h.held == nil || h.doubt != nil {
 		return nil
 	}
 	return h.held.parts
@@ -90,32 +99,13 @@
 // replace sends the stream to another engine while the current run, which is silent, stays open.
 // Where no other engine or no retry is left, the run continues.
 func (s *streamRun) replace(why string) {
-	from, budget := s.cur, s.relay.Budget(s.service)
+	from := s.cur
 	if why != reasonSilent && why != reasonIdle {
 		s.observeCrash(from, nil)
 	}
-	if _, ok := s.blocked(); ok || len(s.trials) > 0 && !s.sound {
-		s.keep("request blocked")
-		return
-	}
-	if s.sends >= maxSends {
-		s.keep("too many sends")
-		return
-	}
-	if !budget.Available(time.Now()) {
-		s.keep("retry budget spent")
-		return
-	}
-	s.reportAge = 0
-	p, memory, ok := s.pick(time.Now(), from, slices.Concat(s.tried, []engine.ServerID{from.to.ID}))
-	if !ok {
-		s.tried = nil
-		s.keep("no other engine")
-		return
-	}
-	// The silent run's engine may be sound, whatever the reason, and the other one may refuse late.
-	if !budget.AllowSpare(time.Now()) {
-		s.keep("retry budget spent")
+	p, memory, prevented := s.placeBeside()
+	if prevented != "" {
+		s.keep(prevented)
 		return
 	}
 	if why == reasonSilent || why == reasonIdle {
@@ -130,6 +120,31 @@
 	s.open(why, p, memory)
 }
 
+// placeBeside returns the placement of a run at another engine while the current one stays open, or what prevents it.
+func (s *streamRun) placeBeside() (p backend.Placement, memory *platform.KVCopy, prevented string) {
+	budget := s.relay.Budget(s.service)
+	_, blocked := s.blocked()
+	switch {
+	case blocked || len(s.trials) > 0 && !s.sound:
+		return p, nil, "request blocked"
+	case s.sends >= maxSends:
+		return p, nil, "too many sends"
+	case !budget.Available(time.Now()):
+		return p, nil, "retry budget spent"
+	}
+	s.reportAge = 0
+	p, memory, ok := s.pick(time.Now(), s.cur, slices.Concat(s.tried, []engine.ServerID{s.cur.to.ID}))
+	if !ok {
+		s.tried = nil
+		return p, nil, "no other engine"
+	}
+	// The current run's engine may be sound, and the other one may refuse late.
+	if !budget.AllowSpare(time.Now()) {
+		return p, nil, "retry budget spent"
+	}
+	return p, memory, ""
+}
+
 // keep continues a silent run that can't be replaced now.
 func (s *streamRun) keep(why string) {
 	s.cur.recheckAt = time.Now().Add(recheckDelay)
@@ -150,6 +165,9 @@
 // handleCurrent handles a part of the current run's output. It returns false if the request has
 // ended.
 func (s *streamRun) handleCurrent(p part) bool {
+	if s.handover.doubt != nil {
+		return s.handleProof(p)
+	}
 	if p.connected {
 		s.handover.until = time.Now().Add(holdTime)
 		return true
@@ -158,20 +176,27 @@
 	case turnTakeOver:
 		s.takeOver()
 	case turnGoBack:
-		s.recordEnd(s.cur, p)
-		if p.outcome == NotRun {
-			s.sends--
-		}
-		s.cur.done = p.outcome != Lost
-		s.stopRun(s.cur, s.handover.held)
-		s.tried = append(s.tried, s.cur.to.ID)
-		s.goBack()
+		s.endBeside(p)
 		s.cur.recheckAt = time.Now().Add(recheckDelay)
 		return true
 	}
 	return s.handlePart(p)
 }
 
+// endBeside goes back to the held run as the current one has ended.
+func (s *streamRun) endBeside(p part) {
+	if p.err != nil {
+		s.recordEnd(s.cur, p)
+	}
+	if p.outcome == NotRun {
+		s.sends--
+	}
+	s.cur.done = p.outcome != Lost
+	s.stopRun(s.cur, s.handover.held)
+	s.tried = append(s.tried, s.cur.to.ID)
+	s.goBack()
+}
+
 // handleHeld handles a part of the silent run's output. It returns false if the request has
 // ended.
 func (s *streamRun) handleHeld(p part) bool {
--- a/relay/ids.go
+++ b/relay/ids.go
@@ -169,67 +169,144 @@
 	return list[n:], true
 }
 
-// eventIDs decides whether the events of a stream follow each other. Ids rise, mostly by the same step,
-// which the first two show. Then an event is missing where they rise by several steps at once, unless
-// another engine has no event in between either: ids may count what the events hold. The zero value has
-// no events.
+// eventIDs judges whether the events of a stream follow each other. Ids rise, mostly by the same step, which a run shows
+// by its first two events. Where they rise otherwise, an event may be missing, or ids count what the events hold. The zero value
+// has no events.
 type eventIDs struct {
 	step   int64
+	steady int  // rises by that step
 	uneven bool // no step shows whether an event is missing
-	gap    idGap
 }
 
-// idGap is a rise by several steps that an engine has shown.
-type idGap struct {
-	from, to string
-	by       engine.ServerID
-}
+// minSteady is the number of rises by the same step after which a resumed run has to go on with that step.
+const minSteady = 3
+
+// idVerdict is what the ids of two events in a row tell.
+type idVerdict int
+
+// The verdicts.
+const (
+	idNext    idVerdict = iota // no event is missing between them, as far as ids tell
+	idDoubt                    // one may be
+	idMissing                  // one is, unless another engine has none there either
+)
 
-// isNext reports whether the event with an id follows the last one. It also reports whether two engines
-// have shown that ids rise by uneven steps.
-func (e *eventIDs) isNext(last, id eventID, by engine.ServerID) (next, confirmed bool) {
+// judge returns what the id of an event tells that comes after the last one. Both are of the same run, or the second is the
+// first one of a run that resumes.
+func (e *eventIDs) judge(last, id eventID, sameRun bool) idVerdict {
 	if id.isNone() || last.isNone() || e.uneven {
-		return true, false
+		return idNext
 	}
 	rise, ok := last.rise(id)
-	if e.step == 0 {
-		e.step = rise
-	}
-	g := idGap{from: last.text, to: id.text, by: by}
 	switch {
-	case ok && rise == e.step:
-		return true, false
-	case !ok || rise%e.step != 0:
+	case !ok:
 		e.uneven = true
-		return true, false
-	case e.gap.from == g.from && e.gap.to == g.to && e.gap.by != by:
+	case e.step == 0:
+		if sameRun {
+			e.step, e.steady = rise, 1
+		}
+	case rise == e.step:
+		e.steady++
+	case sameRun && rise%e.step != 0:
 		e.uneven = true
-		return true, true
+	case !sameRun && e.steady >= minSteady:
+		return idMissing
+	default:
+		return idDoubt
 	}
-	e.gap = g
-	return false, false
+	return idNext
 }
 
-// unevenRoutes are the routes on which ids of events are known to rise by uneven steps. The zero value
-// has none.
-type unevenRoutes struct {
+// isSteady reports whether all ids rose by the same step.
+func (e *eventIDs) isSteady() bool { return e.step != 0 && !e.uneven }
+
+// isStep reports whether an id is by the usual step higher than the last one.
+func (e *eventIDs) isStep(last, id eventID) bool {
+	rise, ok := last.rise(id)
+	return ok && rise == e.step
+}
+
+// routeIDs is what is known of the ids on each route, from all streams of this entry VM. The zero value knows nothing.
+type routeIDs struct {
 	mu  sync.Mutex
-	all map[routing.RouteName]bool
+	all map[routing.RouteName]*idHistory
 }
 
-func (u *unevenRoutes) add(r routing.RouteName) {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	if u.all == nil {
-		u.all = make(map[routing.RouteName]bool)
+// idHistory is what is known of the ids on a route.
+type idHistory struct {
+	uneven bool // two engines have shown the same rise by several steps
+	// steady is how many events engines have sent in whole answers whose ids rose by equal steps, and odd the engines that have
+	// sent others.
+	steady map[engine.ServerID]int64
+	odd    map[engine.ServerID]struct{}
+}
+
+const (
+	// minSteadyEvents is how many events other engines have to have sent without a rise by several steps for one to be an
+	// exception. Where ids count tokens, few events may hold more of them than others.
+	minSteadyEvents = 1000
+	// minSteadyEngines is how many other engines have to have sent them.
+	minSteadyEngines = 2
+	// maxHistory bounds the engines that are known of a route.
+	maxHistory = 256
+)
+
+func (r *routeIDs) update(n routing.RouteName, f func(*idHistory)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	h := r.all[n]
+	if h == nil {
+		h = &idHistory{steady: make(map[engine.ServerID]int64), odd: make(map[engine.ServerID]struct{})}
+		if r.all == nil {
+			r.all = make(map[routing.RouteName]*idHistory)
+		}
+		r.all[n] = h
 	}
-	u.all[r] = true
+	f(h)
+}
+
+// setUneven records that ids on a route rise by uneven steps.
+func (r *routeIDs) setUneven(n routing.RouteName) {
+	r.update(n, func(h *idHistory) { h.uneven = true })
 }
 
-func (u *unevenRoutes) has(r routing.RouteName) bool {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	return u.all[r]
+// areUneven reports whether ids on a route are known to rise by uneven steps.
+func (r *routeIDs) areUneven(n routing.RouteName) (uneven bool) {
+	r.update(n, func(h *idHistory) { uneven = h.uneven })
+	return uneven
+}
+
+// addOdd records that an engine has sent ids that rose by several steps at once.
+func (r *routeIDs) addOdd(n routing.RouteName, by engine.ServerID) {
+	r.update(n, func(h *idHistory) {
+		if len(h.odd) < maxHistory {
+			h.odd[by] = struct{}{}
+		}
+	})
+}
+
+// addSteady records that an engine has sent a whole answer whose ids rose by equal steps.
+func (r *routeIDs) addSteady(n routing.RouteName, by engine.ServerID, events int64) {
+	r.update(n, func(h *idHistory) {
+		if _, ok := h.steady[by]; ok || len(h.steady) < maxHistory {
+			h.steady[by] += events
+		}
+	})
+}
+
+// isException reports whether an engine alone has sent ids that rose by several steps, while enough others have not.
+func (r *routeIDs) isException(n routing.RouteName, by engine.ServerID) (exception bool) {
+	r.update(n, func(h *idHistory) {
+		engines, events := 0, int64(0)
+		for id, count := range h.steady {
+			if id != by {
+				engines, events = engines+1, events+count
+			}
+		}
+		_, odd := h.odd[by]
+		exception = odd && len(h.odd) == 1 && engines >= minSteadyEngines && events >= minSteadyEvents
+	})
+	return exception
 }
 
 // count returns how many events the caller has, where ids count them from 1.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -133,7 +133,7 @@
 	stats            StreamStats
 	calls            CallStats
 	reach            reaches
-	unevenRoutes     unevenRoutes
+	routeIDs         routeIDs
 	bodies           connlimit.Bodies
 	answers          bodyMemory
 	takings          takings
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -51,6 +51,7 @@
 
 	last    eventID // the last id that it has sent, of a repeated event too
 	lastRaw []byte  // the event with that id
+	falls   bool    // an id was lower than the one before, or the same
 	// begins are the events without an id with which it began. They are held until one with an id shows that it goes
 	// on with the stream.
 	begins []event
@@ -100,7 +101,9 @@
 	firstAt   time.Time
 	emptyRuns int // consecutive runs without an event
 	position  position
+	delivered int64 // events sent to the caller
 	ids       eventIDs
+	exception engine.ServerID // has sent ids that rose by several steps, though no other engine has shown why
 	ran       attempts
 	rounds    int
 	emptyEnds int    // runs that were to go on and have ended without more
@@ -120,7 +123,7 @@
 func (r *Relay) serveStream(w http.ResponseWriter, j *job) {
 	ctx, cancel := context.WithDeadline(j.msg.Context(), j.deadline)
 	defer cancel()
-	s := &streamRun{job: j, w: w, ctx: ctx, ids: eventIDs{uneven: r.unevenRoutes.has(j.route.Name)}}
+	s := &streamRun{job: j, w: w, ctx: ctx, ids: eventIDs{uneven: r.routeIDs.areUneven(j.route.Name)}}
 	j.spent = func() Spent { return Spent{Attempts: s.ran.spent(), Servers: s.ran.ids()} }
 	s.position.last = parseEventID(j.msg.params.LastEvent)
 	defer func() { s.turn.end() }()
@@ -139,6 +142,12 @@
 				return
 			}
 		}
+		if s.handover.isProofLate(time.Now()) {
+			if !s.dropProof("no event in time") {
+				return
+			}
+			continue
+		}
 		v := s.decide()
 		switch v.Action {
 		case Probe:
@@ -185,7 +194,10 @@
 	if s.mayReplace() {
 		v = s.relay.Detector.Decide(s.currentState())
 	}
-	if v.Action == FailOver && now.Before(s.cur.recheckAt) {
+	switch {
+	case v.Action == FailOver && s.handover.doubt != nil:
+		s.handover.until = now
+	case v.Action == FailOver && now.Before(s.cur.recheckAt):
 		v = Decision{Action: Await, CheckAt: s.cur.recheckAt}
 	}
 	return s.handover.limit(v)
@@ -372,7 +384,7 @@
 	s.cur = &run{to: to, ctx: ctx, cancel: cancel, sentAt: now, noCopies: noCopies, parts: make(chan part, maxBufferedParts), checkpoints: make(chan checkpoint, 1), work: backend.Load{Requests: 1, Pending: 1, Tokens: s.tokens, Prefill: s.prefillTokens(memory)}}
 	s.cur.state = StreamState{SentAt: now, Peer: to.Peer, FromCopy: memory != nil, FirstEventBy: now.Add(s.firstEventTimeout(&p.Run))}
 	send := &platform.ServerRequest{Server: to.ID, Organisation: s.organisation, TimeLeft: time.Until(s.deadline), Urgency: s.urgency(), ResumeFrom: memory}
-	s.cur.timed = s.sends == 1 && s.msg.params.LastEvent == ""
+	s.cur.timed = s.sends == 1 && !s.resumed()
 	send.LastEvent, s.cur.resumes = s.position.last.text, s.resumes()
 	copyID := engine.ServerID("")
 	if p.Replica != nil && s.model != nil && s.model.Replicates && s.route.Resumable {
@@ -545,6 +557,12 @@
 		return s.handleEarlyEnd(p)
 	}
 	now := time.Now()
+	s.countEvent(now)
+	return s.handleEvent(&p.event, now)
+}
+
+// countEvent counts an event of the current run, which may be a repeated one.
+func (s *streamRun) countEvent(now time.Time) {
 	if s.cur.events++; s.cur.events == beginEvents {
 		s.observeSound()
 	}
@@ -555,12 +573,12 @@
 		s.relay.Pool.End(s.cur.to.ID, backend.Load{Pending: s.cur.work.Pending, Prefill: s.cur.work.Prefill})
 		s.cur.work.Pending, s.cur.work.Prefill = 0, 0
 	}
-	return s.handleEvent(&p.event, now)
 }
 
 // handleEvent handles an event of the current run. It returns false if the request has ended.
 func (s *streamRun) handleEvent(e *event, now time.Time) bool {
 	begins := s.cur.resumes && !s.cur.proceeded
+	before := s.cur.last
 	order := s.cur.follow(e)
 	switch {
 	case begins && e.id.isNone() && !e.isComment():
@@ -580,12 +598,15 @@
 		state.LastEventAt, state.ProbedAt, state.ProbeOK = now, time.Time{}, false
 		s.endSilence()
 	}
-	if !s.follows(e.id) {
-		s.logEvent("event missing", s.cur.to.ID, zap.String("event", e.id.text), zap.String("lastEvent", s.position.last.text))
-		s.cur.observed.report(ServerAnswer{Failed: true})
-		return s.failOver("event missing")
+	if v := s.ids.judge(s.position.last, e.id, before.same(s.position.last)); v != idNext {
+		return s.handleGap(&doubt{event: *e, verdict: v})
 	}
-	if begins && !e.id.isNone() {
+	return s.accept(e)
+}
+
+// accept sends the caller an event of the current run that is the next one. It returns false if the request has ended.
+func (s *streamRun) accept(e *event) bool {
+	if s.cur.resumes && !s.cur.proceeded && !e.id.isNone() {
 		s.cur.proceeded = true
 		if !s.forwardBegins() {
 			return s.failBegin(whyNoID)
@@ -616,14 +637,17 @@
 	switch {
 	case last.isNone():
 		return orderRises
-	case e.id.same(last) && bytes.Equal(raw, e.raw):
-		return orderAgain
-	case e.id.same(last):
-		return orderFurther
-	case ok && order < 0:
+	case !e.id.same(last) && (!ok || order > 0):
+		return orderRises
+	}
+	r.falls = true
+	switch {
+	case !e.id.same(last):
 		return orderFalls
+	case bytes.Equal(raw, e.raw):
+		return orderAgain
 	}
-	return orderRises
+	return orderFurther
 }
 
 // dropRepeated drops an event that the caller has.
@@ -678,19 +702,12 @@
 	return s.failOver(why)
 }
 
-// follows reports whether the event with an id is the next one.
-func (s *streamRun) follows(id eventID) bool {
-	next, confirmed := s.ids.isNext(s.position.last, id, s.cur.to.ID)
-	if confirmed {
-		s.relay.unevenRoutes.add(s.route.Name)
-		s.logEvent("ids of events rise unevenly", s.cur.to.ID, zap.String("route", string(s.route.Name)), zap.String("event", id.text), zap.String("lastEvent", s.position.last.text))
-	}
-	return next
-}
-
 // resumes reports whether the next run is to go on after an event.
 func (s *streamRun) resumes() bool { return !s.position.last.isNone() }
 
+// resumed reports whether the caller has received the beginning of the answer before.
+func (s *streamRun) resumed() bool { return s.msg.params.LastEvent != "" }
+
 // mayGoOn reports whether another run may go on with the stream.
 func (s *streamRun) mayGoOn() bool { return s.route.Resumable && !s.position.unknown }
 
@@ -719,6 +736,9 @@
 	if err := s.sendEvent(e.raw); err != nil {
 		s.abort(result.Wrap(result.CallerGone, err, "send event"))
 	}
+	if !e.isComment() {
+		s.delivered++
+	}
 	s.position.add(&e)
 	return true
 }
@@ -728,12 +748,19 @@
 	if s.cur.events > 0 {
 		s.observeSound()
 	}
+	if s.sends == 1 && !s.resumed() && s.ids.isSteady() {
+		s.relay.routeIDs.addSteady(s.route.Name, s.cur.to.ID, s.delivered)
+	}
+	if s.exception != "" && s.relay.routeIDs.isException(s.route.Name, s.exception) {
+		s.cur.observed.report(ServerAnswer{Failed: true})
+		return s.giveUp("an event is missing")
+	}
 	if !s.headSent {
 		s.headSent = true
 		s.relay.announceClose(s.w.Header())
 		s.w.WriteHeader(http.StatusOK)
 	}
-	if s.sends == 1 && s.msg.params.LastEvent == "" && s.position.count() > 1 {
+	if s.sends == 1 && !s.resumed() && s.position.count() > 1 {
 		first, gap := s.firstAt.Sub(s.startedAt)-s.turn.waited, time.Since(s.firstAt)/time.Duration(s.position.count()-1)
 		s.relay.stats.Add(s.route.Name, Sample{Prompt: s.msg.params.PromptTokens, First: first, Gap: gap, Events: s.position.count()})
 		s.cur.observed.report(ServerAnswer{First: first, Gap: gap})
