relay: events are counted, not read from ids

Where ids of events don't count them from 1, answers were taken for many times as long as they were, and what was left of a resumed one for next to nothing or far too much: streams were refused for want of time that they had, and wrong lengths and gaps went to the choice of engines and to the evidence of version moves.

Cause: the id of the last event was read as the number of events (stats.Add, MinTime, RecentTime, ObserveOutput, prefillTokens, reportPartial).

Change: streamRun.delivered counts the events that were sent; for a caller that resumes, the samples of its route tell how many events come before an id (Sample.before), and if they don't, the least time that is left is assumed.

--- a/relay/admission.go
+++ b/relay/admission.go
@@ -246,15 +246,15 @@
 
 // leastTime returns the least time that the stream takes; 0 if it is unknown.
 func (s *streamRun) leastTime() time.Duration {
-	if need, ok := s.relay.stats.RecentTime(s.route.Name, s.position.count()); ok {
+	if need, ok := s.relay.stats.RecentTime(s.route.Name, s.events()); ok {
 		return need
 	}
-	return s.relay.leastTime(s.service, s.position.count())
+	return s.relay.leastTime(s.service, s.events())
 }
 
-// leastTime returns the least time that streams of any route to a service take to resume after event last; 0 if
+// leastTime returns the least time that streams of any route to a service take to resume after so many events; 0 if
 // it is unknown. It stands in for that of a route of which there are too few samples here.
-func (r *Relay) leastTime(n routing.ServiceName, last int64) time.Duration {
+func (r *Relay) leastTime(n routing.ServiceName, had int64) time.Duration {
 	t := r.Table()
 	if t == nil {
 		return 0
@@ -265,7 +265,7 @@
 		if !x.LeadsTo(n) {
 			continue
 		}
-		if need, ok := r.stats.MinTime(x.Name, last); ok && (least == 0 || need < least) {
+		if need, ok := r.stats.MinTime(x.Name, had); ok && (least == 0 || need < least) {
 			least = need
 		}
 	}
--- a/relay/ids.go
+++ b/relay/ids.go
@@ -308,6 +308,3 @@
 	})
 	return exception
 }
-
-// count returns how many events the caller has, where ids count them from 1.
-func (p *position) count() int64 { return max(0, p.last.number) }
--- a/relay/ids_test.go
+++ b/relay/ids_test.go
@@ -12,6 +12,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"quetzalhold/engine"
 	"quetzalhold/platform/platformtest"
 )
 
@@ -191,3 +192,24 @@
 
 // idLines matches the lines of ids in an answer.
 var idLines = regexp.MustCompile("(?m)^id: .*\n")
+
+// TestEventsNotCounted guards against times and lengths of answers that are learned from ids as if these counted events.
+func TestEventsNotCounted(t *testing.T) {
+	for _, x := range platformtest.Numberings() {
+		withHarness(t, x.Name, func(w *harness) {
+			w.addNumbered(x)
+			for range 8 {
+				So(w.resumableStream(context.Background()).err, ShouldBeNil)
+			}
+			output := w.relay.Costs.Output("brief", 5*numEvent)
+			So(output, ShouldBeBetween, engine.Tokens(4.5*numEvent), engine.Tokens(5.5*numEvent))
+			before := len(w.book.Runs("r1"))
+			resume := func(after int) answer {
+				return w.resumableStream(context.Background(), "X-Deadline-Ms", "3000", "Last-Event-Id", platformtest.LastID(x.Event(prompt, after)))
+			}
+			So(resume(2).status, ShouldEqual, http.StatusServiceUnavailable)
+			So(w.book.Runs("r1"), ShouldHaveLength, before)
+			So(resume(100).body, ShouldEqual, x.Events(prompt, 101, numEvent))
+		})
+	}
+}
--- a/relay/meter.go
+++ b/relay/meter.go
@@ -132,7 +132,7 @@
 
 // observeOutput records the length of a complete answer.
 func (s *streamRun) observeOutput() {
-	s.relay.Costs.ObserveOutput(s.route.Name, s.msg.params.AnswerTokens, engine.Tokens(s.position.count()*cost.TokensPerEvent))
+	s.relay.Costs.ObserveOutput(s.route.Name, s.msg.params.AnswerTokens, engine.Tokens(s.delivered*cost.TokensPerEvent))
 }
 
 // basis returns what the choice of a server for the request is based on; nil while the servers of its service are not
@@ -154,7 +154,11 @@
 	if from != nil {
 		return 0
 	}
-	return s.msg.params.PromptTokens + engine.Tokens(s.position.count()*cost.TokensPerEvent)
+	had := s.events()
+	if had == allEvents {
+		had = 0
+	}
+	return s.msg.params.PromptTokens + engine.Tokens(had*cost.TokensPerEvent)
 }
 
 // speedFields returns the inputs of a placement that are known only while the engines differ in speed.
--- a/relay/stats.go
+++ b/relay/stats.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -15,6 +16,19 @@
 	First  time.Duration // from the request to the first event
 	Gap    time.Duration // mean time between two events
 	Events int64
+	// firstID and lastID are those of its events; none if they have none.
+	firstID, lastID eventID
+}
+
+// before returns how many events come up to the one with an id, were the stream another one of the same route. It reports false if
+// ids don't tell.
+func (s *Sample) before(id eventID) (int64, bool) {
+	all, ok := s.firstID.rise(s.lastID)
+	had, inside := s.firstID.rise(id)
+	if !ok || !inside || all <= 0 || had < 0 || had > all {
+		return 0, false
+	}
+	return 1 + int64(float64(had)/float64(all)*float64(s.Events-1)), true
 }
 
 // recent holds the latest samples of each route, at most maxSamples. Its zero value has none.
@@ -93,9 +107,34 @@
 	return time.Duration(all[len(all)/2] * float64(max(1, prompt))), true
 }
 
-// MinTime returns the least time that a stream of a route takes to resume after event last,
+// allEvents stands for a number of events that is not known, where the least time that is left is asked for.
+const allEvents = math.MaxInt64
+
+// eventsBefore returns how many events a caller has who resumes a stream of a route after an id, or allEvents if most
+// samples don't tell: ids need not count events.
+func (p *StreamStats) eventsBefore(r routing.RouteName, id eventID) int64 {
+	if id.isNone() {
+		return 0
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	samples := p.recent.samples[r]
+	var known []int64
+	for i := range samples {
+		if n, ok := samples[i].before(id); ok {
+			known = append(known, n)
+		}
+	}
+	if len(known) == 0 || len(known)*2 < len(samples) {
+		return allEvents
+	}
+	slices.Sort(known)
+	return known[len(known)/2]
+}
+
+// MinTime returns the least time that a stream of a route takes to resume after so many events,
 // including the time to read its prompt again; false if there are too few samples.
-func (p *StreamStats) MinTime(r routing.RouteName, last int64) (time.Duration, bool) {
+func (p *StreamStats) MinTime(r routing.RouteName, had int64) (time.Duration, bool) {
 	p.mu.Lock()
 	samples := slices.Clone(p.recent.samples[r])
 	p.mu.Unlock()
@@ -113,17 +152,17 @@
 	events := low(func(s Sample) int64 { return s.Events })
 	first := low(func(s Sample) int64 { return int64(s.First) })
 	gap := low(func(s Sample) int64 { return int64(s.Gap) })
-	return time.Duration(first + max(0, events-last)*gap), true
+	return time.Duration(first + max(0, events-had)*gap), true
 }
 
 // recentSamples is the number of samples from which RecentTime is estimated: those of some seconds, as the time
 // that a stream takes rises with the load within seconds.
 const recentSamples = 8
 
-// RecentTime returns the median time that the last streams of a route took to resume after event last, or MinTime if
+// RecentTime returns the median time that the last streams of a route took to resume after so many events, or MinTime if
 // that is longer; false if there are too few samples.
-func (p *StreamStats) RecentTime(r routing.RouteName, last int64) (time.Duration, bool) {
-	least, ok := p.MinTime(r, last)
+func (p *StreamStats) RecentTime(r routing.RouteName, had int64) (time.Duration, bool) {
+	least, ok := p.MinTime(r, had)
 	if !ok {
 		return 0, false
 	}
@@ -132,7 +171,7 @@
 	p.mu.Unlock()
 	times := make([]time.Duration, 0, len(newest))
 	for _, s := range newest {
-		times = append(times, s.First+time.Duration(max(0, s.Events-last))*s.Gap)
+		times = append(times, s.First+time.Duration(max(0, s.Events-had))*s.Gap)
 	}
 	slices.Sort(times)
 	return max(least, times[len(times)/2]), true
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -101,7 +101,9 @@
 	firstAt   time.Time
 	emptyRuns int // consecutive runs without an event
 	position  position
-	delivered int64 // events sent to the caller
+	delivered int64   // events sent to the caller
+	before    int64   // events that it had received before it resumed; allEvents if that is unknown
+	firstID   eventID // of the events sent
 	ids       eventIDs
 	exception engine.ServerID // has sent ids that rose by several steps, though no other engine has shown why
 	ran       attempts
@@ -126,6 +128,7 @@
 	s := &streamRun{job: j, w: w, ctx: ctx, ids: eventIDs{uneven: r.routeIDs.areUneven(j.route.Name)}}
 	j.spent = func() Spent { return Spent{Attempts: s.ran.spent(), Servers: s.ran.ids()} }
 	s.position.last = parseEventID(j.msg.params.LastEvent)
+	s.before = r.stats.eventsBefore(j.route.Name, s.position.last)
 	defer func() { s.turn.end() }()
 	defer s.closeRuns()
 	defer s.closeBacklog()
@@ -210,7 +213,7 @@
 // engine wastes work on its prompt. It reports whether it did.
 func (s *streamRun) rejectTooLate() bool {
 	left := time.Until(s.deadline)
-	need, ok := s.relay.stats.MinTime(s.route.Name, s.position.count())
+	need, ok := s.relay.stats.MinTime(s.route.Name, s.events())
 	if !ok || need <= left {
 		return false
 	}
@@ -708,6 +711,14 @@
 // resumed reports whether the caller has received the beginning of the answer before.
 func (s *streamRun) resumed() bool { return s.msg.params.LastEvent != "" }
 
+// events returns how many events of the answer the caller has, or allEvents if that is unknown.
+func (s *streamRun) events() int64 {
+	if s.before == allEvents {
+		return allEvents
+	}
+	return s.before + s.delivered
+}
+
 // mayGoOn reports whether another run may go on with the stream.
 func (s *streamRun) mayGoOn() bool { return s.route.Resumable && !s.position.unknown }
 
@@ -739,6 +750,9 @@
 	if !e.isComment() {
 		s.delivered++
 	}
+	if s.firstID.isNone() {
+		s.firstID = e.id
+	}
 	s.position.add(&e)
 	return true
 }
@@ -760,9 +774,9 @@
 		s.relay.announceClose(s.w.Header())
 		s.w.WriteHeader(http.StatusOK)
 	}
-	if s.sends == 1 && !s.resumed() && s.position.count() > 1 {
-		first, gap := s.firstAt.Sub(s.startedAt)-s.turn.waited, time.Since(s.firstAt)/time.Duration(s.position.count()-1)
-		s.relay.stats.Add(s.route.Name, Sample{Prompt: s.msg.params.PromptTokens, First: first, Gap: gap, Events: s.position.count()})
+	if s.sends == 1 && !s.resumed() && s.delivered > 1 {
+		first, gap := s.firstAt.Sub(s.startedAt)-s.turn.waited, time.Since(s.firstAt)/time.Duration(s.delivered-1)
+		s.relay.stats.Add(s.route.Name, Sample{Prompt: s.msg.params.PromptTokens, First: first, Gap: gap, Events: s.delivered, firstID: s.firstID, lastID: s.position.last})
 		s.cur.observed.report(ServerAnswer{First: first, Gap: gap})
 		s.observeOutput()
 	}
@@ -806,8 +820,8 @@
 		return
 	case r.timed && s.headSent:
 		a.First = s.firstAt.Sub(s.startedAt) - s.turn.waited
-		if n := s.position.count(); n >= minPartialEvents {
-			a.Gap = r.state.LastEventAt.Sub(s.firstAt) / time.Duration(n-1)
+		if s.delivered >= minPartialEvents {
+			a.Gap = r.state.LastEventAt.Sub(s.firstAt) / time.Duration(s.delivered-1)
 		}
 	case r.timed:
 		a.First = time.Since(s.startedAt) - s.turn.waited
