routing: one reading of a path

Cause: the route was looked up by the decoded path, and the path was forwarded as it was sent. A server may read it in a third way.

Change: the route is taken by the canonical path (RFC 3986, 6.2.2), and the fingerprint of the request and the booking record by the same; the path is forwarded byte for byte. Where another reading of the path (decoded slashes, dot segments, repeated slashes, parameters) selects another route, the request is repeated, and served without a key, only if both allow it. The product's own services read the path in the same way.

--- a/caller/services.go
+++ b/caller/services.go
@@ -97,7 +97,7 @@
 		Organisation: sc.org.Names.Code,
 		Service:      sc.service.Names.Code,
 		Key:          key,
-		Call:         []byte(sc.call.Method + " " + sc.call.Path + "\n" + string(sc.call.Body)),
+		Call:         []byte(sc.call.Method + " " + routing.CanonicalPath(sc.call.Path) + "\n" + string(sc.call.Body)),
 		Deadline:     sc.call.Deadline,
 	}
 	a, replayed, err := s.Book(ctx, b, func(ctx context.Context) (booking.Answer, error) {
@@ -131,7 +131,7 @@
 	if err != nil {
 		return nil, err
 	}
-	path := "/" + r.PathValue("path")
+	path := callPath(r)
 	kind, err := matchCall(sv, r.Method, path)
 	if err != nil {
 		return nil, err
@@ -164,20 +164,43 @@
 		return engine.Guard{}
 	}
 	code := string(sc.service.Names.Code)
-	f := quarantine.NewFingerprint(routing.Organisation(sc.org.Names.Code), sc.call.Method, code+sc.call.Path, sc.call.Body)
+	f := quarantine.NewFingerprint(routing.Organisation(sc.org.Names.Code), sc.call.Method, code+routing.CanonicalPath(sc.call.Path), sc.call.Body)
 	return s.Guard(routing.ServiceName(code), sc.call.Request, f)
 }
 
+// callPath returns the path of a call at its service, as the caller has sent it.
+func callPath(r *http.Request) string {
+	rest := routing.PathOf(r)
+	for range strings.Count(servicesPrefix, "/") + 1 { // the prefix and the service
+		_, rest, _ = strings.Cut(rest, "/")
+	}
+	return "/" + strings.ReplaceAll(rest, "#", "%23") // package url would take it for the end of the path
+}
+
 // matchCall returns the entry of the service's list of calls that matches. It
 // fails with UnknownCall if there is none: such a call is not forwarded, since
-// it is unknown whether it may be repeated.
+// it is unknown whether it may be repeated. If the service may read the path in another
+// way, by which another entry matches, the call is idempotent only if both are.
 func matchCall(sv *operator.Service, method, path string) (operator.Call, error) {
-	for _, c := range sv.Calls {
-		if c.Method == method && matchPath(c.Path, path) {
-			return c, nil
+	match := func(path string) (operator.Call, bool) {
+		for _, c := range sv.Calls {
+			if c.Method == method && matchPath(c.Path, path) {
+				return c, true
+			}
+		}
+		return operator.Call{}, false
+	}
+	readings := routing.Readings(path)
+	found, ok := match(readings[0])
+	if !ok {
+		return operator.Call{}, result.New(result.UnknownCall, "%s %s", method, path).AsNotRun()
+	}
+	for _, x := range readings[1:] {
+		if other, ok := match(x); ok {
+			found.Idempotent = found.Idempotent && other.Idempotent
 		}
 	}
-	return operator.Call{}, result.New(result.UnknownCall, "%s %s", method, path).AsNotRun()
+	return found, nil
 }
 
 // matchPath reports whether path matches pattern, segment by segment. A segment
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -340,6 +340,6 @@
 		return err
 	}
 	j.parts = quarantine.Parts(params.SharedParts())
-	j.fingerprint = quarantine.NewFingerprint(j.organisation, j.msg.Method, j.msg.URL.RequestURI(), j.msg.body)
+	j.fingerprint = quarantine.NewFingerprint(j.organisation, j.msg.Method, j.msg.target(), j.msg.body)
 	return nil
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -351,7 +351,7 @@
 		return err
 	}
 	j.parts = quarantine.Parts(params.SharedParts())
-	j.fingerprint = quarantine.NewFingerprint(j.organisation, j.msg.Method, j.msg.URL.RequestURI(), j.msg.body)
+	j.fingerprint = quarantine.NewFingerprint(j.organisation, j.msg.Method, j.msg.target(), j.msg.body)
 	return nil
 }
 
@@ -362,7 +362,7 @@
 		return nil, result.New(result.NoConfiguration, "no configuration yet").AsNotRun().WithRetryAt(time.Now().Add(retryDelay))
 	}
 	j.version = t.Version
-	route, ok := t.Route(hostName(j.msg.Host), j.msg.URL.Path)
+	route, ok := t.Select(hostName(j.msg.Host), routing.PathOf(j.msg.Request))
 	if !ok {
 		return nil, result.New(result.UnknownPath, "no route").AsNotRun()
 	}
--- a/relay/send.go
+++ b/relay/send.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"strings"
 	"time"
 
 	"go.uber.org/zap"
@@ -105,10 +106,22 @@
 	body   []byte
 }
 
+// target returns the path and the query of the request by which it is compared with others.
+func (m *message) target() string {
+	t := routing.CanonicalPath(routing.PathOf(m.Request))
+	if m.URL.ForceQuery || m.URL.RawQuery != "" {
+		t += "?" + m.URL.RawQuery
+	}
+	return t
+}
+
 // outgoing returns the request as it is sent to a backend server.
 func (m *message) outgoing(ctx context.Context, to backend.Choice, send *platform.ServerRequest) *http.Request {
 	u := *m.URL
 	u.Scheme, u.Host, u.User = "http", to.Address, nil
+	if p := routing.PathOf(m.Request); p != u.EscapedPath() && !strings.HasPrefix(p, "//") {
+		u.Opaque = p // package url would encode what the caller has not
+	}
 	h := send.Headers(m.Header)
 	if a, ok := ctx.Value(admissionKey{}).(string); ok && to.Peer {
 		h.Set(AdmissionHeader, a)
--- a/relay/where.go
+++ b/relay/where.go
@@ -144,7 +144,7 @@
 // takes no permit, and sends nothing but requests for the load reports that the placement of a stream asks for.
 func (r *Relay) Where(ctx context.Context, q WhereQuery) WhereAnswer {
 	now := time.Now()
-	req := (&http.Request{Method: http.MethodPost, Host: q.Host, URL: &url.URL{Path: q.Path}, Header: http.Header{}}).WithContext(ctx)
+	req := (&http.Request{Method: http.MethodPost, Host: q.Host, RequestURI: q.Path, URL: &url.URL{Path: q.Path}, Header: http.Header{}}).WithContext(ctx)
 	j := &job{relay: r, startedAt: now, route: &routing.Route{}, msg: &message{Request: req}, dryRun: true}
 	j.msg.params = platform.DescribedRequest(q.Request, q.Key, q.Prompt, q.Tokens)
 	a := WhereAnswer{Entry: r.ID, Domain: r.Domain, At: now}
