soak, fuzz: draw how events are identified, and paths that can be read in two ways

Each seed of the soak draws how ids begin and rise, whether streams may be resumed and whether engines send comments, and a stream that is cut off though nothing disturbs it is a violation. Each world of the fuzz draws the same; TestCalm plays all numberings; a quarter of the bookings have an odd path.

--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -44,8 +44,8 @@
 			fmt.Fprintln(os.Stderr, err)
 			os.Exit(1)
 		}
-		fmt.Printf("seed %d: %d faults injected, %d crowds, priorities %t, pressure %t, %d requests, %d served, %d streams whole, %d promises broken\n",
-			seed, rep.Injected, rep.Crowds, rep.Priorities, rep.Pressure, rep.Requests, rep.Served, rep.CompleteStreams, len(rep.Violations))
+		fmt.Printf("seed %d: %d faults injected, %d crowds, priorities %t, pressure %t, streams resume %t, events %s: %d requests, %d served, %d streams whole, %d promises broken\n",
+			seed, rep.Injected, rep.Crowds, rep.Priorities, rep.Pressure, rep.Resumes, rep.Numbering, rep.Requests, rep.Served, rep.CompleteStreams, len(rep.Violations))
 		if len(rep.Violations) == 0 {
 			_ = os.RemoveAll(dir) // a folder that cannot be removed does no harm
 			continue
--- a/fuzz/fuzz_test.go
+++ b/fuzz/fuzz_test.go
@@ -29,17 +29,22 @@
 	os.Exit(m.Run())
 }
 
-// TestCalm plays a world without trouble, in which all is served at the first attempt.
+// TestCalm plays worlds without trouble, in which all is served at the first attempt.
 func TestCalm(t *testing.T) {
-	w := &World{Seed: 1}
-	p := w.run(t, nil)
-	for _, line := range p.check() {
-		t.Error(line)
-	}
-	for _, q := range p.requests {
-		if !q.left && (q.status != 200 || !q.whole) {
-			t.Errorf("%s %s: status %d", q.id, q.path, q.status)
-		}
+	for i, x := range platformtest.Numberings() {
+		t.Run(x.Name, func(t *testing.T) {
+			t.Parallel()
+			w := &World{Seed: uint64(i + 1), Numbering: i, Comments: i%2 == 1}
+			p := w.run(t, nil)
+			for _, line := range p.check() {
+				t.Error(line)
+			}
+			for _, q := range p.requests {
+				if !q.left && (q.status != 200 || !q.whole) {
+					t.Errorf("%s %s: status %d", q.id, q.path, q.status)
+				}
+			}
+		})
 	}
 }
 
@@ -69,6 +74,8 @@
 			})
 		}
 	}
+	w.Numbering = rapid.IntRange(0, len(platformtest.Numberings())-1).Draw(t, "numbering")
+	w.Comments = rapid.IntRange(0, 3).Draw(t, "comments") == 0
 	return w
 }
 
@@ -91,7 +98,7 @@
 	r.Shuffle(len(cells), func(i, j int) { cells[i], cells[j] = cells[j], cells[i] })
 	next := make(map[platformtest.Phase]int)
 	for chunk := range slices.Chunk(cells, 5) {
-		w := &World{Seed: r.Uint64()}
+		w := &World{Seed: r.Uint64(), Numbering: len(all) % len(platformtest.Numberings())}
 		if len(all)%2 == 1 {
 			w.Works = []Work{{Kind: WorkKind(len(all) / 2 % works), Value: r.IntN(2 * perService), From: firstEffect + 1000, Until: firstEffect + 5000}}
 		}
--- a/fuzz/rules_test.go
+++ b/fuzz/rules_test.go
@@ -99,18 +99,15 @@
 			broken = append(broken, fmt.Sprintf("%s: status %d with the stamp %q of no run", q.id, q.status, q.header.Get("X-Server-Stamp")))
 			continue
 		}
-		want := "answer to " + q.id + " " + a.Stamp
+		want, got := "answer to "+q.id+" "+a.Stamp, q.answer
 		if q.route.service == "models" {
-			want = ""
-			for n := range streamSize {
-				want += platformtest.EventText(q.headers.Get("X-Prompt-Prefix"), n+1)
-			}
+			want, got = r.numbering().Events(q.headers.Get("X-Prompt-Prefix"), 1, streamSize), platformtest.WithoutComments(got)
 		}
 		switch {
-		case q.whole && q.answer != want:
-			broken = append(broken, fmt.Sprintf("%s: got %d bytes of %d as whole, which end in %q", q.id, len(q.answer), len(want), q.answer[max(0, len(q.answer)-40):]))
-		case !q.whole && !strings.HasPrefix(want, q.answer):
-			broken = append(broken, fmt.Sprintf("%s: got %q, which does not begin the answer", q.id, q.answer[max(0, len(q.answer)-40):]))
+		case q.whole && got != want:
+			broken = append(broken, fmt.Sprintf("%s: got %d bytes of %d as whole, which end in %q", q.id, len(got), len(want), got[max(0, len(got)-40):]))
+		case !q.whole && !strings.HasPrefix(want, got):
+			broken = append(broken, fmt.Sprintf("%s: got %q, which does not begin the answer", q.id, got[max(0, len(got)-40):]))
 		}
 	}
 	return broken
@@ -405,7 +402,7 @@
 			continue
 		}
 		for _, a := range r.byID[q.id] {
-			rest := a.Header.Get("Last-Event-Id") == fmt.Sprint(streamSize) // an empty rest may also be the end of a failure
+			rest := a.Header.Get("Last-Event-Id") == r.numbering().IDOf(streamSize) // an empty rest may also be the end of a failure
 			if a.Whole && !a.Spoilt && !a.Gone && !rest && a.Ended.Sub(q.at) < q.route.timeout {
 				broken = append(broken, fmt.Sprintf("%s was answered %d though %s had sent an answer", q.id, q.status, a.Server))
 			}
--- a/fuzz/world_test.go
+++ b/fuzz/world_test.go
@@ -64,12 +64,24 @@
 	Seed    uint64 // of the callers
 	Effects []*Effect
 	Works   []Work
+	// Numbering selects how engines identify the events of streams, and Comments whether a comment comes before each.
+	Numbering int
+	Comments  bool
+}
+
+// numbering returns how engines identify the events of streams.
+func (w *World) numbering() platformtest.Numbering {
+	n := platformtest.Numberings()[w.Numbering]
+	if w.Comments {
+		n.Comment = func(int) bool { return true }
+	}
+	return n
 }
 
 // String returns the world as a composite literal, so that it can be played again by a test.
 func (w *World) String() string {
 	var b strings.Builder
-	fmt.Fprintf(&b, "World{Seed: %d,\n\tEffects: []*Effect{\n", w.Seed)
+	fmt.Fprintf(&b, "World{Seed: %d, Numbering: %d, Comments: %t,\n\tEffects: []*Effect{\n", w.Seed, w.Numbering, w.Comments)
 	for _, e := range w.Effects {
 		fmt.Fprintf(&b, "\t\t%s\n", e)
 	}
@@ -215,6 +227,11 @@
 		x["kind"] = kind
 		list = append(list, x)
 	}
+	// A path that has its slash encoded begins with the prefix of "book" alone.
+	list = append(list, map[string]any{
+		"name": "inner", "host": "h.example", "path_prefix": "/call/book/inner/", "timeout_ms": 1000, "kind": "idempotent",
+		"target_latency_ms": 250, "priority": 2, "service": "app", "max_attempts": 3,
+	})
 	if p.has(AddRoute) && p.version > 1 {
 		list = append(list, map[string]any{
 			"name": "added", "host": "h.example", "path_prefix": "/call/added/", "timeout_ms": 1000, "kind": "idempotent",
@@ -249,7 +266,7 @@
 	s := &platformtest.Faulty{
 		ID: fmt.Sprintf("%s-%d", service, n), Number: n, Address: fmt.Sprintf("10.3.64.%d:80", n), Service: service, Version: fmt.Sprintf("v%d", 1+n/2%2),
 		Domain: []string{"cn-a", "wv-a"}[n%2], Engine: service == "models", Work: 25 * time.Millisecond, Slots: 6, Network: p.net, Store: p.store.Store, Book: &p.book,
-		Effects: p.effects, Configuration: p.configuration,
+		Effects: p.effects, Configuration: p.configuration, Numbering: p.numbering(),
 	}
 	p.servers = append(p.servers, s)
 	s.Start()
@@ -364,7 +381,7 @@
 
 // call sends requests until the last one is due, on kept and on new connections.
 func (p *play) call() {
-	r := rand.New(rand.NewPCG(p.Seed, 1))
+	r, paths := rand.New(rand.NewPCG(p.Seed, 1)), rand.New(rand.NewPCG(p.Seed, 2))
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	time.Sleep(firstRequest * time.Millisecond)
@@ -373,6 +390,9 @@
 	defer kept.CloseIdleConnections()
 	for n := 0; p.ms() < lastRequest; n++ {
 		q := p.draw(r, n)
+		if paths.IntN(4) == 0 && q.route.path == "book" {
+			q.path = []string{"/call/book/inner%2F1", "/call/book//inner/1"}[paths.IntN(2)]
+		}
 		t := kept
 		if r.IntN(2) == 0 {
 			t = &http.Transport{DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
--- a/soak/check.go
+++ b/soak/check.go
@@ -19,6 +19,7 @@
 	vm         int // index of the gateway
 	process    int // number of the gateway process that the request was sent to
 	key        string
+	calm       bool          // nothing disturbs it
 	pause      time.Duration // after each of the first events of a stream that is read slowly
 }
 
@@ -32,7 +33,8 @@
 // checker collects violations of the gateway's guarantees from the responses that
 // callers receive and the requests that servers run. It is safe for concurrent use.
 type checker struct {
-	recorder *platformtest.Recorder
+	recorder  *platformtest.Recorder
+	numbering platformtest.Numbering
 
 	mu          sync.Mutex
 	refused     []string       // ids of requests that were answered with status 503 or 429, as not run
@@ -111,8 +113,8 @@
 		return
 	}
 	n := r.lastEvent
-	for rest := o.body; rest != ""; {
-		next := platformtest.EventText(prompt, n+1)
+	for rest := platformtest.WithoutComments(o.body); rest != ""; {
+		next := j.numbering.Event(prompt, n+1)
 		if !strings.HasPrefix(rest, next) {
 			if o.complete || strings.Contains(rest, "\n\n") {
 				j.violation("%s: after event %d comes %q", r.id, n, rest[:min(len(rest), 80)])
@@ -122,6 +124,9 @@
 		rest = rest[len(next):]
 		n++
 	}
+	if r.calm && !o.complete {
+		j.violation("%s: cut off after event %d of %d, though nothing disturbs it", r.id, n, streamEvents)
+	}
 	if o.complete && n != streamEvents {
 		j.violation("%s: ends as whole after event %d of %d", r.id, n, streamEvents)
 	}
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -38,6 +38,7 @@
 		{"a resumed stream", request{id: "i-1", stream: true, lastEvent: 10}, outcome{200, text(11, streamEvents), true}, good, false},
 		{"a truncated stream that looks complete", request{id: "i-1", stream: true}, outcome{200, text(1, 9), true}, good, true},
 		{"a stream whose connection breaks within an event", request{id: "i-1", stream: true}, outcome{200, text(1, 9) + "id: 10\nda", false}, good, false},
+		{"a stream that is cut off though nothing disturbs it", request{id: "i-1", stream: true, calm: true}, outcome{200, text(1, 9), false}, good, true},
 		{"an event that is missing", request{id: "i-1", stream: true}, outcome{200, text(1, 4) + text(6, 9), false}, good, true},
 		{"an event that comes twice", request{id: "i-1", stream: true}, outcome{200, text(1, 4) + text(4, 9), false}, good, true},
 		{"an older key after a newer one", request{id: "b-1"}, outcome{200, "answer to b-1", true}, epochs{own: 2, before: 3, newest: 3, sameProcess: true}, true},
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -48,6 +48,8 @@
 	Crowds          int      // crowds of clients without limits
 	Priorities      bool     // the routes of streams differ in priority
 	Pressure        bool     // the gateways have the agreement pressure
+	Resumes         bool     // streams may be resumed
+	Numbering       string   // how engines identify the events of streams
 	Violations      []string // violations found
 }
 
@@ -81,9 +83,12 @@
 	opts       Options
 	rnd        *rand.Rand
 	crowdRnd   *rand.Rand
-	priorities bool        // the routes of streams differ in priority
-	pressure   bool        // the agreement pressure is in the gateways' settings
+	priorities bool // the routes of streams differ in priority
+	pressure   bool // the agreement pressure is in the gateways' settings
+	resumes    bool // streams may be resumed
+	numbering  platformtest.Numbering
 	faultsOver atomic.Bool // callers no longer read slowly
+	calm       atomic.Bool // nothing disturbs requests any more
 	recorder   *platformtest.Recorder
 	store      *platformtest.Store
 	storeProxy *Proxy
@@ -102,7 +107,9 @@
 	w := &harness{opts: o, rnd: rand.New(rand.NewPCG(o.Seed, 1)), recorder: &platformtest.Recorder{}, store: &platformtest.Store{}}
 	w.crowdRnd = rand.New(rand.NewPCG(o.Seed, 2))
 	w.priorities, w.pressure = o.Seed%2 == 1, o.Seed/2%2 == 1 // four seeds in a row have all combinations
-	w.checker = &checker{recorder: w.recorder, newestEpoch: make(map[string]int)}
+	shape := rand.New(rand.NewPCG(o.Seed, 3))
+	w.resumes, w.numbering = shape.IntN(3) > 0, platformtest.DrawNumbering(shape)
+	w.checker = &checker{recorder: w.recorder, newestEpoch: make(map[string]int), numbering: w.numbering}
 	if err := w.start(); err != nil {
 		return Report{}, err
 	}
@@ -124,6 +131,7 @@
 	w.clearFaults()
 	recovered := w.awaitReady(ctx, recovery)
 	served := w.checker.servedCount()
+	w.calm.Store(recovered)
 	time.Sleep(2 * time.Second)
 	if recovered && w.checker.servedCount() == served {
 		recovered = false
@@ -138,7 +146,7 @@
 		w.checker.violations = append(w.checker.violations, "not recovered after the faults ended")
 	}
 	j := w.checker
-	return Report{Requests: j.requests, Served: j.served, CompleteStreams: j.streams, Injected: injected, Crowds: crowds, Priorities: w.priorities, Pressure: w.pressure, Violations: j.violations}, nil
+	return Report{Requests: j.requests, Served: j.served, CompleteStreams: j.streams, Injected: injected, Crowds: crowds, Priorities: w.priorities, Pressure: w.pressure, Resumes: w.resumes, Numbering: w.numbering.String(), Violations: j.violations}, nil
 }
 
 // servedCount returns the number of requests that were answered with status 200.
@@ -170,7 +178,7 @@
 	for i := range w.opts.Engines + w.opts.PlainServers {
 		s := &platformtest.Server{
 			ID: fmt.Sprintf("s%d", i), Service: "models", Domain: []string{"cn-a", "wv-a"}[i%2], Version: "v1", Born: int64(1000 + i),
-			Engine: i < w.opts.Engines, Work: 10 * time.Millisecond, Recorder: w.recorder,
+			Engine: i < w.opts.Engines, Work: 10 * time.Millisecond, Recorder: w.recorder, Numbering: w.numbering,
 		}
 		if !s.Engine {
 			s.Service = "app"
@@ -214,7 +222,7 @@
 	route := func(name, kind, service string, attempts, priority int) map[string]any {
 		return map[string]any{
 			"name": name, "host": "h.example", "path_prefix": "/" + name + "/", "kind": kind, "timeout_ms": 8000, "target_latency_ms": 2000,
-			"target_gap_ms": 700, "priority": priority, "service": service, "max_attempts": attempts, "stream_resume": true,
+			"target_gap_ms": 700, "priority": priority, "service": service, "max_attempts": attempts, "stream_resume": w.resumes,
 		}
 	}
 	routes := []any{route("book", "non_idempotent", "app", 1, 1), route("status", "idempotent", "app", 2, 1), route("brief", "streaming", "models", 5, 1)}
@@ -403,6 +411,9 @@
 		case after > 0 || kind == 0:
 			r.stream, r.lastEvent, path = true, after, streamPath
 			r.id, r.pause = fmt.Sprintf("%s-%d-%d", idempotentPrefix, n, i), w.drawPause(streamRnd)
+			if !w.resumes {
+				r.atMostOnce, r.id = true, fmt.Sprintf("s-%d-%d", n, i)
+			}
 		case kind == 1:
 			r.atMostOnce, path = true, "/book/1"
 			r.id = fmt.Sprintf("b-%d-%d", n, i)
@@ -413,14 +424,15 @@
 		if rnd.IntN(4) == 0 && k.own > 1 {
 			k.own-- // the key of the previous configuration, which is revoked
 		}
-		r.key = epochKey(k.own)
+		r.key, r.calm = epochKey(k.own), w.calm.Load()
 		o := w.send(ctx, client, g.listen, path, r)
 		g.mu.Lock()
 		k.sameProcess = g.starts == r.process
 		g.mu.Unlock()
 		k.newest = w.newest()
+		r.calm = r.calm && ctx.Err() == nil
 		w.checker.check(r, o, k)
-		if r.stream {
+		if r.stream && w.resumes {
 			after = resumePosition(r, o)
 		}
 	}
@@ -429,7 +441,7 @@
 // resumePosition returns the number of the last complete event of a stream that broke
 // off, or 0 if the next stream starts from the beginning.
 func resumePosition(r request, o outcome) int {
-	got := r.lastEvent + strings.Count(o.body, "\n\n")
+	got := r.lastEvent + strings.Count(platformtest.WithoutComments(o.body), "\n\n")
 	if o.complete || got >= streamEvents {
 		return 0
 	}
@@ -453,7 +465,7 @@
 		req.Header.Set("X-Prompt-Prefix", prompt)
 		req.Header.Set("X-Token-Count", fmt.Sprintf("440,%d", streamEvents*tokensPerEvent))
 		if r.lastEvent > 0 {
-			req.Header.Set("Last-Event-Id", strconv.Itoa(r.lastEvent))
+			req.Header.Set("Last-Event-Id", w.numbering.IDOf(r.lastEvent))
 		}
 	}
 	resp, err := client.Do(req)
