relay: comments are no output

Cause: all blocks of a stream were counted as events.

A comment before the first event no longer starts the clock of a silent run, or ends the time to the first event.

The soak and the fuzz draw comments while a prompt is read.

--- a/fuzz/world_test.go
+++ b/fuzz/world_test.go
@@ -73,7 +73,7 @@
 func (w *World) numbering() platformtest.Numbering {
 	n := platformtest.Numberings()[w.Numbering]
 	if w.Comments {
-		n.Comment = func(int) bool { return true }
+		n.Opening, n.Comment = 4, func(int) bool { return true }
 	}
 	return n
 }
--- a/relay/detector.go
+++ b/relay/detector.go
@@ -83,6 +83,9 @@
 	return !s.ProbedAt.IsZero() && !s.ProbeOK && !now.Before(s.ProbeDue)
 }
 
+// heard records that the server has sent something that does not show that it proceeds: it answers, as to a probe.
+func (s *StreamState) heard(now time.Time) { s.ProbedAt, s.ProbeOK = now, true }
+
 // Decision is what to do about a stream. For Await, CheckAt is when to decide again unless
 // something happens before.
 type Decision struct {
--- a/relay/events.go
+++ b/relay/events.go
@@ -14,10 +14,13 @@
 	id  eventID
 }
 
-// isComment reports whether an event consists of comments alone.
-func (e *event) isComment() bool {
-	for line := range bytes.Lines(e.raw) {
-		if line = bytes.TrimSpace(line); len(line) > 0 && line[0] != ':' {
+// isComment reports whether an event dispatches nothing: it consists of comments and reconnection times. Such events show that an engine
+// is alive, but not that it has begun an answer.
+func (e *event) isComment() bool { return isComment(e.raw) }
+
+func isComment(raw []byte) bool {
+	for line := range bytes.Lines(raw) {
+		if line = bytes.TrimSpace(line); len(line) > 0 && line[0] != ':' && !bytes.HasPrefix(line, []byte("retry:")) {
 			return false
 		}
 	}
@@ -35,7 +38,7 @@
 // comments can't be used.
 type eventReader struct {
 	scan    *bufio.Scanner
-	partial bool // a part of the next event has come
+	partial bool // a part of the next event has come, which is no comment
 }
 
 func newEventReader(body io.Reader) *eventReader {
@@ -43,7 +46,7 @@
 	e.scan.Buffer(make([]byte, 0, 4<<10), maxEvent)
 	e.scan.Split(func(data []byte, atEOF bool) (int, []byte, error) {
 		n, raw, err := splitEvents(data, atEOF)
-		e.partial = n == 0 && len(data) > 0
+		e.partial = n == 0 && !isComment(data)
 		return n, raw, err
 	})
 	return e
--- a/relay/gap.go
+++ b/relay/gap.go
@@ -78,11 +78,13 @@
 		return s.handlePart(p)
 	}
 	e := &p.event
+	if e.isComment() {
+		s.cur.state.heard(time.Now())
+		return true
+	}
 	s.countEvent(time.Now())
 	if e.id.isNone() {
-		if !e.isComment() {
-			s.cur.begins = append(s.cur.begins, *e)
-		}
+		s.cur.begins = append(s.cur.begins, *e)
 		if len(s.cur.begins) > maxBegins {
 			return s.dropProof("the other run has no ids")
 		}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -41,7 +41,7 @@
 	answered bool // it has sent its head
 	headAt   time.Time
 	openEnd  bool // its head states no end, so that it looks complete whenever it breaks off between events
-	events   int  // events sent, repeated ones included
+	events   int  // events sent, repeated ones included and comments not
 	partial  bool // it broke off within an event
 	// resumes is set if it is to go on with a stream that has begun.
 	resumes   bool
@@ -96,10 +96,10 @@
 	ctx       context.Context
 	cur       *run
 	handover  handover
-	headSent  bool     // the response head was sent to the caller
-	backlog   *backlog // of what the caller has not read; nil before the first event, or if nothing is read ahead
-	firstAt   time.Time
-	emptyRuns int // consecutive runs without an event
+	headSent  bool      // the response head was sent to the caller
+	backlog   *backlog  // of what the caller has not read; nil before the first event, or if nothing is read ahead
+	firstAt   time.Time // when the first event was sent to the caller
+	emptyRuns int       // consecutive runs without an event
 	position  position
 	delivered int64   // events sent to the caller
 	before    int64   // events that it had received before it resumed; allEvents if that is unknown
@@ -504,7 +504,7 @@
 		return
 	}
 	events := newEventReader(resp.Body)
-	for n := 0; ; n++ {
+	for n := 0; ; {
 		e, err := events.next()
 		if errors.Is(err, io.EOF) && n == 0 && http1.EndsWithConnection(resp) {
 			err = errTruncated
@@ -517,6 +517,9 @@
 			emit(part{ended: true, partial: events.partial, outcome: Lost, err: err})
 			return
 		}
+		if !e.isComment() {
+			n++
+		}
 		r.Pool.MarkResponsive(cur.to.ID, time.Now())
 		cur.meter.event(time.Now(), &e, len(cur.parts))
 		if !emit(part{event: e}) {
@@ -560,6 +563,10 @@
 		return s.handleEarlyEnd(p)
 	}
 	now := time.Now()
+	if p.event.isComment() {
+		s.cur.state.heard(now)
+		return s.forward(p.event)
+	}
 	s.countEvent(now)
 	return s.handleEvent(&p.event, now)
 }
@@ -584,23 +591,21 @@
 	before := s.cur.last
 	order := s.cur.follow(e)
 	switch {
-	case begins && e.id.isNone() && !e.isComment():
+	case begins && e.id.isNone():
 		return s.holdBegin(e)
 	case begins && (order == orderFalls || order == orderFurther):
 		return s.failBegin("ids of events do not rise")
-	case begins && !e.id.isNone() && s.position.isOther(e.id):
+	case begins && s.position.isOther(e.id):
 		return s.failKind()
 	case order == orderAgain, order != orderFurther && s.position.has(e.id) && (e.id.ranked || begins),
-		begins && !e.id.isNone() && len(s.cur.begins) == 0 && s.position.absorb(e):
+		begins && len(s.cur.begins) == 0 && s.position.absorb(e):
 		s.dropRepeated(e)
 		return true
 	}
-	if !e.isComment() || !s.resumes() {
-		// Repeated events and comments do not show that the generation proceeds.
-		state := &s.cur.state
-		state.LastEventAt, state.ProbedAt, state.ProbeOK = now, time.Time{}, false
-		s.endSilence()
-	}
+	// Repeated events do not show that the generation proceeds.
+	state := &s.cur.state
+	state.LastEventAt, state.ProbedAt, state.ProbeOK = now, time.Time{}, false
+	s.endSilence()
 	if v := s.ids.judge(s.position.last, e.id, before.same(s.position.last)); v != idNext {
 		return s.handleGap(&doubt{event: *e, verdict: v})
 	}
@@ -740,7 +745,7 @@
 // forward sends an event to the caller at once.
 func (s *streamRun) forward(e event) bool {
 	if !s.headSent {
-		s.headSent, s.firstAt = true, time.Now()
+		s.headSent = true
 		s.relay.announceClose(s.w.Header())
 		s.w.WriteHeader(http.StatusOK)
 	}
@@ -748,7 +753,7 @@
 		s.abort(result.Wrap(result.CallerGone, err, "send event"))
 	}
 	if !e.isComment() {
-		s.delivered++
+		s.countDelivered()
 	}
 	if s.firstID.isNone() {
 		s.firstID = e.id
@@ -757,6 +762,13 @@
 	return true
 }
 
+// countDelivered counts an event that the caller was sent.
+func (s *streamRun) countDelivered() {
+	if s.delivered++; s.delivered == 1 {
+		s.firstAt = time.Now()
+	}
+}
+
 // finish ends a stream that is complete.
 func (s *streamRun) finish() bool {
 	if s.cur.events > 0 {
@@ -818,7 +830,7 @@
 	case !hung && (r.suspect || r.state.probeFailed(time.Now())):
 		r.observed.drop()
 		return
-	case r.timed && s.headSent:
+	case r.timed && s.delivered > 0:
 		a.First = s.firstAt.Sub(s.startedAt) - s.turn.waited
 		if s.delivered >= minPartialEvents {
 			a.Gap = r.state.LastEventAt.Sub(s.firstAt) / time.Duration(s.delivered-1)
