backend: no request to a server within its Retry-After, however it was chosen

Cause: the refusal was looked at where servers are chosen, and admittedCopy goes past that.

Change: Pool.Take, which all requests pass, sends none before that time; admittedCopy asks what liveCopy asks.

--- a/backend/rate.go
+++ b/backend/rate.go
@@ -148,7 +148,7 @@
 }
 
 // Take reports whether a request may be sent to a server, and if so uses up a permit where its limit
-// requires one.
+// requires one. None is sent before the end of the time for which the server refuses requests, however it was chosen.
 func (p *Pool) Take(id engine.ServerID, now time.Time) bool {
 	g := p.groupOf(id)
 	if g == nil {
@@ -157,10 +157,14 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	st := g.servers[id]
-	if st == nil || g.limitedTo(now, st) == Unlimited {
+	switch {
+	case st == nil:
 		return true
-	}
-	if !st.limit.hasPermit(now) {
+	case now.Before(st.retryAt):
+		return false
+	case g.limitedTo(now, st) == Unlimited:
+		return true
+	case !st.limit.hasPermit(now):
 		return false
 	}
 	st.limit.permits = slices.Delete(st.limit.permits, 0, 1)
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -274,11 +274,12 @@
 	if s.copy == nil || s.sends > 0 {
 		return backend.Choice{}, nil, false
 	}
-	v, ok := s.relay.Pool.View(s.copy.Server, now)
-	if !ok || v.Removed || v.Draining || v.Start != s.copy.Start {
+	v, _ := s.relay.Pool.View(s.copy.Server, now)
+	c := backend.Choice{Server: v.Server, DialTime: v.DialTime}
+	if v.Start != s.copy.Start || !s.serverAlive(&c, s.startedAt, now) || !s.accepts(c.ID, now) {
 		return backend.Choice{}, nil, false
 	}
-	return backend.Choice{Server: v.Server, DialTime: v.DialTime}, &s.copy.KVCopy, true
+	return c, &s.copy.KVCopy, true
 }
 
 // ServeAdmitted serves a request that another entry VM has admitted and handed to this one.
--- a/relay/notices_test.go
+++ b/relay/notices_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
@@ -14,7 +15,10 @@
 
 	"quetzalhold/backend"
 	"quetzalhold/engine"
+	"quetzalhold/platform"
 	"quetzalhold/platform/platformtest"
+	"quetzalhold/relay"
+	"quetzalhold/routing"
 )
 
 // TestLeaving checks that a server which says in an answer that it is leaving gets nothing more
@@ -155,6 +159,31 @@
 		So(a.status, ShouldEqual, 503)
 		So(a.took, ShouldBeLessThan, 100*time.Millisecond)
 	})
+	withHarness(t, "the engine with the copy of a stream that another entry VM hands over", func(w *harness) {
+		w.addEngines()
+		w.frontend.Handler = http.HandlerFunc(w.relay.ServeAdmitted)
+		full := w.servers["e4"]
+		w.pool.Postpone("e4", engine.Incarnation(full.Born), time.Now().Add(time.Second))
+		c := testConfig()
+		admission, err := json.Marshal(relay.Admission{
+			From: "vm-0", Route: c.Routes[0], Attempts: 2, Service: "models", Model: c.Services[0].Model,
+			Copy: &relay.AdmittedCopy{Server: "e4", Start: engine.Incarnation(full.Born), KVCopy: platform.KVCopy{Address: full.Address, Name: "r1"}},
+		})
+		So(err, ShouldBeNil)
+		a := w.resumableStream(context.Background(), relay.AdmissionHeader, string(admission), "Last-Event-Id", "30")
+		So(a.err, ShouldBeNil)
+		So(a.body, ShouldEqual, events(31, numEvent))
+		So(full.Arrived(), ShouldBeEmpty)
+	})
+	withHarness(t, "whatever chose the server", func(w *harness) {
+		s := w.add("a0", "app", 0, work)
+		w.relay.Sending = func(backend.Choice, routing.RouteName) bool { // between the choice and the send
+			w.pool.Postpone("a0", engine.Incarnation(s.Born), time.Now().Add(time.Second))
+			return true
+		}
+		So(call(w, "1").status, ShouldEqual, 503)
+		So(s.Arrived(), ShouldBeEmpty)
+	})
 	withHarness(t, "one of two servers, for longer than most", func(w *harness) {
 		busy := w.add("a0", "app", 0, work)
 		busy.SetFault(platformtest.Fault{Refuse: true, RetryAfter: "45"})
--- a/relay/send.go
+++ b/relay/send.go
@@ -40,9 +40,9 @@
 
 func (u dialError) Unwrap() error { return u.cause }
 
-// errNoRoom is the failure to send to a server whose limit, or that of its version, leaves no room: nothing was
-// sent.
-var errNoRoom = errors.New("the limit of the server or its version leaves no room")
+// errNoRoom is the failure to send to a server that refuses requests for now, or whose limit, or that of its version, leaves
+// no room: nothing was sent.
+var errNoRoom = errors.New("the server refuses requests for now, or its limit or that of its version leaves no room")
 
 // notSent reports whether an attempt failed before anything was sent to the server.
 func notSent(err error) bool {
