relay: crashes on kept connections count

Cause: a kept connection that ends before an answer may have been closed by its server, so that no crash was held against the request.

Change: confirmCrash decides, as for new connections: a server that is still there has closed the connection.

--- a/relay/connections.go
+++ b/relay/connections.go
@@ -82,8 +82,8 @@
 	}}
 }
 
-// failedOnKept reports whether a request failed on a kept connection before the first byte of an answer. That
-// says nothing about the server, which may have closed the connection before.
+// failedOnKept reports whether a request failed on a kept connection before the first byte of an answer. Only whether the
+// server is still there tells whether it has crashed, or has closed the connection before.
 func failedOnKept(err error) bool {
 	var kept *serverconn.KeptError
 	return errors.As(err, &kept)
--- a/relay/connections_test.go
+++ b/relay/connections_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/google/uuid"
 	. "github.com/smartystreets/goconvey/convey"
 
 	"quetzalhold/engine"
@@ -253,3 +254,60 @@
 		So(reused, ShouldEqual, 0)
 	})
 }
+
+// TestCrashesOnKeptConnections guards against requests that crash one server after the other, as their kept connections end before an
+// answer, and against sound ones that are blocked as servers close kept connections.
+func TestCrashesOnKeptConnections(t *testing.T) {
+	const poison = "poison"
+	send := func(w *harness, body string) int {
+		return w.request(context.Background(), http.MethodPost, "/status/1", body, "X-Request-Id", uuid.NewString()).status
+	}
+	withHarness(t, "the request crashes servers", func(w *harness) {
+		w.countConnections(true)
+		crashed := 0
+		for i := range 4 {
+			s := w.add(fmt.Sprintf("a%d", i), "app", i%3, work)
+			s.SetFault(platformtest.Fault{CrashBody: poison, CrashEarly: true})
+			s.Crashed = func() {
+				crashed++
+				w.stopListening(s)
+				time.AfterFunc(4*time.Second, func() {
+					s.Restart(s.Born + 5000)
+					w.start(s)
+					w.pool.Apply(entry(s))
+				})
+			}
+		}
+		for range 12 {
+			for i := range 40 { // each server has a kept connection
+				So(send(w, fmt.Sprint("sound ", i)), ShouldEqual, http.StatusOK)
+			}
+			send(w, poison)
+			time.Sleep(6 * time.Second)
+		}
+		So(crashed, ShouldBeLessThanOrEqualTo, 4) // the attempt that crashes the third may crash one more
+	})
+	withHarness(t, "servers close connections", func(w *harness) {
+		w.countConnections(true)
+		for i := range 4 {
+			s := w.add(fmt.Sprintf("a%d", i), "app", i%3, work)
+			w.stopListening(s)
+			var n atomic.Int32
+			w.running[s.ID] = &http.Server{Handler: http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+				if n.Add(1)%2 == 0 {
+					panic(http.ErrAbortHandler)
+				}
+				s.ServeHTTP(rw, r)
+			})}
+			w.serve(s.Address, w.running[s.ID])
+		}
+		refused := 0
+		for range 100 {
+			if send(w, "poll") == http.StatusServiceUnavailable {
+				refused++
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+		So(refused, ShouldEqual, 0)
+	})
+}
--- a/relay/plain.go
+++ b/relay/plain.go
@@ -325,7 +325,7 @@
 			p.best = &rep
 		}
 	default:
-		if rep.outcome == Lost && !failedOnKept(rep.err) {
+		if rep.outcome == Lost {
 			p.observeCrash(rep.server, false, rep.err)
 		}
 		p.refundRetry(rep.err)
