relay: a resumed run may begin with an uneven rise that single runs have shown

A stream was cut off if the only other engine began with an uneven rise, though single runs of the route had shown such rises before: nobody is left who could show it for this one.

Change: a rise counts as missing there only while no engine of the route has shown another one in a single run. TestResumedRunCutOff failed before. Ids of 64 bits are subtracted without package big, as that is done for each event.

--- a/relay/gap.go
+++ b/relay/gap.go
@@ -15,9 +15,12 @@
 // handleGap handles an event of the current run before which one may be missing. Another engine, if there is one, shows
 // whether that is so. It returns false if the request has ended.
 func (s *streamRun) handleGap(d *doubt) bool {
-	if s.cur.falls {
+	switch {
+	case s.cur.falls:
 		d.verdict = idMissing // the run's events are out of order
 		return s.decideAlone(d, "ids fell")
+	case d.verdict == idMissing && s.relay.routeIDs.hasOdd(s.route.Name):
+		d.verdict = idDoubt // a single run has shown such a rise too
 	}
 	if prevented := s.askOther(d); prevented != "" {
 		return s.decideAlone(d, prevented)
--- a/relay/gap_test.go
+++ b/relay/gap_test.go
@@ -147,6 +147,21 @@
 	}
 }
 
+// TestResumedRunCutOff guards against streams that are cut off as the engine that goes on with them begins with an uneven rise, which single
+// runs of the route have shown before.
+func TestResumedRunCutOff(t *testing.T) {
+	x := platformtest.Numberings()[7]
+	withHarness(t, x.Name, func(w *harness) {
+		w.addSome(1, x)
+		So(w.resumableStream(context.Background(), "X-Request-Id", "r0").err, ShouldBeNil)
+		w.add("other", "models", 1, 30*time.Millisecond).SetNumbering(x)
+		w.breakRuns(1, 7)
+		a := w.resumableStream(context.Background())
+		So(a.err, ShouldBeNil)
+		So(a.body, ShouldEqual, x.Events(prompt, 1, numEvent))
+	})
+}
+
 // TestMissingEventAlone guards against an answer that looks complete though its engine has left an event out, where the route does not
 // resume, and against sound ones that are broken off as others rose by equal steps so far.
 func TestMissingEventAlone(t *testing.T) {
--- a/relay/ids.go
+++ b/relay/ids.go
@@ -78,6 +78,10 @@
 	if !a.ranked || !b.ranked {
 		return 0, false
 	}
+	if a.large == nil && b.large == nil {
+		d := b.number - a.number
+		return d, d >= 0 == (b.number >= a.number)
+	}
 	d := new(big.Int).Sub(b.big(), a.big())
 	return d.Int64(), d.IsInt64()
 }
@@ -285,6 +289,12 @@
 	})
 }
 
+// hasOdd reports whether an engine has sent ids on a route that rose by several steps at once.
+func (r *routeIDs) hasOdd(n routing.RouteName) (odd bool) {
+	r.update(n, func(h *idHistory) { odd = len(h.odd) > 0 })
+	return odd
+}
+
 // addSteady records that an engine has sent a whole answer whose ids rose by equal steps.
 func (r *routeIDs) addSteady(n routing.RouteName, by engine.ServerID, events int64) {
 	r.update(n, func(h *idHistory) {
