relay: events that dispatch nothing are no output

An event without data and id ("event: ping") counted as output as comments did, and events without an id between others as progress, so that an engine that only sends such ones was not given up.

Change: event.dispatches tells what a caller gets something of; only that counts for the beginning of an answer, its soundness, the times of events and the position. The stand-ins send a ping beside each comment; TestCommentsAreNoOutput, TestOddEventIDs and the fuzz hold with it.

--- a/relay/events.go
+++ b/relay/events.go
@@ -14,10 +14,15 @@
 	id  eventID
 }
 
-// isComment reports whether an event dispatches nothing: it consists of comments and reconnection times. Such events show that an engine
-// is alive, but not that it has begun an answer.
+// isComment reports whether an event consists of comments and reconnection times alone.
 func (e *event) isComment() bool { return isComment(e.raw) }
 
+// dispatches reports whether callers get something of an event: it has data, or an id. Others show that an engine is alive, but
+// not that it has begun an answer.
+func (e *event) dispatches() bool {
+	return !e.id.isNone() || bytes.HasPrefix(e.raw, []byte("data")) || bytes.Contains(e.raw, []byte("\ndata"))
+}
+
 func isComment(raw []byte) bool {
 	for line := range bytes.Lines(raw) {
 		if line = bytes.TrimSpace(line); len(line) > 0 && line[0] != ':' && !bytes.HasPrefix(line, []byte("retry:")) {
--- a/relay/gap.go
+++ b/relay/gap.go
@@ -81,7 +81,7 @@
 		return s.handlePart(p)
 	}
 	e := &p.event
-	if e.isComment() {
+	if !e.dispatches() {
 		s.cur.state.heard(time.Now())
 		return true
 	}
--- a/relay/handover.go
+++ b/relay/handover.go
@@ -61,7 +61,7 @@
 		return turnNone
 	case p.ended && p.err != nil:
 		return turnDrop
-	case !p.ended && p.head == nil && (repeated || p.event.isComment()):
+	case !p.ended && p.head == nil && (repeated || !p.event.dispatches()):
 		return turnNone
 	}
 	return turnGoBack
--- a/relay/ids.go
+++ b/relay/ids.go
@@ -107,7 +107,7 @@
 // add records that an event was delivered.
 func (p *position) add(e *event) {
 	switch {
-	case e.isComment():
+	case !e.dispatches():
 	case e.id.isNone():
 		p.trailSize += len(e.raw)
 		if p.trail = append(p.trail, e.raw); p.last.isNone() || p.trailSize > maxTrail {
--- a/relay/meter.go
+++ b/relay/meter.go
@@ -66,7 +66,7 @@
 
 // event records that an event was read while so many parts wait for the caller. A nil meter measures nothing.
 func (m *meter) event(now time.Time, e *event, behind int) {
-	if m == nil || e.isComment() {
+	if m == nil || !e.dispatches() {
 		return
 	}
 	if order, ok := e.id.compare(m.after); ok && order <= 0 {
--- a/relay/quarantine.go
+++ b/relay/quarantine.go
@@ -120,7 +120,7 @@
 			case p.ended && (p.err != nil || r.events == 0):
 				s.logEvent("trial failed after its request", r.to.ID, zap.Stringer("outcome", p.outcome), zap.Error(p.err))
 				return
-			case p.connected || p.head != nil || !p.ended && p.event.isComment():
+			case p.connected || p.head != nil || !p.ended && !p.event.dispatches():
 				continue
 			}
 			if r.events++; p.ended || r.events >= beginEvents {
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -517,7 +517,7 @@
 			emit(part{ended: true, partial: events.partial, outcome: Lost, err: err})
 			return
 		}
-		if !e.isComment() {
+		if e.dispatches() {
 			n++
 		}
 		r.Pool.MarkResponsive(cur.to.ID, time.Now())
@@ -563,12 +563,16 @@
 		return s.handleEarlyEnd(p)
 	}
 	now := time.Now()
-	if p.event.isComment() {
+	e := &p.event
+	if e.dispatches() {
+		s.countEvent(now)
+	} else {
 		s.cur.state.heard(now)
-		return s.forward(p.event)
 	}
-	s.countEvent(now)
-	return s.handleEvent(&p.event, now)
+	if e.isComment() {
+		return s.forward(*e)
+	}
+	return s.handleEvent(e, now)
 }
 
 // countEvent counts an event of the current run, which may be a repeated one.
@@ -602,10 +606,12 @@
 		s.dropRepeated(e)
 		return true
 	}
-	// Repeated events do not show that the generation proceeds.
-	state := &s.cur.state
-	state.LastEventAt, state.ProbedAt, state.ProbeOK = now, time.Time{}, false
-	s.endSilence()
+	if e.dispatches() && (!e.id.isNone() || !s.resumes()) {
+		// Repeated events, and those without an id between others, do not show that the generation proceeds.
+		state := &s.cur.state
+		state.LastEventAt, state.ProbedAt, state.ProbeOK = now, time.Time{}, false
+		s.endSilence()
+	}
 	if v := s.ids.judge(s.position.last, e.id, before.same(s.position.last)); v != idNext {
 		return s.handleGap(&doubt{event: *e, verdict: v})
 	}
@@ -681,7 +687,7 @@
 // forwardBegins sends the caller what it does not have of the events without an id with which the current run began. It
 // reports false if they are not those of the stream.
 func (s *streamRun) forwardBegins() bool {
-	list, ok := s.position.beyond(s.cur.begins)
+	list, ok := s.position.beyond(slices.DeleteFunc(s.cur.begins, func(e event) bool { return !e.dispatches() }))
 	s.cur.begins = nil
 	for _, e := range list {
 		s.forward(e)
@@ -752,7 +758,7 @@
 	if err := s.sendEvent(e.raw); err != nil {
 		s.abort(result.Wrap(result.CallerGone, err, "send event"))
 	}
-	if !e.isComment() {
+	if e.dispatches() {
 		s.countDelivered()
 	}
 	if s.firstID.isNone() {
