--- a/relay/connections_test.go
+++ b/relay/connections_test.go
@@ -264,14 +264,19 @@
 	}
 	withHarness(t, "the request crashes servers", func(w *harness) {
 		w.countConnections(true)
+		var mu sync.Mutex // of the servers that run
 		crashed := 0
 		for i := range 4 {
 			s := w.add(fmt.Sprintf("a%d", i), "app", i%3, work)
 			s.SetFault(platformtest.Fault{CrashBody: poison, CrashEarly: true})
 			s.Crashed = func() {
+				mu.Lock()
+				defer mu.Unlock()
 				crashed++
 				w.stopListening(s)
 				time.AfterFunc(4*time.Second, func() {
+					mu.Lock()
+					defer mu.Unlock()
 					s.Restart(s.Born + 5000)
 					w.start(s)
 					w.pool.Apply(entry(s))
